--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Targets: build, test (formatter, linter, vet, generated code, tests), demo,
+# measure, slopes, generate.
+
+TOOLS := .cache/tools
+# The linter and the generators are pinned in modules of their own, so that
+# users of the product do not download them.
+TOOL_MODULES := tools/gen tools/lint
+
+.PHONY: build test demo measure slopes generate tools
+
+build:
+	go build -o bin/ ./cmd/...
+
+tools: $(TOOLS)/.stamp
+
+$(TOOLS)/.stamp: $(wildcard tools/*/go.mod)
+	mkdir -p $(TOOLS)
+	for m in $(TOOL_MODULES); do (cd $$m && go build -o ../../$(TOOLS)/ tool) || exit 1; done
+	touch $@
+
+generate: tools
+	$(TOOLS)/buf lint
+	$(TOOLS)/buf generate
+
+test: tools
+	./scripts/test.sh
+
+demo: build
+	./scripts/demo.sh
+
+measure:
+	go run ./cmd/measure
+
+slopes:
+	go run ./cmd/measure slopes
