Add stand-ins for platform, fabric, upstream and callers

Cause: the daemon and its tests need an object API, a packet-spraying network, upstreams and load, and none of them may be a third-party server.

Ruled out: sockets inside the upstream and caller logic, because scenarios in virtual time have to drive them. Buffered histories, because a killed process would lose its last lines and the checker would then report answers without a run.

Before: no stand-ins. There are no tests yet and make test was not run.

Conclusion: thin version of all four commands and of the history checker.

--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/standin/platform"
+)
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve the object API and /control",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "listen", Value: []string{"default=127.0.0.1:7000"},
+				Usage: "`NAME=IP:PORT` to listen on; repeat it for listeners that can be cut off alone"},
+			&cli.StringSliceFlag{Name: "instance", Usage: "`NAME,DOMAIN,PEER,ADMIN[,leaving]` on the instance list"},
+			&cli.DurationFlag{Name: "instance-lag", Usage: "age of the instance list"},
+			&cli.StringFlag{Name: "initial", Usage: "`FILE` with a /control request in JSON to apply at the start"},
+			&cli.FloatFlag{Name: "writes-per-second", Usage: "limit on writes; 0 for none"},
+			&cli.FloatFlag{Name: "reads-per-second", Usage: "limit on all other calls; 0 for none"},
+		},
+		Action: runPlatform,
+	}
+}
+
+func runPlatform(ctx context.Context, cmd *cli.Command) error {
+	store := platform.NewStore(platform.Options{
+		InstanceLag:     cmd.Duration("instance-lag"),
+		WritesPerSecond: cmd.Float("writes-per-second"),
+		ReadsPerSecond:  cmd.Float("reads-per-second"),
+	})
+	var instances []*pb.InstanceInfo
+	for _, value := range cmd.StringSlice("instance") {
+		i, err := parseInstance(value)
+		if err != nil {
+			return err
+		}
+		instances = append(instances, i)
+	}
+	store.SetInstances(instances)
+	server := platform.NewServer(store)
+	if path := cmd.String("initial"); path != "" {
+		if err := applyInitial(server, path); err != nil {
+			return err
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, value := range cmd.StringSlice("listen") {
+		name, address, err := parseNamed("listen", value)
+		if err != nil {
+			return err
+		}
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			return fmt.Errorf("platform: %w", err)
+		}
+		logrus.WithFields(logrus.Fields{"listener": name, "address": listener.Addr()}).Info("platform listens")
+		serveHTTP(ctx, group, listener, server.Handler(name))
+	}
+	return group.Wait()
+}
+
+// serveHTTP serves HTTP/1.1 and HTTP/2 without TLS until the context ends.
+func serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, Protocols: platform.Protocols(), ReadHeaderTimeout: 5 * time.Second}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("http server: %w", err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+}
+
+func parseInstance(value string) (*pb.InstanceInfo, error) {
+	f := strings.Split(value, ",")
+	leaving := len(f) == 5 && f[4] == "leaving"
+	if len(f) != 4 && !leaving {
+		return nil, &flagError{"instance", value, "is not NAME,DOMAIN,PEER,ADMIN[,leaving]"}
+	}
+	return &pb.InstanceInfo{Name: f[0], FailureDomain: f[1], PeerAddress: f[2], AdminAddress: f[3], Leaving: leaving}, nil
+}
+
+func applyInitial(server *platform.Server, path string) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("initial state: %w", err)
+	}
+	var c platform.Control
+	decoder := json.NewDecoder(bytes.NewReader(b))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&c); err != nil {
+		return fmt.Errorf("initial state %s: %w", path, err)
+	}
+	return server.Apply(&c)
+}
--- /dev/null
+++ b/internal/standin/caller/request.go
@@ -0,0 +1,223 @@
+package caller
+
+import (
+	"encoding/binary"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/standin/history"
+	"github.com/chivemast/chivemast/internal/standin/payload"
+)
+
+type request struct {
+	packet   *pb.Packet
+	deadline time.Time
+	// finished tells that the outcome was recorded. The request is kept until
+	// its deadline for late copies and refusals.
+	finished bool
+	// claimed tells that a "not run" refusal was recorded.
+	claimed bool
+	answers map[answerKey]*answer
+}
+
+// answerKey tells the answers of several attempts apart.
+type answerKey struct {
+	upstream string
+	bootID   uint64
+	attempt  uint32
+}
+
+type answer struct {
+	parts   uint32
+	payload map[uint32][]byte
+}
+
+func (m *Machine) newRequest(f *flowState) {
+	f.nextID++
+	p := m.packet(pb.PacketKind_PACKET_KIND_REQUEST, f)
+	p.RequestId = f.nextID
+	p.Idempotent = m.rng.Float64() >= m.cfg.NonIdempotent
+	deadline := m.now.Add(m.cfg.RequestTimeout)
+	p.DeadlineUnixMs = deadline.UnixMilli()
+	p.Payload = binary.BigEndian.AppendUint64(nil, f.nextID)
+	f.requests[f.nextID] = &request{packet: p, deadline: deadline, answers: map[answerKey]*answer{}}
+	m.record(f, history.Event{Kind: history.CallerRequest, RequestID: p.RequestId, Idempotent: p.Idempotent})
+	m.send(p)
+	m.after(f, m.cfg.Retransmit, timerRequest, f.nextID)
+	if m.rng.Float64() < m.cfg.Cancel {
+		m.after(f, time.Duration(m.rng.Int64N(int64(m.cfg.Retransmit))), timerCancel, f.nextID)
+	}
+}
+
+func (m *Machine) fireRequest(f *flowState, id uint64) {
+	r := f.requests[id]
+	if r == nil {
+		return
+	}
+	if !m.now.Before(r.deadline) {
+		if !r.finished {
+			m.finish(f, r, history.Event{Kind: history.CallerRequestTimeout})
+		}
+		delete(f.requests, id)
+		m.maybeClose(f)
+		return
+	}
+	if !r.finished {
+		m.stats.Retransmissions++
+		m.send(r.packet)
+	}
+	m.after(f, min(m.cfg.Retransmit, r.deadline.Sub(m.now)), timerRequest, id)
+}
+
+func (m *Machine) cancelRequest(f *flowState, id uint64) {
+	r := f.requests[id]
+	if r == nil || r.finished {
+		return
+	}
+	p := m.packet(pb.PacketKind_PACKET_KIND_CANCEL, f)
+	p.RequestId = id
+	p.Idempotent = r.packet.Idempotent
+	p.DeadlineUnixMs = r.packet.DeadlineUnixMs
+	m.send(p)
+	m.finish(f, r, history.Event{Kind: history.CallerCancel})
+}
+
+// finish records the outcome of a request. The request is kept for late
+// refusals, and some are sent once more.
+func (m *Machine) finish(f *flowState, r *request, e history.Event) {
+	r.finished = true
+	r.answers = nil
+	e.RequestID, e.Idempotent = r.packet.RequestId, r.packet.Idempotent
+	m.record(f, e)
+	if m.now.Before(r.deadline) && m.rng.Float64() < m.cfg.LateCopies {
+		m.after(f, time.Duration(m.rng.Int64N(int64(time.Second))), timerLateCopy, e.RequestID)
+	}
+}
+
+// HandlePacket takes a packet from an instance and returns those that are due.
+func (m *Machine) HandlePacket(now time.Time, p *pb.Packet) []*pb.Packet {
+	m.now = now
+	m.stats.PacketsReceived++
+	f := m.flows[p.FlowId]
+	if f == nil || p.Service != f.service || p.Caller != m.cfg.Address {
+		m.stats.Stray++
+		return nil
+	}
+	switch p.Kind {
+	case pb.PacketKind_PACKET_KIND_OPENED:
+		if f.phase == opening {
+			m.establish(f, p)
+		}
+	case pb.PacketKind_PACKET_KIND_DATA:
+		m.handleEcho(f, p)
+	case pb.PacketKind_PACKET_KIND_ANSWER:
+		m.handleAnswer(f, p)
+	case pb.PacketKind_PACKET_KIND_REFUSAL:
+		m.handleRefusal(f, p)
+	case pb.PacketKind_PACKET_KIND_UNKNOWN_FLOW:
+		m.handleReset(f, p)
+	case pb.PacketKind_PACKET_KIND_CLOSE:
+		if f.phase == closed {
+			delete(m.flows, f.id)
+		}
+	default:
+		m.stats.Stray++
+	}
+	return m.take()
+}
+
+func (m *Machine) handleEcho(f *flowState, p *pb.Packet) {
+	if len(p.Payload) != 8 {
+		m.stats.Stray++
+		return
+	}
+	id := binary.BigEndian.Uint64(p.Payload)
+	if _, waiting := f.data[id]; !waiting {
+		m.stats.Stray++
+		return
+	}
+	delete(f.data, id)
+	m.record(f, history.Event{Kind: history.CallerDataEchoed, RequestID: id, Upstream: p.Upstream, BootID: p.BootId})
+}
+
+// handleReset ends a flow that is unknown or given up.
+func (m *Machine) handleReset(f *flowState, p *pb.Packet) {
+	if f.phase == established {
+		m.record(f, history.Event{Kind: history.CallerReset, Upstream: p.Upstream, BootID: p.BootId, Reason: p.Refusal})
+		for _, id := range slices.Sorted(maps.Keys(f.requests)) {
+			if r := f.requests[id]; !r.finished {
+				m.finish(f, r, history.Event{Kind: history.CallerRequestTimeout})
+			}
+		}
+	}
+	if f.phase != opening {
+		delete(m.flows, f.id)
+	}
+}
+
+func (m *Machine) handleRefusal(f *flowState, p *pb.Packet) {
+	if p.RequestId == 0 {
+		switch {
+		case f.phase == opening:
+			m.record(f, history.Event{Kind: history.CallerOpenRefused, Reason: p.Refusal, NotRun: p.NotRun})
+			delete(m.flows, f.id)
+		case p.Refusal == pb.RefusalReason_REFUSAL_REASON_DOMAIN_OUT:
+			m.handleReset(f, p)
+		}
+		// Any other refusal answers a copy of the OPEN.
+		return
+	}
+	r := f.requests[p.RequestId]
+	if r == nil {
+		m.stats.Stray++
+		return
+	}
+	e := history.Event{Kind: history.CallerRequestRefused, Reason: p.Refusal, NotRun: p.NotRun,
+		RequestID: p.RequestId, Idempotent: r.packet.Idempotent, Attempt: p.Attempt}
+	switch {
+	case !r.finished:
+		m.finish(f, r, e)
+	case p.NotRun && !r.claimed:
+		e.Kind = history.CallerLateNotRun
+		m.record(f, e)
+	}
+	r.claimed = r.claimed || p.NotRun
+}
+
+func (m *Machine) handleAnswer(f *flowState, p *pb.Packet) {
+	r := f.requests[p.RequestId]
+	if r == nil || r.finished {
+		m.stats.Stray++
+		return
+	}
+	key := answerKey{p.Upstream, p.BootId, p.Attempt}
+	a := r.answers[key]
+	if a == nil {
+		a = &answer{parts: max(1, p.Parts), payload: map[uint32][]byte{}}
+		r.answers[key] = a
+	}
+	if a.payload[p.Part] == nil {
+		a.payload[p.Part] = append([]byte{}, p.Payload...)
+	}
+	if uint32(len(a.payload)) < a.parts {
+		return
+	}
+	var body []byte
+	for part := range a.parts {
+		body = append(body, a.payload[part]...)
+	}
+	e := history.Event{Kind: history.CallerAnswer, Upstream: p.Upstream, BootID: p.BootId, Attempt: p.Attempt}
+	run, err := payload.Verify(body, f.id, p.RequestId)
+	e.Run = run
+	var format *payload.FormatError
+	if errors.As(err, &format) {
+		e.Kind = history.CallerTruncated
+		if format.Mixed {
+			e.Kind = history.CallerMixed
+		}
+	}
+	m.finish(f, r, e)
+}
--- /dev/null
+++ b/internal/standin/history/event.go
@@ -0,0 +1,205 @@
+// Package history records what callers and upstreams saw and checks it
+// against the promises of the load balancer.
+package history
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+)
+
+// Kind is the kind of an event.
+type Kind string
+
+// Events of an upstream. Upstream and BootID are set on all of them.
+const (
+	// UpstreamBoot: the upstream started or restarted; earlier flows are lost.
+	UpstreamBoot Kind = "boot"
+	// UpstreamOpened: a flow was opened here.
+	UpstreamOpened Kind = "opened"
+	// UpstreamData: a DATA packet of a known flow arrived.
+	UpstreamData Kind = "data"
+	// UpstreamRun: a request started to run.
+	UpstreamRun Kind = "run"
+	// UpstreamDone: a request ran to its end.
+	UpstreamDone Kind = "done"
+	// UpstreamRefused: an OPEN or a request was refused without running.
+	UpstreamRefused Kind = "refused"
+	// UpstreamCancelled: a request was cancelled while it ran.
+	UpstreamCancelled Kind = "cancelled"
+	// UpstreamUnknownFlow: a packet of a flow that is unknown here arrived.
+	UpstreamUnknownFlow Kind = "unknown_flow"
+	// UpstreamWrongService: a packet of another service arrived.
+	UpstreamWrongService Kind = "wrong_service"
+	// UpstreamClosed: a flow was closed or ended by its idle timeout.
+	UpstreamClosed Kind = "closed"
+	// UpstreamOverload: a cold upstream received more than it can sustain.
+	UpstreamOverload Kind = "overload"
+	// UpstreamDrain: the upstream started to drain.
+	UpstreamDrain Kind = "drain"
+)
+
+// Events of a caller. Source is set on all of them.
+const (
+	CallerOpen        Kind = "open"
+	CallerEstablished Kind = "established"
+	CallerOpenRefused Kind = "open_refused"
+	CallerOpenTimeout Kind = "open_timeout"
+	// CallerReset: the caller was told that its flow is unknown.
+	CallerReset   Kind = "reset"
+	CallerRequest Kind = "request"
+	// CallerAnswer: a whole answer arrived.
+	CallerAnswer Kind = "answer"
+	// CallerMixed and CallerTruncated: an answer that is not the whole answer
+	// to the request was delivered as one.
+	CallerMixed          Kind = "mixed_answer"
+	CallerTruncated      Kind = "truncated_answer"
+	CallerRequestRefused Kind = "request_refused"
+	// CallerLateNotRun: a request that was over was refused as "not run".
+	CallerLateNotRun     Kind = "late_not_run"
+	CallerRequestTimeout Kind = "request_timeout"
+	CallerCancel         Kind = "cancel"
+	CallerData           Kind = "data_sent"
+	CallerDataEchoed     Kind = "data_echoed"
+	CallerDataTimeout    Kind = "data_timeout"
+	CallerClose          Kind = "close"
+)
+
+// Event is one line of a history.
+type Event struct {
+	// TimeUS is in microseconds since the Unix epoch.
+	TimeUS int64 `json:"t_us"`
+	Kind   Kind  `json:"event"`
+	// Source is the name of the caller process; empty for upstreams.
+	Source string `json:"source,omitempty"`
+	// Upstream is the recording upstream, or the one that answered.
+	Upstream string `json:"upstream,omitempty"`
+	BootID   uint64 `json:"boot_id,omitempty"`
+	// Caller and Service are addresses as ip:port.
+	Caller     string           `json:"caller,omitempty"`
+	Service    string           `json:"service,omitempty"`
+	FlowID     uint64           `json:"flow,omitempty"`
+	RequestID  uint64           `json:"request,omitempty"`
+	Attempt    uint32           `json:"attempt,omitempty"`
+	Idempotent bool             `json:"idempotent,omitempty"`
+	PacketKind pb.PacketKind    `json:"kind,omitempty"`
+	Reason     pb.RefusalReason `json:"reason,omitempty"`
+	NotRun     bool             `json:"not_run,omitempty"`
+	// Run identifies one execution of a request.
+	Run uint64 `json:"run,omitempty"`
+	// Cold and Draining tell the state of the upstream.
+	Cold     bool `json:"cold,omitempty"`
+	Draining bool `json:"draining,omitempty"`
+}
+
+// Time returns when the event happened.
+func (e *Event) Time() time.Time { return time.UnixMicro(e.TimeUS) }
+
+// Recorder takes events as they happen.
+type Recorder interface{ Record(Event) }
+
+// Memory is a Recorder that keeps events in memory. It is safe for concurrent
+// use.
+type Memory struct {
+	mu     sync.Mutex
+	events []Event
+}
+
+// Record keeps an event.
+func (m *Memory) Record(e Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.events = append(m.events, e)
+}
+
+// Events returns a copy of the events so far.
+func (m *Memory) Events() []Event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]Event(nil), m.events...)
+}
+
+// Tee is a Recorder that hands each event to several.
+type Tee []Recorder
+
+// Record hands an event to every recorder.
+func (t Tee) Record(e Event) {
+	for _, r := range t {
+		r.Record(e)
+	}
+}
+
+// Discard is a Recorder that keeps nothing.
+type Discard struct{}
+
+// Record drops an event.
+func (Discard) Record(Event) {}
+
+// Writer is a Recorder that writes JSON lines. It does not buffer, so that the
+// history of a process that is killed is complete. It is safe for concurrent
+// use.
+type Writer struct {
+	mu  sync.Mutex
+	enc *json.Encoder
+	err error
+}
+
+// NewWriter returns a Writer to w.
+func NewWriter(w io.Writer) *Writer { return &Writer{enc: json.NewEncoder(w)} }
+
+// Record writes an event. After an error it writes nothing more; see Err.
+func (w *Writer) Record(e Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.enc.Encode(&e)
+	}
+}
+
+// Err returns the first error of a write.
+func (w *Writer) Err() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+// Read decodes JSON lines. A last line without its end is ignored, because a
+// process that was killed may leave one.
+func Read(r io.Reader) ([]Event, error) {
+	var events []Event
+	in := bufio.NewReaderSize(r, 1<<16)
+	for number := 1; ; number++ {
+		line, err := in.ReadBytes('\n')
+		if err == io.EOF {
+			return events, nil
+		}
+		if err != nil {
+			return events, fmt.Errorf("history line %d: %w", number, err)
+		}
+		var e Event
+		if err := json.Unmarshal(line, &e); err != nil {
+			return events, fmt.Errorf("history line %d: %w", number, err)
+		}
+		events = append(events, e)
+	}
+}
+
+// ReadFile decodes a file of JSON lines.
+func ReadFile(path string) ([]Event, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("history: %w", err)
+	}
+	defer f.Close()
+	events, err := Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/standin/history/measure.go
@@ -0,0 +1,172 @@
+package history
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ServedBin is the new work that was sent within one second.
+type ServedBin struct {
+	// Second is the start of the bin in seconds since the Unix epoch.
+	Second int64
+	// Served and Failed count opens and requests by their outcome.
+	Served, Failed int
+}
+
+// Ratio returns the served share; 1 without work.
+func (b ServedBin) Ratio() float64 {
+	if b.Served+b.Failed == 0 {
+		return 1
+	}
+	return float64(b.Served) / float64(b.Served+b.Failed)
+}
+
+func (o Options) covers(e *Event) bool {
+	t := e.Time()
+	return !t.Before(o.From) && (o.Until.IsZero() || t.Before(o.Until))
+}
+
+// measureServed counts new work by the second in which it was sent.
+func measureServed(r *Report, opt Options, events []Event) {
+	sent := map[RequestKey]*Event{}
+	bins := map[int64]*ServedBin{}
+	finish := func(e *Event, served bool) {
+		key := RequestKey{e.Caller, e.Service, e.FlowID, e.RequestID}
+		start := sent[key]
+		// Only the first outcome of a request counts.
+		if start == nil || !opt.covers(start) {
+			return
+		}
+		delete(sent, key)
+		second := start.Time().Unix()
+		if bins[second] == nil {
+			bins[second] = &ServedBin{Second: second}
+		}
+		if served {
+			bins[second].Served++
+		} else {
+			bins[second].Failed++
+		}
+	}
+	for i := range events {
+		e := &events[i]
+		switch e.Kind {
+		case CallerOpen, CallerRequest:
+			sent[RequestKey{e.Caller, e.Service, e.FlowID, e.RequestID}] = e
+		case CallerCancel:
+			delete(sent, RequestKey{e.Caller, e.Service, e.FlowID, e.RequestID})
+		case CallerEstablished, CallerAnswer:
+			finish(e, true)
+		case CallerOpenRefused, CallerOpenTimeout, CallerRequestRefused, CallerRequestTimeout, CallerMixed, CallerTruncated:
+			finish(e, false)
+		}
+	}
+	total := ServedBin{}
+	for _, second := range slices.Sorted(maps.Keys(bins)) {
+		b := *bins[second]
+		r.ServedBins = append(r.ServedBins, b)
+		total.Served += b.Served
+		total.Failed += b.Failed
+	}
+	r.Served = total.Ratio()
+	if r.Served < opt.MinServed {
+		r.violate(CheckServed, 0, "%.5f of the new work was served, below %.5f", r.Served, opt.MinServed)
+	}
+}
+
+// measureImbalance compares the opens and runs of the upstreams of a service,
+// those without work included.
+func measureImbalance(r *Report, opt Options, events []Event) {
+	opens, runs := map[string]float64{}, map[string]float64{}
+	for i := range events {
+		e := &events[i]
+		weight := float64(defaultWeight)
+		if w := opt.Weights[e.Upstream]; w > 0 {
+			weight = float64(w)
+		}
+		switch {
+		case e.Kind == UpstreamBoot:
+			opens[e.Upstream] += 0
+			runs[e.Upstream] += 0
+		case e.Kind == UpstreamOpened && opt.covers(e):
+			opens[e.Upstream] += 1 / weight
+		case e.Kind == UpstreamRun && opt.covers(e):
+			runs[e.Upstream] += 1 / weight
+		}
+	}
+	r.OpenImbalance, r.RunImbalance = worstImbalance(opens), worstImbalance(runs)
+	if opt.MaxImbalance > 0 && r.OpenImbalance > opt.MaxImbalance {
+		r.violate(CheckImbalance, 0, "busiest/mean is %.3f, above %.3f", r.OpenImbalance, opt.MaxImbalance)
+	}
+}
+
+func worstImbalance(work map[string]float64) float64 {
+	type sum struct{ busiest, total, upstreams float64 }
+	services := map[string]*sum{}
+	for upstream, n := range work {
+		service := upstream
+		if i := strings.LastIndexByte(upstream, '/'); i >= 0 {
+			service = upstream[:i]
+		}
+		if services[service] == nil {
+			services[service] = &sum{}
+		}
+		s := services[service]
+		s.busiest = max(s.busiest, n)
+		s.total += n
+		s.upstreams++
+	}
+	var worst float64
+	for _, s := range services {
+		if s.total > 0 {
+			worst = max(worst, s.busiest/(s.total/s.upstreams))
+		}
+	}
+	return worst
+}
+
+func reasonName(e *Event) string {
+	return strings.ToLower(strings.TrimPrefix(e.Reason.String(), "REFUSAL_REASON_"))
+}
+
+// Lines returns the results as key=value lines.
+func (r *Report) Lines() []string {
+	lines := []string{
+		line("flows", r.Flows), line("established", r.Established), line("open_timeouts", r.OpenTimeouts),
+		line("broken_flows", r.Broken), line("given_up_flows", r.GivenUp),
+		line("requests", r.Requests), line("answered", r.Answered), line("request_timeouts", r.RequestTimeouts),
+		line("cancelled", r.Cancelled), line("runs", r.Runs),
+		line("wrong_service", r.Counts[CheckWrongService]), line("double_runs", r.Counts[CheckDoubleRun]),
+		line("false_not_run", r.Counts[CheckFalseNotRun]), line("mixed_answers", r.Counts[CheckMixed]),
+		line("truncated_answers", r.Counts[CheckTruncated]), line("foreign_runs", r.Counts[CheckForeignRun]),
+		line("cold_overloads", r.Counts[CheckColdOverload]),
+		line("new_work_after_drain", r.Counts[CheckDrain]), line("packets_after_takeout", r.Counts[CheckTakeOut]),
+		line("last_after_takeout_ms", int(r.LastAfterTakeOut/time.Millisecond)),
+		line("last_open_after_drain_ms", int(r.LastOpenAfterDrain/time.Millisecond)),
+		fmt.Sprintf("open_imbalance=%.3f", r.OpenImbalance), fmt.Sprintf("run_imbalance=%.3f", r.RunImbalance),
+		fmt.Sprintf("served_ratio=%.5f", r.Served),
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.OpensRefused)) {
+		lines = append(lines, line("open_refused_"+reason, r.OpensRefused[reason]))
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.RequestsRefused)) {
+		lines = append(lines, line("request_refused_"+reason, r.RequestsRefused[reason]))
+	}
+	for i, b := range r.ServedBins {
+		lines = append(lines, fmt.Sprintf("served_ratio_second_%d=%.4f", i, b.Ratio()))
+	}
+	violations := 0
+	for _, n := range r.Counts {
+		violations += n
+	}
+	lines = append(lines, line("violations", violations))
+	for _, v := range r.Violations {
+		lines = append(lines, fmt.Sprintf("violation=%q", v.String()))
+	}
+	return lines
+}
+
+func line(key string, value int) string { return fmt.Sprintf("%s=%d", key, value) }
--- /dev/null
+++ b/internal/standin/upstream/server.go
@@ -0,0 +1,242 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+)
+
+const (
+	// maxDatagram is the size of the receive buffer in bytes, above the
+	// 1,400 B that a valid datagram has.
+	maxDatagram = 4096
+	// socketBuffer is the size of the socket's receive buffer in bytes.
+	socketBuffer = 4 << 20
+	// idleTick is the time between two ticks while nothing runs.
+	idleTick = 50 * time.Millisecond
+)
+
+// Server connects a Machine to UDP for packets and to HTTP, on the same port
+// number, for GET /health and /control.
+type Server struct {
+	mu      sync.Mutex
+	machine *Machine
+
+	conn     *net.UDPConn
+	listener net.Listener
+	wake     chan struct{}
+}
+
+// Listen opens both sockets. Port 0 takes a free port that both protocols
+// have.
+func Listen(address netip.AddrPort, machine *Machine) (*Server, error) {
+	const attempts = 20
+	var err error
+	for range attempts {
+		var s *Server
+		if s, err = listen(address, machine); err == nil {
+			return s, nil
+		}
+		if address.Port() != 0 {
+			break
+		}
+	}
+	return nil, fmt.Errorf("upstream: %w", err)
+}
+
+func listen(address netip.AddrPort, machine *Machine) (*Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listener.Addr().(*net.TCPAddr).AddrPort()))
+	if err == nil {
+		err = conn.SetReadBuffer(socketBuffer)
+	}
+	if err != nil {
+		listener.Close()
+		return nil, err
+	}
+	return &Server{machine: machine, conn: conn, listener: listener, wake: make(chan struct{}, 1)}, nil
+}
+
+// Address returns the address of both sockets.
+func (s *Server) Address() netip.AddrPort {
+	a := s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// Serve runs until the context ends.
+func (s *Server) Serve(ctx context.Context) error {
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("upstream: %w", err)
+		}
+		return nil
+	})
+	group.Go(s.receive)
+	group.Go(func() error { return s.tick(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		s.conn.Close()
+		return server.Close()
+	})
+	return group.Wait()
+}
+
+func (s *Server) receive() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("upstream: %w", err)
+		}
+		p := new(pb.Packet)
+		if err := proto.Unmarshal(buffer[:n], p); err != nil {
+			s.Do(func(m *Machine, _ time.Time) { m.stats.Malformed++ })
+			continue
+		}
+		var replies []Reply
+		s.Do(func(m *Machine, now time.Time) { replies = m.HandlePacket(now, p) })
+		s.send(replies)
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (s *Server) tick(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-s.wake:
+		}
+		var replies []Reply
+		wait := idleTick
+		s.Do(func(m *Machine, now time.Time) {
+			replies = m.Tick(now)
+			if next, ok := m.Next(); ok {
+				wait = min(wait, max(0, next.Sub(now)))
+			}
+		})
+		s.send(replies)
+		timer.Reset(wait)
+	}
+}
+
+// send ignores errors of single datagrams, as UDP gives no promise anyway.
+func (s *Server) send(replies []Reply) {
+	for _, r := range replies {
+		to, err := netip.ParseAddrPort(r.To)
+		if err != nil {
+			continue
+		}
+		if b, err := proto.Marshal(r.Packet); err == nil {
+			_, _ = s.conn.WriteToUDPAddrPort(b, to)
+		}
+	}
+}
+
+// Do runs f with the machine and the current time, excluding other users.
+func (s *Server) Do(f func(m *Machine, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.machine, time.Now())
+}
+
+// Control is the body of a POST to /control. Absent fields change nothing.
+type Control struct {
+	Drain      *bool `json:"drain,omitempty"`
+	Restart    bool  `json:"restart,omitempty"`
+	Cold       bool  `json:"cold,omitempty"`
+	ShedMS     *int  `json:"shed_ms,omitempty"`
+	Silent     *bool `json:"silent,omitempty"`
+	HealthDown *bool `json:"health_down,omitempty"`
+	// Mislead replaces the health report; ClearMislead ends that.
+	Mislead      *Health `json:"mislead,omitempty"`
+	ClearMislead bool    `json:"clear_mislead,omitempty"`
+}
+
+// Apply carries out a control request.
+func (m *Machine) Apply(now time.Time, c *Control) {
+	if c.Restart {
+		m.Restart(now)
+	}
+	if c.Cold {
+		m.TurnCold(now)
+	}
+	if c.Drain != nil {
+		m.SetDraining(now, *c.Drain)
+	}
+	if c.ShedMS != nil {
+		m.ShedFor(now, time.Duration(*c.ShedMS)*time.Millisecond)
+	}
+	if c.Silent != nil {
+		m.SetSilent(*c.Silent)
+	}
+	if c.HealthDown != nil {
+		m.SetHealthDown(*c.HealthDown)
+	}
+	if c.Mislead != nil || c.ClearMislead {
+		m.SetMisleadingHealth(c.Mislead)
+	}
+}
+
+// Handler serves GET /health and /control. /control answers with Stats.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		var h Health
+		var ok bool
+		s.Do(func(m *Machine, now time.Time) { h, ok = m.Health(now) })
+		if !ok {
+			http.Error(w, "health is down", http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, h)
+	})
+	mux.HandleFunc("/control", func(w http.ResponseWriter, r *http.Request) {
+		var c Control
+		if r.Method == http.MethodPost {
+			decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20))
+			decoder.DisallowUnknownFields()
+			if err := decoder.Decode(&c); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+		}
+		var stats Stats
+		s.Do(func(m *Machine, now time.Time) {
+			m.Apply(now, &c)
+			stats = m.Stats()
+		})
+		writeJSON(w, stats)
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
