--- /dev/null
+++ b/cmd/chivemast/apply.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/platform"
+)
+
+// changed is the result of a command that changes an object.
+type changed struct {
+	Key       string           `json:"key"`
+	Version   uint64           `json:"version"`
+	Revision  uint64           `json:"revision"`
+	ChangeID  string           `json:"change_id,omitempty"`
+	Unchanged bool             `json:"unchanged,omitempty"`
+	Changes   []declare.Change `json:"changes,omitempty"`
+	Confirmed []string         `json:"confirmed,omitempty"`
+}
+
+func (r *changed) text(w io.Writer) {
+	if r.Unchanged {
+		fmt.Fprintf(w, "%s unchanged at version %d (revision %d)\n", r.Key, r.Version, r.Revision)
+	} else {
+		fmt.Fprintf(w, "%s accepted as version %d (revision %d, change %s)\n", r.Key, r.Version, r.Revision, r.ChangeID)
+	}
+	if len(r.Changes) > 0 {
+		fmt.Fprint(w, formatChanges(r.Changes))
+	}
+	if len(r.Confirmed) > 0 {
+		fmt.Fprintf(w, "in force on %d instances\n", len(r.Confirmed))
+	}
+}
+
+// setObject records the stored object.
+func (r *changed) setObject(object *pb.Object) {
+	r.Version, r.Revision, r.ChangeID = object.GetVersion(), object.GetRevision(), object.GetChangeId()
+}
+
+func waitFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{Name: "wait", Usage: "return when all instances have the change in force"},
+		&cli.DurationFlag{Name: "wait-timeout", Usage: "longest time for --wait", Value: 30 * time.Second},
+	}
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "replace a team's declarations by those in the files",
+		ArgsUsage: "[FILE...]",
+		Flags: append([]cli.Flag{
+			filesFlag(),
+			&cli.StringFlag{Name: "team", Usage: "`NAME` of the team whose subtree may change", Sources: cli.EnvVars("CHIVEMAST_TEAM"), Required: true},
+			&cli.Int64Flag{Name: "expect-version", Usage: "apply only to this `VERSION` of the subtree", Value: -1},
+			&cli.BoolFlag{Name: "delete", Usage: "delete the team's subtree instead of applying files"},
+		}, waitFlags()...),
+		Action: withClient(apply),
+	}
+}
+
+func apply(ctx context.Context, c *cli.Command, client *platform.Client) error {
+	name := c.String("team")
+	if !declare.ValidName(name) {
+		return usagef("team name %q is malformed", name)
+	}
+	mine, err := desiredTeam(c, name)
+	if err != nil {
+		return err
+	}
+	stored, err := readTeams(ctx, c, client)
+	if err != nil {
+		return err
+	}
+	if conflicts := stored.conflicts(mine); len(conflicts) > 0 {
+		return &addressConflictError{Conflicts: conflicts}
+	}
+	result, err := writeTeam(ctx, client, stored, mine, c.Int64("expect-version"), c.Bool("delete"))
+	if err != nil {
+		return err
+	}
+	if !result.Unchanged {
+		if err := checkLateConflicts(ctx, c, client, mine); err != nil {
+			return err
+		}
+	}
+	return finish(ctx, c, client, result)
+}
+
+// desiredTeam reads the files. They may declare only the team that was named,
+// so that a wrong file cannot change another team's subtree.
+func desiredTeam(c *cli.Command, name string) (*declare.Team, error) {
+	if c.Bool("delete") {
+		if len(c.StringSlice("file")) > 0 || c.Args().Present() {
+			return nil, usagef("--delete takes no files")
+		}
+		return &declare.Team{Name: name}, nil
+	}
+	files, err := readFiles(c)
+	if err != nil {
+		return nil, err
+	}
+	team, err := declare.ParseFiles(files)
+	if err != nil {
+		return nil, err
+	}
+	if team.Name != name {
+		return nil, &invalidError{Reason: fmt.Sprintf("the files declare team %q, but --team allows only %q", team.Name, name)}
+	}
+	return team, nil
+}
+
+// writeTeam writes a team's subtree on top of the stored version. A negative
+// expected version stands for the stored one.
+func writeTeam(ctx context.Context, client *platform.Client, stored *teams, mine *declare.Team, expected int64, remove bool) (*changed, error) {
+	object, before := stored.objects[mine.Name], stored.decoded[mine.Name]
+	result := &changed{Key: declare.Key(mine.Name)}
+	after := mine
+	if remove {
+		after = nil
+	}
+	result.Changes = declare.Diff(before, after)
+	if expected >= 0 && uint64(expected) != object.GetVersion() {
+		return nil, &changeConflictError{Key: result.Key, Expected: uint64(expected), Version: object.GetVersion(),
+			ChangeID: object.GetChangeId(), Yours: result.Changes}
+	}
+	if len(result.Changes) == 0 && (before == nil) == remove {
+		result.setObject(object)
+		result.Unchanged = true
+		return result, nil
+	}
+	write := platform.Write{Key: result.Key, Expected: object.GetVersion(), Delete: remove, ChangeID: newChangeID()}
+	if !remove {
+		value, err := declare.Encode(mine)
+		if err != nil {
+			return nil, err
+		}
+		write.Value = value
+	}
+	accepted, err := client.Put(ctx, write)
+	if err != nil {
+		return nil, bothSides(err, before, result)
+	}
+	result.setObject(accepted)
+	return result, nil
+}
+
+// bothSides turns a conflict into one that shows this change and the other
+// one, relative to the version that this change was based on.
+func bothSides(err error, before *declare.Team, result *changed) error {
+	conflict, ok := errors.AsType[*platform.ConflictError](err)
+	if !ok || conflict.Current == nil {
+		return err
+	}
+	var theirs *declare.Team
+	if !conflict.Current.GetDeleted() {
+		theirs, _ = declare.Decode(conflict.Key, conflict.Current.GetValue())
+	}
+	return &changeConflictError{Key: conflict.Key, Expected: conflict.Expected, Version: conflict.Current.GetVersion(),
+		ChangeID: conflict.Current.GetChangeId(), Yours: result.Changes, Theirs: declare.Diff(before, theirs)}
+}
+
+// checkLateConflicts reads all teams once more: conditional updates cover one
+// team each, so that two teams can declare the same address at the same time.
+func checkLateConflicts(ctx context.Context, c *cli.Command, client *platform.Client, mine *declare.Team) error {
+	stored, err := readTeams(ctx, c, client)
+	if err != nil {
+		return fmt.Errorf("the change is stored, but address conflicts could not be checked: %w", err)
+	}
+	if conflicts := stored.conflicts(mine); len(conflicts) > 0 {
+		return &addressConflictError{Conflicts: conflicts, Accepted: true}
+	}
+	return nil
+}
+
+// finish waits for the instances if asked to, and writes the result.
+func finish(ctx context.Context, c *cli.Command, client *platform.Client, result *changed) error {
+	var waitErr error
+	if c.Bool("wait") {
+		result.Confirmed, waitErr = waitForRevision(ctx, c, client, result.Revision)
+	}
+	if err := output(c, result, result.text); err != nil {
+		return err
+	}
+	return waitErr
+}
--- /dev/null
+++ b/cmd/chivemast/common.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/document"
+	"github.com/chivemast/chivemast/internal/platform"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func validOutput(format string) error {
+	if format != outputText && format != outputJSON {
+		return usagef("output format %q is neither text nor json", format)
+	}
+	return nil
+}
+
+func newClient(c *cli.Command) (*platform.Client, error) {
+	url := c.String("platform")
+	if url == "" {
+		return nil, usagef("set --platform or CHIVEMAST_PLATFORM to the URL of the platform")
+	}
+	return platform.New(platform.Config{URL: url, WriteTimeout: c.Duration("timeout")})
+}
+
+// withClient runs a command that calls the platform. The context bounds every
+// call but the waiting for instances.
+func withClient(do func(ctx context.Context, c *cli.Command, client *platform.Client) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		client, err := newClient(c)
+		if err != nil {
+			return err
+		}
+		defer client.Close()
+		return do(ctx, c, client)
+	}
+}
+
+// output writes a result as JSON, or as text by the given function.
+func output(c *cli.Command, result any, text func(w io.Writer)) error {
+	if c.String("output") == outputJSON {
+		return writeJSON(c.Root().Writer, result)
+	}
+	text(c.Root().Writer)
+	return nil
+}
+
+func writeJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+// filesFlag takes declarations; further files may follow as arguments.
+func filesFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "file", Aliases: []string{"f"}, Usage: "`FILE` with declarations of the team, - for standard input; more may follow"}
+}
+
+// readFiles reads the files given by -f and as arguments.
+func readFiles(c *cli.Command) ([]declare.File, error) {
+	names := append(c.StringSlice("file"), c.Args().Slice()...)
+	if len(names) == 0 {
+		return nil, usagef("give at least one file with -f")
+	}
+	var files []declare.File
+	for _, name := range names {
+		read := func() ([]byte, error) { return os.ReadFile(name) }
+		if name == "-" {
+			read = func() ([]byte, error) { return io.ReadAll(io.LimitReader(c.Root().Reader, document.MaxSize+1)) }
+		}
+		data, err := read()
+		if err != nil {
+			return nil, &document.Error{Source: name, Kind: document.Unreadable, Err: err}
+		}
+		files = append(files, declare.File{Name: name, Data: data})
+	}
+	return files, nil
+}
+
+func newChangeID() string { return "chivemast-" + rand.Text() }
+
+// teams holds the stored declarations of all teams.
+type teams struct {
+	objects  map[string]*pb.Object
+	decoded  map[string]*declare.Team
+	revision uint64
+}
+
+func readTeams(ctx context.Context, c *cli.Command, client *platform.Client) (*teams, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	objects, revision, err := client.RetryList(ctx, declare.KeyPrefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	t := &teams{objects: map[string]*pb.Object{}, decoded: map[string]*declare.Team{}, revision: revision}
+	for _, object := range objects {
+		name := strings.TrimPrefix(object.GetKey(), declare.KeyPrefix)
+		t.objects[name] = object
+		if object.GetDeleted() {
+			continue
+		}
+		team, err := declare.Decode(object.GetKey(), object.GetValue())
+		if err != nil {
+			return nil, fmt.Errorf("stored declaration: %w", err)
+		}
+		t.decoded[name] = team
+	}
+	return t, nil
+}
+
+// conflicts returns the address conflicts of a team with the others.
+func (t *teams) conflicts(mine *declare.Team) []*declare.ConflictError {
+	var others []*declare.Team
+	for name, team := range t.decoded {
+		if name != mine.Name {
+			others = append(others, team)
+		}
+	}
+	var conflicts []*declare.ConflictError
+	for _, conflict := range declare.Conflicts(append(others, mine)...) {
+		if conflict.Second.Team == mine.Name {
+			conflicts = append(conflicts, conflict)
+		}
+	}
+	return conflicts
+}
+
+func marshal(m proto.Message) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func formatChanges(changes []declare.Change) string {
+	if len(changes) == 0 {
+		return "  (none)\n"
+	}
+	var b strings.Builder
+	for _, change := range changes {
+		fmt.Fprintf(&b, "  %s\n", change)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/chivemast/exit.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/document"
+	"github.com/chivemast/chivemast/internal/platform"
+)
+
+// code is an exit code of the command line. Scripts depend on the numbers.
+type code int
+
+// Exit codes.
+const (
+	exitOK code = 0
+	// exitFailure: any other failure.
+	exitFailure code = 1
+	// exitUsage: the command line is wrong.
+	exitUsage code = 2
+	// exitInvalid: a file or a name is not valid.
+	exitInvalid code = 3
+	// exitConflict: another change came first, or an address is taken.
+	exitConflict code = 4
+	// exitUnavailable: the platform did not answer; nothing was changed.
+	exitUnavailable code = 5
+	// exitUnknown: the change may or may not have taken effect.
+	exitUnknown code = 6
+	// exitUnconfirmed: instances did not answer or do not have the revision
+	// in force; a change itself was accepted.
+	exitUnconfirmed code = 7
+	// exitDifferent: diff --exit-code found differences.
+	exitDifferent code = 8
+)
+
+func (c code) String() string {
+	return [...]string{"ok", "failure", "usage", "invalid", "conflict", "platform_unavailable",
+		"outcome_unknown", "unconfirmed", "different"}[c]
+}
+
+// usageError says that the command line is wrong.
+type usageError struct{ Err error }
+
+func (e *usageError) Error() string { return e.Err.Error() }
+func (e *usageError) Unwrap() error { return e.Err }
+
+func usagef(format string, args ...any) error {
+	return &usageError{Err: fmt.Errorf(format, args...)}
+}
+
+// invalidError says that an argument names something that does not exist or
+// must not be changed this way.
+type invalidError struct{ Reason string }
+
+func (e *invalidError) Error() string { return e.Reason }
+
+// changeConflictError shows both sides of a conflict: what this command would
+// have changed, and what the other change did.
+type changeConflictError struct {
+	Key      string
+	Expected uint64
+	Version  uint64
+	ChangeID string
+	Yours    []declare.Change
+	Theirs   []declare.Change
+}
+
+func (e *changeConflictError) Error() string {
+	return fmt.Sprintf("%s: expected version %d, found version %d by change %s\nyour change:\n%sthe other change:\n%srun diff and apply again",
+		e.Key, e.Expected, e.Version, e.ChangeID, formatChanges(e.Yours), formatChanges(e.Theirs))
+}
+
+// addressConflictError lists addresses that another team uses.
+type addressConflictError struct {
+	Conflicts []*declare.ConflictError
+	// Accepted tells whether the change is stored: the other team's change
+	// came between the check and the write.
+	Accepted bool
+}
+
+func (e *addressConflictError) Error() string {
+	text := "address conflict; nothing was changed"
+	if e.Accepted {
+		text = "address conflict with a change made at the same time; both changes are stored, and the later one gets no traffic for these addresses"
+	}
+	for _, conflict := range e.Conflicts {
+		text += "\n  " + conflict.Error()
+	}
+	return text
+}
+
+// unconfirmedError lists instances that did not confirm a revision.
+type unconfirmedError struct {
+	Revision  uint64
+	Instances []string
+}
+
+func (e *unconfirmedError) Error() string {
+	return fmt.Sprintf("%d instances have not confirmed revision %d: %v", len(e.Instances), e.Revision, e.Instances)
+}
+
+// differentError says that diff found differences.
+type differentError struct{ Changes int }
+
+func (e *differentError) Error() string { return fmt.Sprintf("%d differences", e.Changes) }
+
+// codeOf maps an error to its exit code.
+func codeOf(err error) code {
+	switch {
+	case err == nil:
+		return exitOK
+	case is[*usageError](err):
+		return exitUsage
+	case is[*unconfirmedError](err):
+		return exitUnconfirmed
+	case is[*differentError](err):
+		return exitDifferent
+	case is[*document.Error](err), is[*invalidError](err):
+		return exitInvalid
+	case is[*changeConflictError](err), is[*addressConflictError](err), is[*platform.ConflictError](err):
+		return exitConflict
+	case is[*platform.UnknownOutcomeError](err):
+		return exitUnknown
+	}
+	var call *platform.CallError
+	if errors.As(err, &call) && call.Outcome != platform.OutcomeRejected {
+		return exitUnavailable
+	}
+	return exitFailure
+}
+
+func is[T error](err error) bool {
+	_, ok := errors.AsType[T](err)
+	return ok
+}
+
+// description is the JSON form of an error.
+type description struct {
+	Code     code             `json:"code"`
+	Kind     string           `json:"kind"`
+	Message  string           `json:"message"`
+	Yours    []declare.Change `json:"yours,omitempty"`
+	Theirs   []declare.Change `json:"theirs,omitempty"`
+	ChangeID string           `json:"change_id,omitempty"`
+}
+
+func describe(err error) description {
+	d := description{Code: codeOf(err), Kind: codeOf(err).String(), Message: err.Error()}
+	if conflict, ok := errors.AsType[*changeConflictError](err); ok {
+		d.Yours, d.Theirs, d.ChangeID = conflict.Yours, conflict.Theirs, conflict.ChangeID
+	}
+	if unknown, ok := errors.AsType[*platform.UnknownOutcomeError](err); ok {
+		d.ChangeID = unknown.ChangeID
+	}
+	return d
+}
--- /dev/null
+++ b/cmd/chivemast/main.go
@@ -0,0 +1,79 @@
+// Command chivemast is the operators' command line. It changes the
+// declarations kept in the platform's object API and shows what the instances
+// have in force. docs/cli.md describes it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	root := newRoot()
+	root.Reader, root.Writer, root.ErrWriter = in, out, errOut
+	err := root.Run(ctx, args)
+	if err == nil {
+		return int(exitOK)
+	}
+	if root.String("output") == outputJSON {
+		_ = writeJSON(out, map[string]any{"error": describe(err)})
+	}
+	fmt.Fprintf(errOut, "chivemast: %v\n", err)
+	return int(codeOf(err))
+}
+
+func newRoot() *cli.Command {
+	root := &cli.Command{
+		Name:  "chivemast",
+		Usage: "declare services and inspect instances of the load balancer",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "platform", Usage: "base `URL` of the platform's object API", Sources: cli.EnvVars("CHIVEMAST_PLATFORM")},
+			&cli.DurationFlag{Name: "timeout", Usage: "longest time for the calls to the platform", Value: 15 * time.Second},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "output `FORMAT`, text or json", Value: outputText, Validator: validOutput},
+		},
+		Commands: []*cli.Command{
+			applyCommand(), diffCommand(), getCommand(), statusCommand(),
+			domainCommand(), upstreamCommand(), instanceCommand(), validateCommand(),
+		},
+		EnableShellCompletion: true,
+		// run maps errors to exit codes.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	prepare(root)
+	return root
+}
+
+// prepare makes a command and its subcommands report wrong usage as
+// *usageError. Without this, an unknown subcommand prints help and the command
+// succeeds.
+func prepare(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &usageError{Err: err}
+	}
+	if len(c.Commands) > 0 && c.Action == nil {
+		c.Action = func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return usagef("%s has no command %q", c.FullName(), c.Args().First())
+			}
+			return usagef("%s needs a command; see %s --help", c.FullName(), c.FullName())
+		}
+	}
+	for _, sub := range c.Commands {
+		prepare(sub)
+	}
+}
--- a/internal/declare/types.go
+++ b/internal/declare/types.go
@@ -33,7 +33,7 @@
 	// SustainableOpensPerSecond is the rate of new flows and requests that a
 	// cold upstream can sustain. Default 10, range 1 to 100,000.
 	SustainableOpensPerSecond int `json:"sustainable_opens_per_second,omitempty"`
-	// RampSeconds is the time from cold to full load. Default 30, range 0 to
+	// RampSeconds is the time from cold to full load. Default 30, range 1 to
 	// 3,600.
 	RampSeconds int `json:"ramp_seconds,omitempty"`
 }
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,252 @@
+// Package document decodes JSON with comments into Go structs. Unlike
+// encoding/json it rejects unknown and repeated keys and null, and names the
+// path and the position of every error.
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxSize is the size of the largest accepted document in bytes, the limit of
+// a value in the platform's object API.
+const MaxSize = 1 << 20
+
+// maxDepth bounds the nesting of a document. The parser is recursive, and the
+// deepest type that is decoded here has five levels.
+const maxDepth = 64
+
+// Defaulter is a struct that sets the defaults of its fields. Decode calls it
+// before it stores the fields that the document names.
+type Defaulter interface{ SetDefaults() }
+
+// Document is a decoded document. It maps paths to positions.
+type Document struct {
+	source  string
+	data    []byte
+	offsets map[string]int
+}
+
+// Decode decodes data into the struct that v points to. The source, usually a
+// file name, appears in errors. Decode fails with *Error.
+func Decode(source string, data []byte, v any) (*Document, error) {
+	d := &Document{source: source, data: data, offsets: map[string]int{}}
+	if len(data) > MaxSize {
+		return nil, d.Errorf("", TooLarge, fmt.Sprintf("at most %d bytes", MaxSize), "the document has %d bytes", len(data))
+	}
+	if depth := nesting(data); depth > maxDepth {
+		return nil, d.Errorf("", TooLarge, fmt.Sprintf("at most %d levels", maxDepth), "the document is nested too deeply")
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, d.Errorf("", Syntax, "", "%w", err)
+	}
+	if err := d.value("", &root, reflect.ValueOf(v).Elem()); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Errorf builds an error at a path. The position is that of the path or of
+// its closest ancestor in the document.
+func (d *Document) Errorf(path string, kind Kind, allowed, format string, args ...any) *Error {
+	e := &Error{Source: d.source, Path: path, Kind: kind, Allowed: allowed, Err: fmt.Errorf(format, args...)}
+	for p := path; ; p = parent(p) {
+		if offset, ok := d.offsets[p]; ok {
+			e.Line, e.Column = d.position(offset)
+			return e
+		}
+		if p == "" {
+			return e
+		}
+	}
+}
+
+func (d *Document) position(offset int) (line, column int) {
+	before := d.data[:min(offset, len(d.data))]
+	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
+}
+
+func (d *Document) value(path string, in *hujson.Value, out reflect.Value) error {
+	d.offsets[path] = in.StartOffset
+	if lit, ok := in.Value.(hujson.Literal); ok && lit.Kind() == 'n' {
+		return d.Errorf(path, WrongType, "", "null is not allowed; leave the key out")
+	}
+	if _, ok := out.Addr().Interface().(json.Unmarshaler); ok {
+		return d.leaf(path, in, out)
+	}
+	if _, ok := out.Addr().Interface().(interface{ UnmarshalText([]byte) error }); ok {
+		return d.leaf(path, in, out)
+	}
+	switch out.Kind() {
+	case reflect.Struct:
+		return d.object(path, in, out)
+	case reflect.Slice:
+		return d.array(path, in, out)
+	default:
+		return d.leaf(path, in, out)
+	}
+}
+
+func (d *Document) object(path string, in *hujson.Value, out reflect.Value) error {
+	object, ok := in.Value.(*hujson.Object)
+	if !ok {
+		return d.Errorf(path, WrongType, "an object", "found %s", kindName(in))
+	}
+	if defaulter, ok := out.Addr().Interface().(Defaulter); ok {
+		defaulter.SetDefaults()
+	}
+	fields := map[string]int{}
+	for i := range out.NumField() {
+		fields[FieldKey(out.Type().Field(i))] = i
+	}
+	seen := map[string]bool{}
+	for i := range object.Members {
+		member := &object.Members[i]
+		key := member.Name.Value.(hujson.Literal).String()
+		keyPath := Join(path, key)
+		d.offsets[keyPath] = member.Name.StartOffset
+		field, known := fields[key]
+		switch {
+		case !known:
+			return d.Errorf(keyPath, UnknownKey, "", "unknown key %q", key)
+		case seen[key]:
+			return d.Errorf(keyPath, RepeatedKey, "", "key %q appears twice", key)
+		}
+		seen[key] = true
+		if err := d.value(keyPath, &member.Value, out.Field(field)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Document) array(path string, in *hujson.Value, out reflect.Value) error {
+	array, ok := in.Value.(*hujson.Array)
+	if !ok {
+		return d.Errorf(path, WrongType, "an array", "found %s", kindName(in))
+	}
+	out.Set(reflect.MakeSlice(out.Type(), len(array.Elements), len(array.Elements)))
+	for i := range array.Elements {
+		if err := d.value(Index(path, i), &array.Elements[i], out.Index(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Document) leaf(path string, in *hujson.Value, out reflect.Value) error {
+	literal, ok := in.Value.(hujson.Literal)
+	if !ok {
+		return d.Errorf(path, WrongType, typeName(out.Type()), "found %s", kindName(in))
+	}
+	err := json.Unmarshal(literal, out.Addr().Interface())
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrong):
+		return d.Errorf(path, WrongType, typeName(out.Type()), "found %s", wrong.Value)
+	case err != nil:
+		return d.Errorf(path, WrongType, typeName(out.Type()), "%w", err)
+	}
+	return nil
+}
+
+// FieldKey returns the key of a struct field.
+func FieldKey(field reflect.StructField) string {
+	key, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return key
+}
+
+// Join appends a key to a path.
+func Join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// Index appends an array index to a path.
+func Index(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
+
+func parent(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
+// nesting returns the depth of the deepest bracket outside strings and
+// comments.
+func nesting(data []byte) int {
+	depth, deepest := 0, 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			for i++; i < len(data) && data[i] != '"'; i++ {
+				if data[i] == '\\' {
+					i++
+				}
+			}
+		case '/':
+			i += commentLength(data[i:])
+		case '{', '[':
+			depth++
+			deepest = max(deepest, depth)
+		case '}', ']':
+			depth--
+		}
+	}
+	return deepest
+}
+
+// commentLength returns the number of bytes after the first one that belong
+// to the comment at the start of data; 0 if there is none.
+func commentLength(data []byte) int {
+	end := 0
+	switch {
+	case bytes.HasPrefix(data, []byte("//")):
+		end = bytes.IndexByte(data, '\n')
+	case bytes.HasPrefix(data, []byte("/*")):
+		end = bytes.Index(data[2:], []byte("*/")) + 3
+		if end == 2 {
+			end = -1
+		}
+	}
+	if end < 0 {
+		return len(data)
+	}
+	return end
+}
+
+func kindName(v *hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "an array"
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	default:
+		return "a boolean"
+	}
+}
+
+func typeName(t reflect.Type) string {
+	switch t.String() {
+	case "netip.AddrPort":
+		return "ip:port"
+	}
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "an integer"
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,262 @@
+// Package settings reads the settings file of an instance: JSON with
+// comments, decoded strictly and validated.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"reflect"
+	"regexp"
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chivemast/chivemast/internal/document"
+)
+
+// Error is a fault in a settings file. It names the file, the key and the
+// allowed values.
+type Error = document.Error
+
+// Settings is the content of the settings file.
+type Settings struct {
+	// Instance is the name of this instance, unique over the fleet. Required;
+	// lower-case letters, digits and inner hyphens, at most 63 characters.
+	Instance string `json:"instance"`
+	// FailureDomain is the failure domain that this instance runs in.
+	// Required; same form as Instance.
+	FailureDomain string `json:"failure_domain"`
+	// TrafficAddress is the UDP ip:port that receives packets from the
+	// fabric. Required; the IP must not be unspecified.
+	TrafficAddress netip.AddrPort `json:"traffic_address"`
+	// PeerAddress is the ip:port for other instances and answers of
+	// upstreams, on UDP and on TCP. Required; the IP must not be unspecified,
+	// because other processes answer to this address.
+	PeerAddress netip.AddrPort `json:"peer_address"`
+	// AdminAddress is the ip:port of the HTTP server for AdminService,
+	// /healthz, /readyz and /metrics. Required.
+	AdminAddress netip.AddrPort `json:"admin_address"`
+	// PlatformURL is the base URL of the platform's object API. Required;
+	// http or https with a host.
+	PlatformURL string `json:"platform_url"`
+	// Peers are the other instances known at start. Default none; at most
+	// 1,000, with unique names and peer addresses. The entry of this instance
+	// itself is allowed, so that all instances can share one list.
+	Peers []Peer `json:"peers"`
+	// LogLevel is the least severe level to log. Default info; one of error,
+	// warn, info and debug.
+	LogLevel string `json:"log_level" default:"info"`
+	// Limits are the tunable limits.
+	Limits Limits `json:"limits"`
+}
+
+// Peer is another instance known at start.
+type Peer struct {
+	// Name is the instance name of the peer. Required; same form as Instance.
+	Name string `json:"name"`
+	// FailureDomain is the failure domain of the peer. Required; same form as
+	// Instance.
+	FailureDomain string `json:"failure_domain"`
+	// PeerAddress is the peer address of the peer as ip:port. Required.
+	PeerAddress netip.AddrPort `json:"peer_address"`
+}
+
+// SetDefaults sets the defaults.
+func (s *Settings) SetDefaults() { setDefaults(reflect.ValueOf(s).Elem()) }
+
+// SetDefaults sets the defaults.
+func (l *Limits) SetDefaults() { setDefaults(reflect.ValueOf(l).Elem()) }
+
+// Default returns settings that hold nothing but the defaults.
+func Default() *Settings {
+	s := &Settings{}
+	s.SetDefaults()
+	return s
+}
+
+// Load reads and validates a settings file. It fails with *Error.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{Source: file, Kind: document.Unreadable, Err: err}
+	}
+	return Parse(file, data)
+}
+
+// Parse decodes and validates settings; the file name appears in errors. It
+// fails with *Error.
+func Parse(file string, data []byte) (*Settings, error) {
+	s := Default()
+	doc, err := document.Decode(file, data, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.validate(doc); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// nameForm is the form of the names of instances and failure domains.
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const (
+	nameAllowed = "lower-case letters, digits and inner hyphens, 1 to 63 characters"
+	maxPeers    = 1000
+)
+
+func (s *Settings) validate(doc *document.Document) error {
+	checks := []error{
+		checkName(doc, "instance", s.Instance),
+		checkName(doc, "failure_domain", s.FailureDomain),
+		checkAddress(doc, "traffic_address", s.TrafficAddress, false),
+		checkAddress(doc, "peer_address", s.PeerAddress, false),
+		checkAddress(doc, "admin_address", s.AdminAddress, true),
+		s.checkDistinct(doc),
+		checkURL(doc, "platform_url", s.PlatformURL),
+		s.checkPeers(doc),
+		checkLogLevel(doc, s.LogLevel),
+		s.Limits.validate(doc),
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkName(doc *document.Document, path, name string) error {
+	switch {
+	case name == "":
+		return doc.Errorf(path, document.Missing, nameAllowed, "required key is missing or empty")
+	case !nameForm.MatchString(name):
+		return doc.Errorf(path, document.OutOfRange, nameAllowed, "name %q is malformed", name)
+	}
+	return nil
+}
+
+func checkAddress(doc *document.Document, path string, address netip.AddrPort, unspecified bool) error {
+	const allowed = "ip:port with port 1 to 65535"
+	switch {
+	case !address.IsValid():
+		return doc.Errorf(path, document.Missing, allowed, "required key is missing")
+	case address.Port() == 0:
+		return doc.Errorf(path, document.OutOfRange, allowed, "port 0 cannot be reached by others")
+	case address.Addr().IsUnspecified() && !unspecified:
+		return doc.Errorf(path, document.OutOfRange, allowed, "%s cannot be reached by others", address.Addr())
+	}
+	return nil
+}
+
+// checkDistinct rejects sockets that cannot be opened side by side: traffic
+// and peer both use UDP, admin and peer both use TCP.
+func (s *Settings) checkDistinct(doc *document.Document) error {
+	const allowed = "an address of its own"
+	if s.TrafficAddress == s.PeerAddress {
+		return doc.Errorf("peer_address", document.Duplicate, allowed, "equals traffic_address %s", s.TrafficAddress)
+	}
+	if s.AdminAddress == s.PeerAddress {
+		return doc.Errorf("admin_address", document.Duplicate, allowed, "equals peer_address %s", s.PeerAddress)
+	}
+	return nil
+}
+
+func checkURL(doc *document.Document, path, value string) error {
+	const allowed = "http://host:port or https://host:port"
+	if value == "" {
+		return doc.Errorf(path, document.Missing, allowed, "required key is missing or empty")
+	}
+	u, err := url.Parse(value)
+	if err != nil {
+		return doc.Errorf(path, document.OutOfRange, allowed, "%w", err)
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return doc.Errorf(path, document.OutOfRange, allowed, "%q is not a base URL", value)
+	}
+	return nil
+}
+
+func (s *Settings) checkPeers(doc *document.Document) error {
+	if len(s.Peers) > maxPeers {
+		return doc.Errorf("peers", document.OutOfRange, fmt.Sprintf("at most %d", maxPeers), "%d peers", len(s.Peers))
+	}
+	names, addresses := map[string]bool{}, map[netip.AddrPort]bool{}
+	for i, peer := range s.Peers {
+		path := document.Index("peers", i)
+		if err := checkName(doc, path+".name", peer.Name); err != nil {
+			return err
+		}
+		if err := checkName(doc, path+".failure_domain", peer.FailureDomain); err != nil {
+			return err
+		}
+		if err := checkAddress(doc, path+".peer_address", peer.PeerAddress, false); err != nil {
+			return err
+		}
+		if names[peer.Name] {
+			return doc.Errorf(path+".name", document.Duplicate, "a unique name", "peer %q appears twice", peer.Name)
+		}
+		if addresses[peer.PeerAddress] {
+			return doc.Errorf(path+".peer_address", document.Duplicate, "a unique address", "%s appears twice", peer.PeerAddress)
+		}
+		if (peer.Name == s.Instance) != (peer.PeerAddress == s.PeerAddress) {
+			return doc.Errorf(path, document.Duplicate, "the entry of this instance has its name and its peer address",
+				"peer %q at %s and this instance %q at %s share only one of both",
+				peer.Name, peer.PeerAddress, s.Instance, s.PeerAddress)
+		}
+		names[peer.Name], addresses[peer.PeerAddress] = true, true
+	}
+	return nil
+}
+
+func checkLogLevel(doc *document.Document, level string) error {
+	switch level {
+	case "error", "warn", "info", "debug":
+		return nil
+	}
+	return doc.Errorf("log_level", document.OutOfRange, "error, warn, info, debug", "unknown level %q", level)
+}
+
+// Level returns the log level.
+func (s *Settings) Level() logrus.Level {
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return logrus.InfoLevel
+	}
+	return level
+}
+
+// OtherPeers returns the peers without this instance.
+func (s *Settings) OtherPeers() []Peer {
+	var others []Peer
+	for _, peer := range s.Peers {
+		if peer.Name != s.Instance {
+			others = append(others, peer)
+		}
+	}
+	return others
+}
+
+// setDefaults stores the default tags of a struct in its fields.
+func setDefaults(v reflect.Value) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		if field.Type.Kind() == reflect.Struct && v.Field(i).Addr().Type().Implements(reflect.TypeFor[document.Defaulter]()) {
+			setDefaults(v.Field(i))
+			continue
+		}
+		text, ok := field.Tag.Lookup("default")
+		if !ok {
+			continue
+		}
+		if field.Type.Kind() == reflect.String {
+			v.Field(i).SetString(text)
+			continue
+		}
+		// A test parses every tag, so that a malformed one cannot be released.
+		n, _ := strconv.ParseInt(text, 10, 64)
+		v.Field(i).SetInt(n)
+	}
+}
