--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -34,6 +34,12 @@
 	// others. For this instance itself it is the time of the view.
 	LastHeard time.Time
 	Ready     bool
+	// ConfirmedAt is a lower bound of the time at which the platform last
+	// confirmed that the member's objects were current at ConfirmedRevision,
+	// as the member reported it. For this instance itself it is its own
+	// confirmation.
+	ConfirmedAt       time.Time
+	ConfirmedRevision uint64
 }
 
 // View is an immutable picture of the membership.
