--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,376 @@
+package placement
+
+import (
+	"slices"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/flow"
+)
+
+// DefaultMaxMoves is the number of buckets that one change moves to upstreams
+// below their quota: 3% of a service.
+const DefaultMaxMoves = 32
+
+// TargetState tells what a declared upstream may be used for. An upstream
+// that is not declared any more counts as draining.
+type TargetState int
+
+// States of a target.
+const (
+	// TargetServing takes new flows.
+	TargetServing TargetState = iota + 1
+	// TargetDraining keeps its established flows and takes no new ones.
+	TargetDraining
+	// TargetDead takes no new flows; its flows stay with it, because it may
+	// be dead only as seen from here.
+	TargetDead
+	// TargetOut is in a failure domain that was taken out: its flows are
+	// given up.
+	TargetOut
+)
+
+// Target is one declared upstream.
+type Target struct {
+	// Upstream is the name within the service.
+	Upstream string
+	// Weight is the share of buckets relative to the other serving targets;
+	// a serving target of weight 0 is treated as draining.
+	Weight int
+	State  TargetState
+}
+
+// PlanOptions are the further inputs of Plan.
+type PlanOptions struct {
+	Service        string
+	ConfigRevision uint64
+	// MaxMoves bounds the buckets that one change moves from serving
+	// upstreams; 0 for DefaultMaxMoves. Moves away from upstreams that leave
+	// are not bounded.
+	MaxMoves int
+	// Settled maps buckets whose transition is over to the table change that
+	// moved them; an entry for another change is ignored.
+	Settled map[uint32]uint32
+}
+
+// Plan returns the next table of a service and whether it differs from the
+// old one, which may be nil. It moves as few buckets as exact quotas allow.
+//
+// A bucket in transition moves again only when its owner leaves. Its default
+// for flows that no tracker knows stays the oldest upstream that still
+// serves. When that one is taken out as well, the bucket's previous upstream
+// becomes equal to its owner: the bucket stays in transition, so that trackers
+// keep the exceptions that name upstreams between the two.
+func Plan(old *pb.ServiceTable, desired []Target, opt PlanOptions) (*pb.ServiceTable, bool) {
+	p := newPlanner(old, desired, opt)
+	p.settle(opt.Settled)
+	p.abandon()
+	p.moveLeaving()
+	p.moveGradually()
+	return p.result(old, opt)
+}
+
+type planner struct {
+	names    []string
+	index    map[string]uint32 // plus 1
+	states   []TargetState     // by index
+	weights  []int             // by index; 0 for upstreams that take no work
+	quota    []int
+	count    []int
+	gained   []int
+	capped   []bool
+	maxMoves int
+
+	owner, previous, movedAt []uint32
+	change                   uint32
+	changed                  bool
+}
+
+func newPlanner(old *pb.ServiceTable, desired []Target, opt PlanOptions) *planner {
+	p := &planner{index: make(map[string]uint32), maxMoves: opt.MaxMoves, change: old.GetChange() + 1}
+	if p.maxMoves <= 0 {
+		p.maxMoves = DefaultMaxMoves
+	}
+	p.owner, p.previous, p.movedAt = copyBuckets(old.GetOwner()), copyBuckets(old.GetPrevious()), copyBuckets(old.GetMovedAt())
+	p.nameUpstreams(old, desired)
+	n := len(p.names)
+	p.states, p.weights = make([]TargetState, n), make([]int, n)
+	p.count, p.gained, p.capped = make([]int, n), make([]int, n), make([]bool, n)
+	for i := range p.states {
+		p.states[i] = TargetDraining
+	}
+	for _, d := range desired {
+		i, ok := p.index[d.Upstream]
+		if !ok {
+			continue
+		}
+		p.states[i-1] = d.State
+		if d.State == TargetServing && d.Weight > 0 {
+			p.weights[i-1] = d.Weight
+		}
+	}
+	for _, o := range p.owner {
+		if o != 0 {
+			p.count[o-1]++
+		}
+	}
+	p.quota = quotas(p.weights, p.count, p.names)
+	p.limitNewcomers()
+	return p
+}
+
+func copyBuckets(values []uint32) []uint32 {
+	out := make([]uint32, flow.Buckets)
+	copy(out, values)
+	return out
+}
+
+// nameUpstreams keeps the indexes of names that buckets refer to and gives
+// free indexes to new names in alphabetical order.
+func (p *planner) nameUpstreams(old *pb.ServiceTable, desired []Target) {
+	used := make(map[uint32]bool)
+	for b := range p.owner {
+		used[p.owner[b]], used[p.previous[b]] = true, true
+	}
+	serving := make(map[string]bool)
+	for _, d := range desired {
+		if d.State == TargetServing && d.Weight > 0 {
+			serving[d.Upstream] = true
+		}
+	}
+	var free []int
+	for i, name := range old.GetUpstreams() {
+		p.names = append(p.names, name)
+		if used[uint32(i+1)] || serving[name] {
+			p.index[name] = uint32(i + 1)
+		} else {
+			free = append(free, i)
+		}
+	}
+	var added []string
+	for name := range serving {
+		if p.index[name] == 0 {
+			added = append(added, name)
+		}
+	}
+	slices.Sort(added)
+	for _, name := range added {
+		i := len(p.names)
+		if len(free) > 0 {
+			i, free = free[0], free[1:]
+			p.names[i] = name
+		} else {
+			p.names = append(p.names, name)
+		}
+		p.index[name] = uint32(i + 1)
+	}
+}
+
+// quotas divides the buckets by weight with the largest remainder method.
+// Equal remainders go to the upstream that has more buckets already.
+func quotas(weights, count []int, names []string) []int {
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	quota := make([]int, len(weights))
+	if total == 0 {
+		return quota
+	}
+	var order []int
+	left := flow.Buckets
+	for i, w := range weights {
+		quota[i] = flow.Buckets * w / total
+		left -= quota[i]
+		if w > 0 {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		ra, rb := flow.Buckets*weights[a]%total, flow.Buckets*weights[b]%total
+		switch {
+		case ra != rb:
+			return rb - ra
+		case count[a] != count[b]:
+			return count[b] - count[a]
+		case names[a] < names[b]:
+			return -1
+		}
+		return 1
+	})
+	for _, i := range order[:left] {
+		quota[i]++
+	}
+	return quota
+}
+
+// limitNewcomers bounds what an upstream with less than half its quota takes
+// over from upstreams that leave, so that a drain does not put its whole load
+// on an upstream that has just started. It does nothing when every upstream
+// is new.
+func (p *planner) limitNewcomers() {
+	settled := false
+	for i, q := range p.quota {
+		if q > 0 {
+			p.capped[i] = 2*p.count[i] < q
+			settled = settled || !p.capped[i]
+		}
+	}
+	if !settled {
+		clear(p.capped)
+	}
+}
+
+func (p *planner) settle(settled map[uint32]uint32) {
+	for b, change := range settled {
+		if b < flow.Buckets && p.previous[b] != 0 && p.movedAt[b] == change {
+			p.previous[b] = 0
+			p.changed = true
+		}
+	}
+}
+
+// abandon replaces previous upstreams that were taken out.
+func (p *planner) abandon() {
+	for b := range p.previous {
+		prev, owner := p.previous[b], p.owner[b]
+		if prev == 0 || p.states[prev-1] != TargetOut {
+			continue
+		}
+		if owner != prev {
+			p.set(b, owner, owner)
+		}
+	}
+}
+
+func (p *planner) set(b int, owner, previous uint32) {
+	if old := p.owner[b]; old != owner {
+		if old != 0 {
+			p.count[old-1]--
+		}
+		if owner != 0 {
+			p.count[owner-1]++
+			p.gained[owner-1]++
+		}
+	}
+	p.owner[b], p.previous[b], p.movedAt[b] = owner, previous, p.change
+	p.changed = true
+}
+
+// moveLeaving gives every bucket whose owner takes no new work to another
+// upstream. Without any serving upstream, buckets of dead ones stay, because
+// those may come back, and the others have no owner.
+func (p *planner) moveLeaving() {
+	for b, owner := range p.owner {
+		if owner != 0 && p.weights[owner-1] > 0 {
+			continue
+		}
+		next := p.recipient(p.previous[b])
+		if next == 0 && (owner == 0 || p.states[owner-1] == TargetDead) {
+			continue
+		}
+		p.set(b, next, p.oldest(p.previous[b], owner, next))
+	}
+}
+
+// oldest returns the upstream that keeps the bucket's unknown flows once its
+// owner leaves.
+func (p *planner) oldest(previous, owner, next uint32) uint32 {
+	switch {
+	case previous == 0 && (owner == 0 || p.states[owner-1] == TargetOut):
+		return 0
+	case previous == 0:
+		return owner
+	case owner == 0 || owner == previous:
+	case p.states[previous-1] == TargetDead && p.states[owner-1] == TargetDraining:
+		return owner
+	}
+	if p.states[previous-1] == TargetOut {
+		return next
+	}
+	return previous
+}
+
+// recipient chooses the upstream for a bucket whose owner leaves: the
+// preferred one if it is below its quota, otherwise the one furthest below,
+// otherwise the one least above in proportion.
+func (p *planner) recipient(preferred uint32) uint32 {
+	if preferred != 0 && p.open(int(preferred-1)) && p.count[preferred-1] < p.quota[preferred-1] {
+		return preferred
+	}
+	best := -1
+	for i := range p.names {
+		if p.open(i) && (best < 0 || p.before(i, best)) {
+			best = i
+		}
+	}
+	return uint32(best + 1)
+}
+
+func (p *planner) open(i int) bool {
+	return p.weights[i] > 0 && (!p.capped[i] || p.gained[i] < p.maxMoves)
+}
+
+func (p *planner) before(a, b int) bool {
+	da, db := p.quota[a]-p.count[a], p.quota[b]-p.count[b]
+	if da <= 0 && db <= 0 {
+		if la, lb := (p.count[a]+1)*p.weights[b], (p.count[b]+1)*p.weights[a]; la != lb {
+			return la < lb
+		}
+	} else if da != db {
+		return da > db
+	}
+	return p.names[a] < p.names[b]
+}
+
+// moveGradually moves settled buckets from upstreams above their quota to
+// upstreams below it.
+func (p *planner) moveGradually() {
+	gained := 0
+	for i := range p.gained {
+		if p.capped[i] {
+			gained += p.gained[i]
+		}
+	}
+	for left := p.maxMoves - gained; left > 0; left-- {
+		from, to := -1, -1
+		for i := range p.names {
+			if p.weights[i] == 0 {
+				continue
+			}
+			surplus := p.count[i] - p.quota[i]
+			if surplus > 0 && (from < 0 || surplus > p.count[from]-p.quota[from]) && p.settledBucket(i) >= 0 {
+				from = i
+			}
+			if surplus < 0 && (to < 0 || surplus < p.count[to]-p.quota[to]) {
+				to = i
+			}
+		}
+		if from < 0 || to < 0 {
+			return
+		}
+		p.set(p.settledBucket(from), uint32(to+1), uint32(from+1))
+	}
+}
+
+func (p *planner) settledBucket(upstream int) int {
+	for b, owner := range p.owner {
+		if owner == uint32(upstream+1) && p.previous[b] == 0 {
+			return b
+		}
+	}
+	return -1
+}
+
+func (p *planner) result(old *pb.ServiceTable, opt PlanOptions) (*pb.ServiceTable, bool) {
+	if old != nil && !p.changed {
+		return old, false
+	}
+	service := opt.Service
+	if service == "" {
+		service = old.GetService()
+	}
+	return &pb.ServiceTable{
+		Service: service, ConfigRevision: opt.ConfigRevision, Upstreams: p.names,
+		Owner: p.owner, Previous: p.previous, MovedAt: p.movedAt, Change: p.change,
+	}, true
+}
--- /dev/null
+++ b/internal/placement/table.go
@@ -0,0 +1,166 @@
+// Package placement decides which upstream a flow goes to: it plans the
+// placement table of a service, compiles tables for the data path, and tracks
+// the flows of buckets that are in transition between two upstreams.
+package placement
+
+import (
+	"fmt"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/flow"
+)
+
+// MaxUpstreams bounds the names in one table, four per bucket.
+const MaxUpstreams = 4 * flow.Buckets
+
+// TableFault names what is wrong with a placement table.
+type TableFault string
+
+// Faults of a placement table.
+const (
+	FaultNoService     TableFault = "service name is missing"
+	FaultLength        TableFault = "wrong number of buckets"
+	FaultIndex         TableFault = "upstream index is out of range"
+	FaultName          TableFault = "upstream name is missing or given twice"
+	FaultChange        TableFault = "change number is zero or below a bucket's"
+	FaultTooManyNames  TableFault = "too many upstreams"
+	FaultMissingObject TableFault = "table is missing"
+)
+
+// TableError says why a placement table was refused.
+type TableError struct {
+	Service string
+	Fault   TableFault
+	// Field is the field of the message, Index the position in it.
+	Field string
+	Index int
+}
+
+func (e *TableError) Error() string {
+	return fmt.Sprintf("placement table of %q: %s (%s[%d])", e.Service, e.Fault, e.Field, e.Index)
+}
+
+// Table is an immutable placement table, safe for concurrent use.
+type Table struct {
+	service   string
+	change    uint32
+	revision  uint64
+	upstreams []string
+	slots     [flow.Buckets]slot
+	moving    []uint32
+}
+
+// slot holds indexes into upstreams plus 1, 0 for none.
+type slot struct {
+	owner, previous uint16
+	movedAt         uint32
+}
+
+// Lookup is the placement of one flow.
+type Lookup struct {
+	Bucket uint32
+	// Owner receives new flows and, in a settled bucket, every flow; empty
+	// when no upstream can take work.
+	Owner string
+	// Previous receives the flows that no tracker knows; empty when settled.
+	Previous     string
+	InTransition bool
+	// MovedAt is the table change that moved the bucket last.
+	MovedAt uint32
+}
+
+// Compile validates a table. revision is the store-wide revision of the
+// object. It fails with *TableError.
+func Compile(pt *pb.ServiceTable, revision uint64) (*Table, error) {
+	if err := validate(pt); err != nil {
+		return nil, err
+	}
+	t := &Table{
+		service: pt.Service, change: pt.Change, revision: revision,
+		upstreams: append([]string(nil), pt.Upstreams...),
+	}
+	for b := range t.slots {
+		t.slots[b] = slot{owner: uint16(pt.Owner[b]), previous: uint16(pt.Previous[b]), movedAt: pt.MovedAt[b]}
+		if pt.Previous[b] != 0 {
+			t.moving = append(t.moving, uint32(b))
+		}
+	}
+	return t, nil
+}
+
+func validate(pt *pb.ServiceTable) error {
+	if pt == nil {
+		return &TableError{Fault: FaultMissingObject}
+	}
+	fail := func(fault TableFault, field string, index int) error {
+		return &TableError{Service: pt.Service, Fault: fault, Field: field, Index: index}
+	}
+	if pt.Service == "" {
+		return fail(FaultNoService, "service", 0)
+	}
+	if len(pt.Upstreams) > MaxUpstreams {
+		return fail(FaultTooManyNames, "upstreams", len(pt.Upstreams))
+	}
+	seen := make(map[string]bool, len(pt.Upstreams))
+	for i, name := range pt.Upstreams {
+		if name == "" || seen[name] {
+			return fail(FaultName, "upstreams", i)
+		}
+		seen[name] = true
+	}
+	if pt.Change == 0 {
+		return fail(FaultChange, "change", 0)
+	}
+	for _, f := range []struct {
+		field  string
+		values []uint32
+		limit  uint32
+		fault  TableFault
+	}{
+		{"owner", pt.Owner, uint32(len(pt.Upstreams)), FaultIndex},
+		{"previous", pt.Previous, uint32(len(pt.Upstreams)), FaultIndex},
+		{"moved_at", pt.MovedAt, pt.Change, FaultChange},
+	} {
+		if len(f.values) != flow.Buckets {
+			return fail(FaultLength, f.field, len(f.values))
+		}
+		for b, v := range f.values {
+			if v > f.limit {
+				return fail(f.fault, f.field, b)
+			}
+		}
+	}
+	return nil
+}
+
+// Lookup returns the placement of a flow hash without allocating.
+func (t *Table) Lookup(hash uint64) Lookup { return t.Bucket(flow.Bucket(hash)) }
+
+// Bucket returns the placement of a bucket below flow.Buckets.
+func (t *Table) Bucket(bucket uint32) Lookup {
+	s := t.slots[bucket]
+	return Lookup{
+		Bucket: bucket, Owner: t.name(s.owner), Previous: t.name(s.previous),
+		InTransition: s.previous != 0, MovedAt: s.movedAt,
+	}
+}
+
+func (t *Table) name(index uint16) string {
+	if index == 0 {
+		return ""
+	}
+	return t.upstreams[index-1]
+}
+
+// Service returns the service as <team>/<service>.
+func (t *Table) Service() string { return t.service }
+
+// Change returns the number of the table change.
+func (t *Table) Change() uint32 { return t.change }
+
+// Revision returns the store-wide revision of the table's object.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Moving returns the buckets in transition in ascending order; the caller
+// must not modify the result.
+func (t *Table) Moving() []uint32 { return t.moving }
