Add the request engine, admission and telemetry

The node needs typed decisions for requests, cold-start credits and limits, and counters for refusals, retries, drops and control traffic.

Counters are observable instruments over atomics rather than synchronous ones, so counting costs one atomic addition.

--- /dev/null
+++ b/internal/request/drain.go
@@ -0,0 +1,90 @@
+package request
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/flow"
+)
+
+// handoverLifetime bounds the time between a handover and the start of the
+// tenure that it serves.
+const handoverLifetime = 10 * time.Second
+
+// handover says that the previous holder of a slot passed its decided
+// requests on.
+type handover struct {
+	at time.Time
+	// start is the tenure that the handover serves, zero until its first
+	// request.
+	start time.Time
+}
+
+// Drain makes the engine take no new requests. Those in flight go on.
+func (e *Engine) Drain() { e.draining = true }
+
+// Handover ends the deciding for slots under the given tenures and returns the
+// message for the successor. It lists only slots whose history this instance
+// knows entirely; a successor of the others must treat them as not clean.
+func (e *Engine) Handover(now time.Time, tenures map[uint32]Tenure) *pb.SlotHandover {
+	message := &pb.SlotHandover{}
+	for slot, tenure := range tenures {
+		// The second skew bound covers a successor whose clock is behind.
+		old := tenure.Start.Add(e.cfg.FenceTimeout + 2*e.cfg.ClockSkewLimit)
+		if e.hasHistory(slot, tenure) || now.After(old) {
+			message.Slots = append(message.Slots, slot)
+		}
+		e.released[slot] = tenure.Start
+	}
+	for k, r := range e.records {
+		if _, ok := tenures[slotOf(k)]; !ok || r.idempotent() {
+			continue
+		}
+		r.frozen = true
+		message.DecidedRequests = append(message.DecidedRequests, requestHash(k))
+	}
+	for id := range e.decided {
+		message.DecidedRequests = append(message.DecidedRequests, id)
+	}
+	return message
+}
+
+// HandleHandover takes over the decided requests of the previous holder of
+// slots.
+func (e *Engine) HandleHandover(now time.Time, message *pb.SlotHandover) {
+	for _, slot := range message.GetSlots() {
+		if slot < flow.LeaseSlots {
+			e.received[slot] = &handover{at: now}
+		}
+	}
+	until := now.Add(e.cfg.FenceTimeout + 2*e.cfg.ClockSkewLimit)
+	for _, id := range message.GetDecidedRequests() {
+		e.decided[id] = until
+	}
+}
+
+// hasHistory tells whether this instance knows every request that counts and
+// was decided for a slot before the tenure. The claim of a clean tenure alone
+// is not enough, because the handover message may have been lost.
+func (e *Engine) hasHistory(slot uint32, tenure Tenure) bool {
+	h := e.received[slot]
+	if !tenure.Clean || h == nil {
+		return false
+	}
+	if h.start.IsZero() && tenure.Start.Sub(h.at).Abs() <= handoverLifetime {
+		h.start = tenure.Start
+	}
+	return h.start.Equal(tenure.Start)
+}
+
+func slotOf(k key) uint32 { return uint32(flow.Slot(k.flow.Hash())) }
+
+func requestHash(k key) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[0:8], k.flow.Hash())
+	binary.LittleEndian.PutUint64(b[8:16], k.id)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,223 @@
+// Package telemetry counts what an instance does and exposes it through
+// OpenTelemetry in the Prometheus format. Counting is one atomic addition, so
+// that the traffic path can afford it; the attribute sets are built once and
+// used when the metrics are collected.
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/request"
+)
+
+const scope = "github.com/chivemast/chivemast/internal/telemetry"
+
+// SetupError says that the metrics could not be set up.
+type SetupError struct {
+	Step string
+	Err  error
+}
+
+func (e *SetupError) Error() string { return fmt.Sprintf("telemetry: %s: %v", e.Step, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SetupError) Unwrap() error { return e.Err }
+
+// Metrics holds the counters and gauges of one instance. It is safe for
+// concurrent use.
+type Metrics struct {
+	provider *sdk.MeterProvider
+	registry *prometheus.Registry
+
+	refusals *family
+	retries  *family
+	drops    *family
+	messages *family
+	calls    *family
+
+	inFlight            atomic.Int64
+	exceptions          atomic.Int64
+	bucketsInTransition atomic.Int64
+	revision            atomic.Int64
+}
+
+// family is a counter with a fixed list of attribute sets.
+type family struct {
+	counts  []atomic.Int64
+	options []metric.ObserveOption
+}
+
+// New returns metrics with a registry of their own. It fails with *SetupError.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, &SetupError{Step: "exporter", Err: err}
+	}
+	m := &Metrics{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)), registry: registry,
+		refusals: newFamily("reason", refusalLabels()),
+		retries:  newFamily("reason", retryLabels()),
+		drops:    newFamily("reason", allDropLabels()),
+		messages: newFamily2("kind", messageLabels[:], "direction", directionLabels[:]),
+		calls:    newFamily2("kind", callLabels[:], "outcome", outcomeLabels[:]),
+	}
+	if err := m.register(m.provider.Meter(scope)); err != nil {
+		return nil, &SetupError{Step: "instruments", Err: err}
+	}
+	return m, nil
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown ends the collection.
+func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(reason pb.RefusalReason) { m.refusals.add(int(reason), 1) }
+
+// Retried counts a retry.
+func (m *Metrics) Retried(reason request.RetryReason) { m.retries.add(int(reason), 1) }
+
+// Dropped counts a dropped packet.
+func (m *Metrics) Dropped(reason DropReason) { m.drops.add(int(reason), 1) }
+
+// ControlBytes counts the bytes of one control message.
+func (m *Metrics) ControlBytes(kind MessageKind, direction Direction, bytes int) {
+	m.messages.add(int(kind)*int(directions)+int(direction), int64(bytes))
+}
+
+// PlatformCall counts a finished call to the platform.
+func (m *Metrics) PlatformCall(kind CallKind, outcome CallOutcome) {
+	m.calls.add(int(kind)*int(callOutcomes)+int(outcome), 1)
+}
+
+// SetInFlight sets the number of requests without an outcome.
+func (m *Metrics) SetInFlight(n int) { m.inFlight.Store(int64(n)) }
+
+// SetExceptions sets the number of tracked flows.
+func (m *Metrics) SetExceptions(n int) { m.exceptions.Store(int64(n)) }
+
+// SetBucketsInTransition sets the number of buckets in transition.
+func (m *Metrics) SetBucketsInTransition(n int) { m.bucketsInTransition.Store(int64(n)) }
+
+// SetRevision sets the configuration revision in force.
+func (m *Metrics) SetRevision(revision uint64) { m.revision.Store(int64(revision)) }
+
+// Refusals returns the number of refusals for a reason.
+func (m *Metrics) Refusals(reason pb.RefusalReason) int64 { return m.refusals.get(int(reason)) }
+
+// Retries returns the number of retries for a reason.
+func (m *Metrics) Retries(reason request.RetryReason) int64 { return m.retries.get(int(reason)) }
+
+// Drops returns the number of packets dropped for a reason.
+func (m *Metrics) Drops(reason DropReason) int64 { return m.drops.get(int(reason)) }
+
+// Bytes returns the control bytes of a kind and direction.
+func (m *Metrics) Bytes(kind MessageKind, direction Direction) int64 {
+	return m.messages.get(int(kind)*int(directions) + int(direction))
+}
+
+// PlatformCalls returns the number of calls of a kind with an outcome.
+func (m *Metrics) PlatformCalls(kind CallKind, outcome CallOutcome) int64 {
+	return m.calls.get(int(kind)*int(callOutcomes) + int(outcome))
+}
+
+// RequestObserver counts what a request engine reports.
+type RequestObserver struct{ Metrics *Metrics }
+
+// Refused implements request.Observer.
+func (o RequestObserver) Refused(reason request.Refusal) { o.Metrics.Refused(reason.Reason()) }
+
+// Retried implements request.Observer.
+func (o RequestObserver) Retried(reason request.RetryReason) { o.Metrics.Retried(reason) }
+
+// Dropped implements request.Observer.
+func (o RequestObserver) Dropped(reason request.DropReason) {
+	o.Metrics.Dropped(firstRequestDrop + DropReason(reason))
+}
+
+// RequestDrop returns the drop reason that counts a reason of the request
+// engine.
+func RequestDrop(reason request.DropReason) DropReason { return firstRequestDrop + DropReason(reason) }
+
+func (m *Metrics) register(meter metric.Meter) error {
+	var errs []error
+	counter := func(name, description string, f *family) {
+		_, err := meter.Int64ObservableCounter(name, metric.WithDescription(description),
+			metric.WithInt64Callback(f.observe))
+		errs = append(errs, err)
+	}
+	gauge := func(name, description string, value *atomic.Int64) {
+		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value.Load())
+				return nil
+			}))
+		errs = append(errs, err)
+	}
+	counter("chivemast_refusals", "Refused opens and requests.", m.refusals)
+	counter("chivemast_retries", "Repeated attempts of requests.", m.retries)
+	counter("chivemast_dropped_packets", "Packets dropped without an answer.", m.drops)
+	counter("chivemast_control_bytes", "Bytes of control messages.", m.messages)
+	counter("chivemast_platform_calls", "Calls to the platform's object API.", m.calls)
+	gauge("chivemast_requests_in_flight", "Requests without an outcome.", &m.inFlight)
+	gauge("chivemast_exceptions", "Flows tracked apart from the placement tables.", &m.exceptions)
+	gauge("chivemast_buckets_in_transition", "Buckets between two upstreams.", &m.bucketsInTransition)
+	gauge("chivemast_config_revision", "Configuration revision in force.", &m.revision)
+	return errors.Join(errs...)
+}
+
+func newFamily(name string, values []string) *family {
+	f := &family{counts: make([]atomic.Int64, len(values))}
+	for _, value := range values {
+		f.options = append(f.options, metric.WithAttributeSet(attribute.NewSet(attribute.String(name, value))))
+	}
+	return f
+}
+
+func newFamily2(name1 string, values1 []string, name2 string, values2 []string) *family {
+	f := &family{counts: make([]atomic.Int64, len(values1)*len(values2))}
+	for _, v1 := range values1 {
+		for _, v2 := range values2 {
+			f.options = append(f.options, metric.WithAttributeSet(
+				attribute.NewSet(attribute.String(name1, v1), attribute.String(name2, v2))))
+		}
+	}
+	return f
+}
+
+// add counts values out of range, such as a reason of a newer peer, at index
+// zero.
+func (f *family) add(i int, n int64) {
+	if i < 0 || i >= len(f.counts) {
+		i = 0
+	}
+	f.counts[i].Add(n)
+}
+
+func (f *family) get(i int) int64 { return f.counts[i].Load() }
+
+func (f *family) observe(_ context.Context, o metric.Int64Observer) error {
+	for i := range f.counts {
+		if n := f.counts[i].Load(); n > 0 {
+			o.Observe(n, f.options[i])
+		}
+	}
+	return nil
+}
