--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
+	"github.com/chivemast/chivemast/internal/platform"
+	"github.com/chivemast/chivemast/internal/settings"
+	"github.com/chivemast/chivemast/internal/telemetry"
+)
+
+const adminHeaderTimeout = 5 * time.Second
+
+// readiness is what the admin server shows. Its plain fields belong to the
+// control goroutine.
+type readiness struct {
+	ready     atomic.Bool
+	revision  uint64
+	doneSince time.Time
+}
+
+func (r *readiness) set(ready bool) { r.ready.Store(ready) }
+
+// serveAdmin serves AdminService, /healthz, /readyz and /metrics.
+func (d *Daemon) serveAdmin(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle(chivemastv1connect.NewAdminServiceHandler(adminServer{d}))
+	mux.Handle("/metrics", d.metrics.Handler())
+	mux.HandleFunc("/healthz", d.healthz)
+	mux.HandleFunc("/readyz", d.readyz)
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: adminHeaderTimeout}
+	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stopped()
+	if err := server.Serve(d.admin); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// healthz fails when the control goroutine does not answer within a second.
+func (d *Daemon) healthz(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+	defer cancel()
+	if _, err := d.requestStatus(ctx); err != nil {
+		http.Error(w, "control goroutine does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+type adminServer struct{ daemon *Daemon }
+
+// Status implements AdminService.
+func (a adminServer) Status(ctx context.Context, _ *pb.StatusRequest) (*pb.StatusResponse, error) {
+	return a.daemon.requestStatus(ctx)
+}
+
+func platformConfig(s *settings.Settings, metrics *telemetry.Metrics) platform.Config {
+	l := s.Limits
+	perMinute := func(n int) platform.Budget {
+		return platform.Budget{PerSecond: rateOf(n), Burst: max(1, n/6)}
+	}
+	return platform.Config{
+		URL:          s.PlatformURL,
+		CallTimeout:  l.PlatformCallTimeoutMS.Duration(),
+		WriteTimeout: l.PlatformWriteTimeoutMS.Duration(),
+		BackoffMax:   l.PlatformBackoffMaxMS.Duration(),
+		WatchSilence: l.PlatformWatchSilenceMS.Duration(),
+		Budgets: map[platform.Call]platform.Budget{
+			platform.CallList:      perMinute(l.PlatformReadsPerMinute),
+			platform.CallInstances: perMinute(l.PlatformReadsPerMinute),
+			platform.CallPut:       perMinute(l.PlatformWritesPerMinute),
+			platform.CallWatch:     perMinute(l.PlatformWatchesPerMinute),
+		},
+		Meter: metrics.Meter(),
+	}
+}
--- /dev/null
+++ b/internal/node/tables.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/flow"
+	"github.com/chivemast/chivemast/internal/health"
+	"github.com/chivemast/chivemast/internal/placement"
+)
+
+// planState is what an instance remembers between looks at a table.
+type planState struct {
+	// inputs are those of the last look.
+	inputs string
+	// nextLook is when the table is planned again with the same inputs.
+	nextLook time.Time
+	// dueSince is when the current change was first found missing; zero when
+	// the table is up to date.
+	dueSince time.Time
+	// waitUntil is until when the result of a write is awaited.
+	waitUntil time.Time
+	// deadSince notes how long upstreams have been dead.
+	deadSince map[string]time.Time
+}
+
+const (
+	// deadLimit is how long an upstream has to be dead before its buckets
+	// move; a restart that is quicker moves none.
+	deadLimit = 3 * time.Second
+	// writeWait is the time within which a written table is expected back.
+	writeWait = 2 * time.Second
+)
+
+// writeTables writes the tables that are out of date, if this instance's turn
+// has come.
+func (n *Node) writeTables(now time.Time) []action.Action {
+	if !n.Ready() {
+		return nil
+	}
+	names := make([]string, 0, len(n.services))
+	for name, s := range n.services {
+		if !s.conflicting {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var out []action.Action
+	for _, name := range names {
+		if write, ok := n.writeTable(now, n.services[name]); ok {
+			out = append(out, write)
+		}
+	}
+	return out
+}
+
+// writeTable plans a table when its inputs changed or a gradual step is due,
+// and writes it after a wait of WriterStagger per rank.
+func (n *Node) writeTable(now time.Time, s *service) (action.WriteObject, bool) {
+	targets := n.targets(now, s)
+	inputs := inputsOf(s, targets)
+	if now.Before(s.plan.waitUntil) {
+		return action.WriteObject{}, false
+	}
+	if inputs == s.plan.inputs && s.plan.dueSince.IsZero() && now.Before(s.plan.nextLook) {
+		return action.WriteObject{}, false
+	}
+	if inputs != s.plan.inputs {
+		s.plan.inputs, s.plan.dueSince = inputs, time.Time{}
+	}
+	s.plan.nextLook = now.Add(n.cfg.StepInterval)
+	next, changed := placement.Plan(s.tableValue, targets, placement.PlanOptions{
+		Service: s.name, ConfigRevision: s.revision, Settled: n.tracker.Settled(now, s.name),
+	})
+	if !changed {
+		s.plan.dueSince = time.Time{}
+		return action.WriteObject{}, false
+	}
+	if s.plan.dueSince.IsZero() {
+		s.plan.dueSince = now
+	}
+	key := tablePrefix + s.name
+	if now.Before(s.plan.dueSince.Add(time.Duration(n.rank(key)) * n.cfg.WriterStagger)) {
+		return action.WriteObject{}, false
+	}
+	s.plan.waitUntil = now.Add(writeWait)
+	return n.tableWrite(key, s, next), true
+}
+
+func (n *Node) tableWrite(key string, s *service, next *pb.ServiceTable) action.WriteObject {
+	addAddresses(next, s)
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil {
+		// Names that passed validation are valid UTF-8, the only condition.
+		n.observer.InvalidObject(&InvalidObjectError{Key: key, Version: s.tableVersion, Err: err})
+	}
+	n.writes++
+	return action.WriteObject{
+		Key: key, Value: value, Expected: s.tableVersion,
+		ChangeID: fmt.Sprintf("%s/%d/%d", n.self.Name, n.self.Incarnation, n.writes),
+	}
+}
+
+// addAddresses notes where each upstream of the table is.
+func addAddresses(t *pb.ServiceTable, s *service) {
+	t.Addresses, t.FailureDomains = nil, nil
+	for _, name := range t.GetUpstreams() {
+		address, domain := "", ""
+		if u := s.upstreams[name]; u != nil {
+			address, domain = u.address.String(), u.domain
+		}
+		t.Addresses = append(t.Addresses, address)
+		t.FailureDomains = append(t.FailureDomains, domain)
+	}
+}
+
+// rank is this instance's place among the live members for writing a key.
+func (n *Node) rank(key string) int {
+	for i, m := range n.view.Rank(flow.NameHash(key)) {
+		if m.Name == n.self.Name {
+			return i
+		}
+	}
+	return len(n.view.Members)
+}
+
+// handleTableWritten ends the wait for a write that did not take effect.
+func (n *Node) handleTableWritten(result action.WriteResult) {
+	name, ok := strings.CutPrefix(result.Key, tablePrefix)
+	if s := n.services[name]; ok && s != nil && result.Outcome != action.WriteApplied {
+		s.plan.waitUntil = n.now.Add(n.cfg.WriterStagger)
+	}
+}
+
+// targets returns the declared upstreams of a service with their states.
+func (n *Node) targets(now time.Time, s *service) []placement.Target {
+	if s.plan.deadSince == nil {
+		s.plan.deadSince = map[string]time.Time{}
+	}
+	out := make([]placement.Target, 0, len(s.upstreams))
+	for name, u := range s.upstreams {
+		out = append(out, placement.Target{Upstream: name, Weight: u.weight, State: n.targetState(now, s, name, u)})
+	}
+	slices.SortFunc(out, func(a, b placement.Target) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return out
+}
+
+func (n *Node) targetState(now time.Time, s *service, name string, u *upstream) placement.TargetState {
+	dead := n.health.State(u.name) == health.Dead
+	if !dead {
+		delete(s.plan.deadSince, name)
+	} else if _, ok := s.plan.deadSince[name]; !ok {
+		s.plan.deadSince[name] = now
+	}
+	switch {
+	case n.domains.Out(u.domain):
+		return placement.TargetOut
+	case u.draining || !u.declared:
+		return placement.TargetDraining
+	case dead && now.Sub(s.plan.deadSince[name]) >= deadLimit:
+		return placement.TargetDead
+	}
+	return placement.TargetServing
+}
+
+// inputsOf summarizes what a plan depends on, besides the passing of time.
+func inputsOf(s *service, targets []placement.Target) string {
+	return fmt.Sprint(s.revision, s.tableVersion, targets)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
+	"github.com/chivemast/chivemast/internal/telemetry"
 )
 
 const (
@@ -41,19 +42,17 @@
 
 // Observer receives the counts of the transport.
 type Observer interface {
-	// ControlBytes counts the bytes of one message; direction is "sent" or
-	// "received".
-	ControlBytes(kind, direction string, n int)
+	// ControlBytes counts the bytes of one message.
+	ControlBytes(kind telemetry.MessageKind, direction telemetry.Direction, n int)
 	// Dropped counts a message that was not delivered.
 	Dropped(reason string)
 }
 
 // Reasons with which Observer.Dropped is called.
 const (
-	DropMalformed     = "peer_malformed"
-	DropQueueFull     = "peer_queue_full"
-	DropSendFailed    = "peer_send_failed"
-	DropDeliverFailed = "peer_deliver_failed"
+	DropMalformed  = "peer_malformed"
+	DropQueueFull  = "peer_queue_full"
+	DropSendFailed = "peer_send_failed"
 )
 
 // ListenError says that the peer address could not be opened.
@@ -194,7 +193,7 @@
 		t.observer.Dropped(DropMalformed)
 		return
 	}
-	t.observer.ControlBytes(Kind(message), "received", size)
+	t.observer.ControlBytes(telemetry.KindOf(message), telemetry.Received, size)
 	select {
 	case t.in <- message:
 	default:
@@ -209,7 +208,7 @@
 		t.observer.Dropped(DropMalformed)
 		return
 	}
-	t.observer.ControlBytes(Kind(message), "sent", len(data))
+	t.observer.ControlBytes(telemetry.KindOf(message), telemetry.Sent, len(data))
 	if len(data) > MaxDatagram {
 		select {
 		case t.outbox <- delivery{address: address, message: message}:
@@ -238,7 +237,7 @@
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	if _, err := t.clientFor(d.address).Deliver(ctx, &pb.DeliverRequest{Message: d.message}); err != nil {
-		t.observer.Dropped(DropDeliverFailed)
+		t.observer.Dropped(DropSendFailed)
 		// A connection whose other end has lost track of it fails by timeout;
 		// closing idle connections makes the next delivery dial anew.
 		t.client.CloseIdleConnections()
@@ -255,36 +254,3 @@
 	}
 	return client
 }
-
-// Kind names the body of a message for counters.
-func Kind(message *pb.PeerMessage) string {
-	switch message.GetBody().(type) {
-	case *pb.PeerMessage_Heartbeat:
-		return "heartbeat"
-	case *pb.PeerMessage_Redirect:
-		return "redirect"
-	case *pb.PeerMessage_Birth:
-		return "birth"
-	case *pb.PeerMessage_BirthAck:
-		return "birth_ack"
-	case *pb.PeerMessage_TrackerSyncRequest:
-		return "tracker_sync_request"
-	case *pb.PeerMessage_TrackerSync:
-		return "tracker_sync"
-	case *pb.PeerMessage_CreditRequest:
-		return "credit_request"
-	case *pb.PeerMessage_CreditGrant:
-		return "credit_grant"
-	case *pb.PeerMessage_ObjectPush:
-		return "object_push"
-	case *pb.PeerMessage_ObjectPull:
-		return "object_pull"
-	case *pb.PeerMessage_SlotHandover:
-		return "slot_handover"
-	}
-	return "unknown"
-}
-
-// DataPlane tells whether a message kind carries callers' packets; such bytes
-// are counted but are not control traffic.
-func DataPlane(kind string) bool { return kind == "redirect" }
--- a/internal/telemetry/kinds.go
+++ b/internal/telemetry/kinds.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"slices"
 	"strings"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
@@ -35,6 +36,28 @@
 	DropNoUpstream
 	// DropSocket: the operating system did not take the packet.
 	DropSocket
+	// DropBehind: the sender has a revision that did not arrive in time.
+	DropBehind
+	// DropUnknownSource: the packet came from no upstream's address.
+	DropUnknownSource
+	// DropNotAnswerable: the packet was refused and its kind has no refusal.
+	DropNotAnswerable
+	// DropHoldFull: too many packets wait for the tracker.
+	DropHoldFull
+	// DropTrackerFull: the bound on exceptions is reached.
+	DropTrackerFull
+	// DropDuplicateOpen: the first copy of the OPEN still waits.
+	DropDuplicateOpen
+	// DropNotActive: not every member has adopted the table.
+	DropNotActive
+	// DropDomainOut: the flow's failure domain was taken out.
+	DropDomainOut
+	// DropPeerMalformed: a peer message could not be decoded.
+	DropPeerMalformed
+	// DropPeerQueueFull: a queue of peer messages was full.
+	DropPeerQueueFull
+	// DropPeerSend: a peer message could not be sent or delivered.
+	DropPeerSend
 	firstRequestDrop
 )
 
@@ -100,7 +123,9 @@
 
 var (
 	dropLabels = [...]string{"other", "malformed", "oversized", "unknown_service", "unknown_flow", "stale",
-		"not_synchronized", "hops", "queue_full", "no_upstream", "socket"}
+		"not_synchronized", "too_many_hops", "queue_full", "no_upstream", "socket", "revision_behind",
+		"unknown_upstream_address", "refused_without_answer", "hold_full", "tracker_full", "duplicate_open",
+		"not_active", "domain_out", "peer_malformed", "peer_queue_full", "peer_send_failed"}
 	messageLabels = [messageKinds]string{"other", "heartbeat", "redirect", "birth", "birth_ack",
 		"tracker_sync_request", "tracker_sync", "credit_request", "credit_grant", "object_push", "object_pull",
 		"slot_handover", "platform", "probe"}
@@ -109,6 +134,15 @@
 	outcomeLabels   = [callOutcomes]string{"ok", "conflict", "timeout", "unavailable", "failed"}
 )
 
+// DropReasonOf returns the drop reason with a label, zero for "other" if there
+// is none.
+func DropReasonOf(label string) DropReason {
+	if i := slices.Index(dropLabels[:], label); i > 0 {
+		return DropReason(i)
+	}
+	return 0
+}
+
 // KindOf returns the kind of a peer message.
 func KindOf(message *pb.PeerMessage) MessageKind {
 	switch message.GetBody().(type) {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -47,6 +47,8 @@
 	messages *family
 	calls    *family
 
+	forwarded           atomic.Int64
+	invalidObjects      atomic.Int64
 	inFlight            atomic.Int64
 	exceptions          atomic.Int64
 	bucketsInTransition atomic.Int64
@@ -107,6 +109,15 @@
 	m.calls.add(int(kind)*int(callOutcomes)+int(outcome), 1)
 }
 
+// Meter returns the meter for packages that count by themselves.
+func (m *Metrics) Meter() metric.Meter { return m.provider.Meter(scope) }
+
+// Forwarded counts a packet forwarded by the routing snapshot.
+func (m *Metrics) Forwarded() { m.forwarded.Add(1) }
+
+// InvalidObject counts an object that could not be put in force.
+func (m *Metrics) InvalidObject() { m.invalidObjects.Add(1) }
+
 // SetInFlight sets the number of requests without an outcome.
 func (m *Metrics) SetInFlight(n int) { m.inFlight.Store(int64(n)) }
 
@@ -171,11 +182,20 @@
 			}))
 		errs = append(errs, err)
 	}
+	single := func(name, description string, value *atomic.Int64) {
+		_, err := meter.Int64ObservableCounter(name, metric.WithDescription(description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value.Load())
+				return nil
+			}))
+		errs = append(errs, err)
+	}
+	single("chivemast_forwarded_packets", "Packets forwarded by the routing snapshot.", &m.forwarded)
+	single("chivemast_invalid_objects", "Configuration objects that could not be put in force.", &m.invalidObjects)
 	counter("chivemast_refusals", "Refused opens and requests.", m.refusals)
 	counter("chivemast_retries", "Repeated attempts of requests.", m.retries)
 	counter("chivemast_dropped_packets", "Packets dropped without an answer.", m.drops)
 	counter("chivemast_control_bytes", "Bytes of control messages.", m.messages)
-	counter("chivemast_platform_calls", "Calls to the platform's object API.", m.calls)
 	gauge("chivemast_requests_in_flight", "Requests without an outcome.", &m.inFlight)
 	gauge("chivemast_exceptions", "Flows tracked apart from the placement tables.", &m.exceptions)
 	gauge("chivemast_buckets_in_transition", "Buckets between two upstreams.", &m.bucketsInTransition)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -30,10 +30,10 @@
 
 // Reasons with which Observer.Dropped is called.
 const (
-	DropMalformed  = "packet_malformed"
-	DropOversized  = "packet_oversized"
-	DropQueueFull  = "control_queue_full"
-	DropSendFailed = "packet_send_failed"
+	DropMalformed  = "malformed"
+	DropOversized  = "oversized"
+	DropQueueFull  = "queue_full"
+	DropSendFailed = "socket"
 )
 
 // Observer receives the counts of the sockets. It is called from several
