Keep the previous upstream of a bucket whose failure domain is taken out

A settled bucket whose owner was taken out moved without a transition. The bucket now is in transition, and new flows are held until every member has adopted the change or ActivationLimit has passed.

--- a/internal/placement/contact.go
+++ b/internal/placement/contact.go
@@ -14,6 +14,7 @@
 	self     string
 	view     *membership.View
 	lastCall time.Time
+	started  time.Time
 	// resumed is when this instance started or came back from a pause; zero
 	// once every member was heard of since.
 	resumed time.Time
@@ -30,6 +31,9 @@
 // update takes a new view in and reports whether the instance was paused.
 func (c *contact) update(now time.Time, view *membership.View) bool {
 	paused := c.lastCall.IsZero() || now.Sub(c.lastCall) > FreezeLimit
+	if c.lastCall.IsZero() {
+		c.started = now
+	}
 	c.lastCall = now
 	if paused {
 		c.resumed = now
@@ -74,6 +78,9 @@
 	if now.Sub(c.resumed) >= SuspectAfter {
 		return true
 	}
+	if now.Sub(c.started) < startWait {
+		return false
+	}
 	for _, m := range c.view.Members {
 		if m.Name != c.self && !m.LastHeard.After(c.resumed) {
 			return false
@@ -117,7 +124,11 @@
 		return
 	}
 	old := t.view
-	t.view, t.backups = view, make(map[string]string)
+	t.view = view
+	if old != nil && sameMembers(old, view) {
+		return
+	}
+	t.backups = make(map[string]string)
 	t.replica.backup = backupOf(view, t.self)
 	for _, s := range t.services {
 		for _, b := range s.buckets {
@@ -126,6 +137,14 @@
 	}
 }
 
+// sameMembers reports whether two views rank instances alike.
+func sameMembers(a, b *membership.View) bool {
+	return slices.EqualFunc(a.Members, b.Members, func(x, y membership.Member) bool {
+		return x.Name == y.Name && x.Incarnation == y.Incarnation && x.State == y.State &&
+			x.FailureDomain == y.FailureDomain && x.Address == y.Address
+	})
+}
+
 // bucketSeed is the seed for ranking the trackers of a bucket.
 func bucketSeed(service string, bucket uint32) uint64 {
 	return flow.NameHash(service) + uint64(bucket)*0x9e3779b97f4a7c15
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -116,6 +116,10 @@
 	// that it was paused. Others suspect it 2 s after a pause began at the
 	// earliest, because heartbeats go out every second.
 	FreezeLimit = time.Second
+	// startWait is how long an instance without state waits for heartbeats,
+	// which go out every second, before it takes the members in its view to
+	// be all there are.
+	startWait = 2500 * time.Millisecond
 	// HoldLimit bounds how long a packet is held; callers retransmit.
 	HoldLimit = 500 * time.Millisecond
 	// BatchDelay is how long births are collected into one message. It
--- a/internal/placement/maintain.go
+++ b/internal/placement/maintain.go
@@ -194,12 +194,13 @@
 		if !b.authority || !b.synchronized(now, s.table) || b.owner == "" || !b.active {
 			continue
 		}
-		// In a bucket that has its owner as default, no flow elsewhere is
-		// unknown.
-		if !b.flipped(now, idle) && b.owner != b.previous {
+		// In a bucket that has its owner as default, or whose default was
+		// taken out, no live flow off the owner is unknown.
+		known := b.owner == b.previous || t.cfg.Status(service, b.previous) == StatusOut
+		if !b.flipped(now, idle) && (!known || lowestRevision(t.view) < b.revision) {
 			continue
 		}
-		if t.onlyOnOwner(b) {
+		if t.onlyOnOwner(service, b) {
 			b.settling = true
 			if out == nil {
 				out = make(map[uint32]uint32)
@@ -210,9 +211,10 @@
 	return out
 }
 
-func (t *Tracker) onlyOnOwner(b *bucketState) bool {
+func (t *Tracker) onlyOnOwner(service string, b *bucketState) bool {
 	for _, e := range b.entries {
-		if t.names[e.upstream] != b.owner && e.flags&flagClosed == 0 {
+		name := t.names[e.upstream]
+		if name != b.owner && e.flags&flagClosed == 0 && t.cfg.Status(service, name) != StatusOut {
 			return false
 		}
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -57,13 +57,11 @@
 //
 // A bucket in transition moves again only when its owner leaves. Its default
 // for flows that no tracker knows stays the oldest upstream that still
-// serves. When that one is taken out as well, the bucket's previous upstream
-// becomes equal to its owner: the bucket stays in transition, so that trackers
-// keep the exceptions that name upstreams between the two.
+// serves; flows on the upstreams between are exceptions of the trackers. When
+// the default serves no more and the owner does, the owner takes its place.
 func Plan(old *pb.ServiceTable, desired []Target, opt PlanOptions) (*pb.ServiceTable, bool) {
 	p := newPlanner(old, desired, opt)
 	p.settle(opt.Settled)
-	p.abandon()
 	p.moveLeaving()
 	p.moveGradually()
 	return p.result(old, opt)
@@ -229,19 +227,6 @@
 	}
 }
 
-// abandon replaces previous upstreams that were taken out.
-func (p *planner) abandon() {
-	for b := range p.previous {
-		prev, owner := p.previous[b], p.owner[b]
-		if prev == 0 || p.states[prev-1] != TargetOut {
-			continue
-		}
-		if owner != prev {
-			p.set(b, owner, owner)
-		}
-	}
-}
-
 func (p *planner) set(b int, owner, previous uint32) {
 	if old := p.owner[b]; old != owner {
 		if old != 0 {
@@ -268,24 +253,23 @@
 		if next == 0 && (owner == 0 || p.states[owner-1] == TargetDead) {
 			continue
 		}
-		p.set(b, next, p.oldest(p.previous[b], owner, next))
+		p.set(b, next, p.oldest(p.previous[b], owner))
 	}
 }
 
 // oldest returns the upstream that keeps the bucket's unknown flows once its
-// owner leaves.
-func (p *planner) oldest(previous, owner, next uint32) uint32 {
+// owner leaves. An owner that was taken out counts as well, because new flows
+// must not be placed elsewhere before every member has adopted the change.
+func (p *planner) oldest(previous, owner uint32) uint32 {
 	switch {
-	case previous == 0 && (owner == 0 || p.states[owner-1] == TargetOut):
-		return 0
 	case previous == 0:
 		return owner
-	case owner == 0 || owner == previous:
-	case p.states[previous-1] == TargetDead && p.states[owner-1] == TargetDraining:
-		return owner
+	case owner == 0:
+		return previous
 	}
-	if p.states[previous-1] == TargetOut {
-		return next
+	lost := p.states[previous-1] == TargetDead || p.states[previous-1] == TargetOut
+	if lost && p.states[owner-1] == TargetDraining {
+		return owner
 	}
 	return previous
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -98,7 +98,7 @@
 	t.adopt(now, tbl)
 	d := t.decide(now, p, tbl)
 	if d.Verdict == Hold && d.Ticket == 0 {
-		d = t.hold(p, tbl, "", now.Add(HoldLimit))
+		d = t.hold(p, tbl, "", now.Add(t.holdLimit(p, tbl)))
 	}
 	if d.Verdict == Hold {
 		d.Actions = append(d.Actions, t.flushFull(now)...)
@@ -106,6 +106,18 @@
 	return d
 }
 
+// holdLimit is longer for an OPEN that waits for activation, because it then
+// finds its upstream with certainty.
+func (t *Tracker) holdLimit(p Packet, tbl *Table) time.Duration {
+	if isOpen(p.Kind) && t.contact.ready(t.contact.lastCall) {
+		b := t.services[tbl.service].buckets[flow.Bucket(p.Key.Hash())]
+		if b != nil && b.mine && !b.active {
+			return ActivationLimit
+		}
+	}
+	return HoldLimit
+}
+
 func hold() Decision                     { return Decision{Verdict: Hold} }
 func drop(reason DropReason) Decision    { return Decision{Verdict: Drop, Reason: reason} }
 func forward(upstream string) Decision   { return Decision{Verdict: Forward, Upstream: upstream} }
--- /dev/null
+++ b/internal/placement/tracker_test.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var seeds = func() int {
+	if n, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
+		return n
+	}
+	return 3
+}()
+
+type scenario struct {
+	name string
+	run  func(s *sim)
+}
+
+func drain(s *sim, upstream string) {
+	s.setState(upstream, TargetDraining)
+	s.write(nil)
+}
+
+var scenarios = []scenario{
+	{"drain", func(s *sim) { drain(s, "u0") }},
+	{"kill tracker during drain", func(s *sim) {
+		drain(s, "u0")
+		s.run(6 * time.Second)
+		s.kill(s.busiestTracker())
+	}},
+	{"kill backup, then tracker", func(s *sim) {
+		drain(s, "u0")
+		s.run(6 * time.Second)
+		tracker := s.busiestTracker()
+		s.kill(s.insts[tracker].tracker.replica.backup.Name)
+		s.run(8 * time.Second)
+		s.kill(tracker)
+	}},
+	{"join without state", func(s *sim) {
+		drain(s, "u0")
+		s.run(5 * time.Second)
+		for _, name := range []string{"j0", "j1", "j2", "j3"} {
+			s.startInst(name, "d"+name[1:])
+			s.run(1500 * time.Millisecond)
+		}
+	}},
+	{"freeze and return", func(s *sim) {
+		s.freeze("i3", 9*time.Second)
+		s.run(500 * time.Millisecond)
+		drain(s, "u0")
+		s.run(11 * time.Second)
+		s.freeze(s.busiestTracker(), 7*time.Second)
+	}},
+	{"owner leaves in transition", func(s *sim) {
+		for _, u := range []string{"u0", "u1", "u2", "u3"} {
+			drain(s, u)
+			s.run(2500 * time.Millisecond)
+		}
+		s.kill(s.busiestTracker())
+	}},
+	{"failure domain out and in", func(s *sim) {
+		drain(s, "u0")
+		s.run(4 * time.Second)
+		s.takeOut("d1", true)
+		s.run(10 * time.Second)
+		s.takeOut("d1", false)
+		s.run(10 * time.Second)
+	}},
+	{"rolling restart before and during drain", func(s *sim) {
+		for i, name := range append([]string(nil), s.order...) {
+			if i == 4 {
+				drain(s, "u0")
+			}
+			s.restart(name, i%2 == 0)
+			s.run(1500 * time.Millisecond)
+		}
+	}},
+	{"failure domain cut off", func(s *sim) {
+		s.cutOff("d2", 12*time.Second)
+		s.run(3 * time.Second)
+		drain(s, "u0")
+	}},
+	{"cut off and taken out", func(s *sim) {
+		s.cutOff("d2", 15*time.Second)
+		s.run(2 * time.Second)
+		s.takeOut("d1", true)
+	}},
+}
+
+func play(sc scenario, seed uint64, p policy) *sim {
+	s := newSim(seed, p)
+	s.traffic(70*time.Second, 12)
+	s.run(10 * time.Second)
+	sc.run(s)
+	s.run(90 * time.Second)
+	return s
+}
+
+// Guards against established flows that reach another upstream, draining
+// upstreams that get new flows, and packets to a taken-out failure domain,
+// under each kind of fault that the design names.
+func TestTrackersKeepFlows(t *testing.T) {
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seeds) {
+				s := play(sc, seed, policy{})
+				require.Empty(t, s.check(), "seed %d", seed)
+				t.Logf("seed %d: %d flows, drops %v, strays %d", seed, len(s.flows), s.drops, s.strays)
+			}
+		})
+	}
+}
