--- a/internal/placement/sim_flows_test.go
+++ b/internal/placement/sim_flows_test.go
@@ -19,7 +19,7 @@
 	if !in.domains.MaySend(s.now, upstreamDomain(upstream), in.confirmedAt, in.view) {
 		return
 	}
-	if at, out := s.outAt[upstreamDomain(upstream)]; out && s.now.Sub(at) > simOutBound && !s.cut[in.self.FailureDomain] {
+	if at, out := s.outAt[upstreamDomain(upstream)]; out && s.now.Sub(at) > simOutBound {
 		s.violate("taken out: %s sent to %s", in.self.Name, upstream)
 	}
 	switch {
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -26,7 +26,7 @@
 
 // policy replaces parts of the trackers by simpler ones.
 type policy struct {
-	modulo, noReplication, noActivation, noSync, noFreshness bool
+	modulo, noReplication, noActivation, noSync, noFreshness, noTable bool
 }
 
 // sim runs trackers over a fake network, platform and fabric in virtual time.
@@ -153,7 +153,7 @@
 func (s *sim) write(settled map[uint32]uint32) {
 	tbl, changed := Plan(s.table, s.targets, PlanOptions{Service: simService, Settled: settled})
 	s.rev++
-	if changed {
+	if changed && !(s.noTable && s.table != nil) {
 		s.table, s.tblRev = tbl, s.rev
 	}
 }
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,9 +93,9 @@
 	}},
 }
 
-func play(sc scenario, seed uint64, p policy) *sim {
+func play(sc scenario, seed uint64, p policy, rate int) *sim {
 	s := newSim(seed, p)
-	s.traffic(70*time.Second, 12)
+	s.traffic(70*time.Second, rate)
 	s.run(10 * time.Second)
 	sc.run(s)
 	s.run(90 * time.Second)
@@ -109,10 +110,44 @@
 		t.Run(sc.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(seeds) {
-				s := play(sc, seed, policy{})
+				s := play(sc, seed, policy{}, 30)
 				require.Empty(t, s.check(), "seed %d", seed)
 				t.Logf("seed %d: %d flows, drops %v, strays %d", seed, len(s.flows), s.drops, s.strays)
 			}
 		})
 	}
 }
+
+// Guards against a simulation that would not notice broken flows: each
+// simpler policy must break the promise that its missing part is there for.
+func TestSimplerPoliciesBreakFlows(t *testing.T) {
+	for _, tc := range []struct {
+		name, scenario, violation string
+		policy                    policy
+	}{
+		{name: "plain modulo hashing", scenario: "drain", policy: policy{modulo: true}, violation: "moved"},
+		{name: "no replication", scenario: "kill tracker during drain", policy: policy{noReplication: true}, violation: "moved"},
+		{name: "no synchronization", scenario: "join without state", policy: policy{noSync: true}, violation: "moved"},
+		{name: "no activation rule", scenario: "drain", policy: policy{noActivation: true}, violation: "moved"},
+		{name: "no freshness rule", scenario: "cut off and taken out", policy: policy{noFreshness: true}, violation: "taken out"},
+		{name: "no table change", scenario: "drain", policy: policy{noTable: true}, violation: "draining"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			found := 0
+			for seed := range uint64(3) {
+				for _, sc := range scenarios {
+					if sc.name == tc.scenario {
+						for _, v := range play(sc, seed, tc.policy, 60).check() {
+							if strings.Contains(v, tc.violation) {
+								found++
+							}
+						}
+					}
+				}
+			}
+			require.Positive(t, found)
+			t.Logf("%d violations", found)
+		})
+	}
+}
