Test the stand-ins and check configuration registers

Cause: a checker that has never rejected anything proves nothing, and the platform's conditional writes had no sequential specification.

Ruled out: an exemption for resets with reason DOMAIN_OUT; without a listed outage of the upstream such a reset now counts as a broken flow.

Before: no tests.

Conclusion: long flows may now be quiet, so that only the upstream remembers them; registers and adoption of the configuration can be checked.

--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -31,6 +31,8 @@
 			&cli.IntFlag{Name: "max-flows", Value: 10_000, Usage: "limit on flows"},
 			&cli.IntFlag{Name: "max-packets", Value: 1_000_000, Usage: "limit on packets"},
 			&cli.IntFlag{Name: "long-flows", Value: 20, Usage: "flows that stay open until the end"},
+			&cli.FloatFlag{Name: "quiet", Value: 0.25, Usage: "share of the long flows that are almost silent"},
+			&cli.DurationFlag{Name: "quiet-interval", Value: time.Minute, Usage: "time between their packets"},
 			&cli.DurationFlag{Name: "flow-lifetime", Value: 2 * time.Second, Usage: "mean lifetime of the other flows"},
 			&cli.FloatFlag{Name: "requests-per-second", Value: 2, Usage: "rate per flow"},
 			&cli.FloatFlag{Name: "data-per-second", Value: 1, Usage: "rate per flow"},
@@ -137,7 +139,8 @@
 	return caller.Config{
 		Services: cmd.StringSlice("service"), Duration: cmd.Duration("duration"),
 		OpensPerSecond: cmd.Float("opens-per-second"), MaxFlows: cmd.Int("max-flows"), MaxPackets: cmd.Int("max-packets"),
-		LongFlows: orNone(cmd.Int("long-flows")), FlowLifetime: cmd.Duration("flow-lifetime"),
+		LongFlows: orNone(cmd.Int("long-flows")), Quiet: orNone(cmd.Float("quiet")),
+		QuietInterval: cmd.Duration("quiet-interval"), FlowLifetime: cmd.Duration("flow-lifetime"),
 		RequestsPerSecond: orNone(cmd.Float("requests-per-second")), DataPerSecond: orNone(cmd.Float("data-per-second")),
 		NonIdempotent: orNone(cmd.Float("non-idempotent")), Cancel: orNone(cmd.Float("cancel")),
 		LateCopies: orNone(cmd.Float("late-copies")), RequestTimeout: cmd.Duration("request-timeout"),
--- a/internal/standin/caller/config.go
+++ b/internal/standin/caller/config.go
@@ -24,11 +24,17 @@
 	// OpensPerSecond is the rate of new flows. Default 50.
 	OpensPerSecond float64
 	// MaxFlows and MaxPackets bound the traffic. Defaults 10,000 and
-	// 1,000,000.
+	// 1,000,000. The load ends early at 90% of MaxPackets, so that the rest is
+	// left for closing.
 	MaxFlows, MaxPackets int
 	// LongFlows is the number of flows, the first ones, that stay open until
 	// the end. Default 20; negative for none.
 	LongFlows int
+	// Quiet is the share of the long flows that send nothing but one DATA
+	// packet per QuietInterval and one before the end, so that nothing but the
+	// upstream remembers them. Defaults 0.25 and 60 s; negative for none.
+	Quiet         float64
+	QuietInterval time.Duration
 	// FlowLifetime is the mean lifetime of the other flows. Default 2 s.
 	FlowLifetime time.Duration
 	// RequestsPerSecond and DataPerSecond are rates per flow. Defaults 2 and
@@ -73,6 +79,8 @@
 	setDefault(&c.MaxFlows, 10_000)
 	setDefault(&c.MaxPackets, 1_000_000)
 	setDefault(&c.LongFlows, 20)
+	setDefault(&c.Quiet, 0.25)
+	setDefault(&c.QuietInterval, time.Minute)
 	setDefault(&c.FlowLifetime, 2*time.Second)
 	setDefault(&c.RequestsPerSecond, 2)
 	setDefault(&c.DataPerSecond, 1)
--- a/internal/standin/caller/machine.go
+++ b/internal/standin/caller/machine.go
@@ -43,6 +43,7 @@
 	service   string
 	phase     flowPhase
 	long      bool
+	quiet     bool
 	startedAt time.Time
 	endsAt    time.Time
 	closes    int
@@ -66,6 +67,10 @@
 // Tick returns the packets that are due. A call every 10 ms is enough.
 func (m *Machine) Tick(now time.Time) []*pb.Packet {
 	m.now = now
+	if !m.closing && m.stats.PacketsSent >= m.cfg.MaxPackets/10*9 {
+		m.endAt = m.endAt.Add(now.Sub(m.closeAt))
+		m.closeAt = now
+	}
 	for !m.closing && !m.nextOpen.After(now) && m.nextOpen.Before(m.closeAt) && m.opened < m.cfg.MaxFlows {
 		m.openFlow()
 		m.nextOpen = m.nextOpen.Add(m.interval(m.cfg.OpensPerSecond))
@@ -154,7 +159,11 @@
 	case timerNewData:
 		if f.phase == established && !m.closing && !m.pastEnd(f) {
 			m.newData(f)
-			m.after(f, m.interval(m.cfg.DataPerSecond), timerNewData, 0)
+			interval := m.quietInterval()
+			if !f.quiet {
+				interval = m.interval(m.cfg.DataPerSecond)
+			}
+			m.after(f, interval, timerNewData, 0)
 		}
 	case timerData:
 		m.fireData(f, t.id)
@@ -174,6 +183,10 @@
 		m.closeFlow(f)
 		return
 	}
+	if f.quiet = f.long && m.rng.Float64() < m.cfg.Quiet; f.quiet {
+		m.after(f, m.quietInterval(), timerNewData, 0)
+		return
+	}
 	if !f.long {
 		m.after(f, f.endsAt.Sub(m.now), timerClose, 0)
 	}
@@ -185,6 +198,15 @@
 	}
 }
 
+// quietInterval ends one second before the end of the load at the latest.
+func (m *Machine) quietInterval() time.Duration {
+	left := m.closeAt.Sub(m.now) - time.Second
+	if left <= 0 {
+		return 2 * time.Second
+	}
+	return min(m.cfg.QuietInterval, left)
+}
+
 func (m *Machine) newData(f *flowState) {
 	f.nextID++
 	f.data[f.nextID] = m.now
--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -91,8 +91,9 @@
 	// GivenUp counts established flows whose upstream restarted, was stopped
 	// or was taken out. They are not broken.
 	GivenUp int
-	// Broken counts broken flows; each counts once.
-	Broken int
+	// Broken counts broken flows; each counts once. Misrouted counts the
+	// packets and resets that broke them.
+	Broken, Misrouted int
 
 	Requests, Answered, RequestTimeouts, Cancelled int
 	Runs                                           int
--- a/internal/standin/history/flows.go
+++ b/internal/standin/history/flows.go
@@ -1,10 +1,6 @@
 package history
 
-import (
-	"math"
-
-	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
-)
+import "math"
 
 // life is what is known of an established flow.
 type life struct {
@@ -43,13 +39,14 @@
 }
 
 func (r *Report) suspect(f *life, e *Event, what string) {
-	if e.TimeUS >= f.lostAt || e.Reason == pb.RefusalReason_REFUSAL_REASON_DOMAIN_OUT {
+	if e.TimeUS >= f.lostAt {
 		if !f.givenUp {
 			f.givenUp = true
 			r.GivenUp++
 		}
 		return
 	}
+	r.Misrouted++
 	if f.broken {
 		return
 	}
--- a/internal/standin/history/measure.go
+++ b/internal/standin/history/measure.go
@@ -136,7 +136,7 @@
 func (r *Report) Lines() []string {
 	lines := []string{
 		line("flows", r.Flows), line("established", r.Established), line("open_timeouts", r.OpenTimeouts),
-		line("broken_flows", r.Broken), line("given_up_flows", r.GivenUp),
+		line("broken_flows", r.Broken), line("misrouted_packets", r.Misrouted), line("given_up_flows", r.GivenUp),
 		line("requests", r.Requests), line("answered", r.Answered), line("request_timeouts", r.RequestTimeouts),
 		line("cancelled", r.Cancelled), line("runs", r.Runs),
 		line("wrong_service", r.Counts[CheckWrongService]), line("double_runs", r.Counts[CheckDoubleRun]),
--- /dev/null
+++ b/internal/standin/platform/store_test.go
@@ -0,0 +1,139 @@
+package platform
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// Guards against versions or revisions that go back, writes without their
+// expected version, and a List or Watch that misses a change.
+func TestStoreKeepsVersionsAndRevisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewStore(Options{})
+		watch, err := s.Watch("a/", 0)
+		require.NoError(t, err)
+		versions, watched := map[string]uint64{}, map[string]uint64{}
+		var revision uint64
+		for i := range rapid.IntRange(1, 40).Draw(t, "writes") {
+			key := rapid.SampledFrom([]string{"a/1", "a/2", "b/1"}).Draw(t, "key")
+			expected := rapid.Uint64Range(0, 4).Draw(t, "expected")
+			change := fmt.Sprint(i)
+			o, err := s.Put(&pb.PutRequest{Key: key, ExpectedVersion: expected, ChangeId: change,
+				Value: []byte(change), Delete: rapid.Bool().Draw(t, "delete")})
+			if expected != versions[key] {
+				var conflict *ConflictError
+				require.ErrorAs(t, err, &conflict)
+				require.Equal(t, versions[key], conflict.Current.GetVersion())
+				continue
+			}
+			require.NoError(t, err)
+			revision++
+			versions[key]++
+			require.Equal(t, versions[key], o.Version)
+			require.Equal(t, revision, o.Revision)
+			require.Equal(t, o.Deleted, o.Value == nil)
+			if rapid.Bool().Draw(t, "read the watch") {
+				takeChanges(t, watch, watched)
+			}
+		}
+		takeChanges(t, watch, watched)
+		listed, at, err := s.List("a/", 0)
+		require.NoError(t, err)
+		require.Equal(t, revision, at)
+		for _, o := range listed {
+			require.Equal(t, versions[o.Key], o.Version)
+			require.Equal(t, o.Version, watched[o.Key])
+		}
+		require.Len(t, watched, len(listed))
+	})
+}
+
+func takeChanges(t require.TestingT, w *Watch, versions map[string]uint64) {
+	changed, _, ok, err := w.Next()
+	require.NoError(t, err)
+	require.True(t, ok)
+	for _, o := range changed {
+		require.Greater(t, o.Version, versions[o.Key])
+		versions[o.Key] = o.Version
+	}
+}
+
+// Guards against faults that lose a write or answer during an outage, and
+// against calls that are not counted.
+func TestStoreFaultsAndCounters(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	s := NewStore(Options{Clock: c.Now, WritesPerSecond: 2})
+	s.LoseWriteAnswers(1)
+	_, err := s.Put(&pb.PutRequest{Key: "k", ChangeId: "c1"})
+	var lost *LostAnswerError
+	require.ErrorAs(t, err, &lost)
+	o, _, err := s.Get("k")
+	require.NoError(t, err)
+	require.Equal(t, "c1", o.ChangeId)
+
+	var invalid *InvalidError
+	_, err = s.Put(&pb.PutRequest{Key: "k", ExpectedVersion: 1, Value: make([]byte, MaxValue+1)})
+	require.ErrorAs(t, err, &invalid)
+	var limited *RateError
+	_, err = s.Put(&pb.PutRequest{Key: "k", ExpectedVersion: 1})
+	require.ErrorAs(t, err, &limited)
+	c.now = c.now.Add(time.Second)
+	_, err = s.Put(&pb.PutRequest{Key: "k", ExpectedVersion: 1, Value: make([]byte, MaxValue)})
+	require.NoError(t, err)
+
+	silent, err := s.Watch("", 0)
+	require.NoError(t, err)
+	s.SilenceWatches()
+	ended, err := s.Watch("", 0)
+	require.NoError(t, err)
+	s.SetDown(true)
+	_, _, ok, err := silent.Next()
+	require.NoError(t, err)
+	require.False(t, ok)
+	var unavailable *UnavailableError
+	_, _, _, err = ended.Next()
+	require.ErrorAs(t, err, &unavailable)
+	_, _, err = s.Get("k")
+	require.ErrorAs(t, err, &unavailable)
+	s.SetDown(false)
+	_, err = s.ListInstances()
+	require.NoError(t, err)
+	require.Equal(t, map[Call]uint64{CallPut: 4, CallGet: 2, CallWatch: 2, CallListInstances: 1}, s.Calls())
+}
+
+// Guards against an instance list that is fresher than the lag, or overrides
+// that do not show at once.
+func TestInstanceListLagsAndTakesOverrides(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	s := NewStore(Options{Clock: c.Now, InstanceLag: 10 * time.Second})
+	names := func() (names []string) {
+		list, err := s.ListInstances()
+		require.NoError(t, err)
+		for _, i := range list {
+			names = append(names, fmt.Sprintf("%s leaving=%t", i.Name, i.Leaving))
+		}
+		return names
+	}
+	s.SetInstances([]*pb.InstanceInfo{{Name: "i1"}, {Name: "i2"}})
+	require.Equal(t, []string{"i1 leaving=false", "i2 leaving=false"}, names())
+	c.now = c.now.Add(time.Minute)
+	s.SetInstances([]*pb.InstanceInfo{{Name: "i1"}})
+	c.now = c.now.Add(9 * time.Second)
+	require.Len(t, names(), 2)
+	s.OverrideInstance(&pb.InstanceInfo{Name: "i1", Leaving: true})
+	require.Equal(t, []string{"i1 leaving=true", "i2 leaving=false"}, names())
+	c.now = c.now.Add(time.Second)
+	require.Equal(t, []string{"i1 leaving=true"}, names())
+	s.ClearOverride("i1")
+	require.Equal(t, []string{"i1 leaving=false"}, names())
+}
--- a/internal/standin/upstream/config.go
+++ b/internal/standin/upstream/config.go
@@ -146,8 +146,10 @@
 
 // Stats counts what an upstream did since it was created.
 type Stats struct {
-	Opened       int `json:"opened"`
-	ColdOpened   int `json:"cold_opened"`
+	Opened     int `json:"opened"`
+	ColdOpened int `json:"cold_opened"`
+	// Requests counts REQUEST packets of known flows, refused ones included.
+	Requests     int `json:"requests"`
 	Runs         int `json:"runs"`
 	Done         int `json:"done"`
 	Cancelled    int `json:"cancelled"`
--- a/internal/standin/upstream/packet.go
+++ b/internal/standin/upstream/packet.go
@@ -89,6 +89,7 @@
 }
 
 func (m *Machine) request(now time.Time, p *pb.Packet) []Reply {
+	m.stats.Requests++
 	if expired(p, now) {
 		return []Reply{m.refuse(now, p, pb.RefusalReason_REFUSAL_REASON_EXPIRED)}
 	}
