--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,142 @@
+#!/usr/bin/env bash
+# Runs the whole path as separate processes on loopback for about a minute and
+# prints a report: platform, fabric, nine instances in four failure domains,
+# the 18 upstreams of team barrierline and a caller. During the load it drains
+# an upstream, takes a failure domain out and back, and kills an instance. It
+# exits non-zero if a promise was broken, and stops everything it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+out=demo-out
+rm -rf "$out"
+mkdir -p "$out"
+domains=(barrierline-a barrierline-b barrierline-c barrierline-d)
+export CHIVEMAST_PLATFORM=http://127.10.0.9:7000
+load_seconds=${DEMO_SECONDS:-42}
+
+pids=()
+stop_all() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for _ in $(seq 20); do
+    running=0
+    for pid in "${pids[@]}"; do kill -0 "$pid" 2>/dev/null && running=1; done
+    [ "$running" = 0 ] && return
+    sleep 0.1
+  done
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+}
+trap stop_all EXIT
+
+# start NAME COMMAND...: runs a command in the background, its output in a
+# log file.
+start() {
+  local name=$1
+  shift
+  "$@" >"$out/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+instance_address() { echo "127.10.$((11 + ($1 - 1) % 4)).$1"; }
+instance_domain() { echo "${domains[$((($1 - 1) % 4))]}"; }
+
+peers=""
+fabric_flags=()
+platform_flags=()
+for i in $(seq 9); do
+  ip=$(instance_address "$i")
+  d=$(instance_domain "$i")
+  peers+="{\"name\":\"instance-$i\",\"failure_domain\":\"$d\",\"peer_address\":\"$ip:7201\"},"
+  fabric_flags+=(--instance "instance-$i=$ip:7200")
+  platform_flags+=(--instance "instance-$i,$d,$ip:7201,$ip:7202")
+done
+for i in $(seq 9); do
+  ip=$(instance_address "$i")
+  cat >"$out/instance-$i.jsonc" <<EOF
+// Settings of instance $i of the demo.
+{
+  "instance": "instance-$i",
+  "failure_domain": "$(instance_domain "$i")",
+  "traffic_address": "$ip:7200",
+  "peer_address": "$ip:7201",
+  "admin_address": "$ip:7202",
+  "platform_url": "$CHIVEMAST_PLATFORM",
+  "peers": [$peers],
+}
+EOF
+done
+
+start platform bin/standin platform --listen default=127.10.0.9:7000 "${platform_flags[@]}" --instance-lag 5s
+for i in $(seq 9); do
+  bin/chivemastd --check --config "$out/instance-$i.jsonc" >/dev/null
+  start "instance-$i" bin/chivemastd --config "$out/instance-$i.jsonc"
+done
+instance_pids=("${pids[@]:1}")
+# upstream SERVICE ADDRESS NAME IP:PORT
+upstream() {
+  start "upstream-$3" bin/standin upstream --name "barrierline/$1/$3" --service "$2" --listen "$4" \
+    --service-time 5ms --cold-opens-per-second "$5" --ramp 8s --history "$out/upstream-$3.jsonl"
+}
+for i in $(seq 14); do
+  upstream dispatch 127.10.0.1:7101 "dispatch-$(printf %02d "$i")" "127.10.$((1 + (i - 1) % 4)).$((1 + (i - 1) / 4)):7101" 20
+done
+for i in $(seq 4); do
+  upstream photo-evidence 127.10.0.2:7102 "photo-0$i" "127.10.$i.1:7102" 5
+done
+start fabric bin/standin fabric --listen 127.10.0.9:7100 "${fabric_flags[@]}" --drop 0.001 --duplicate 0.01 --reorder 0.01
+
+for team in barrierline trentside; do
+  bin/chivemast validate -f "examples/$team.jsonc"
+  bin/chivemast apply --team "$team" -f "examples/$team.jsonc" --wait
+done
+for i in $(seq 9); do
+  for _ in $(seq 100); do
+    bin/chivemast status -o json >"$out/status.json" 2>/dev/null && break
+    sleep 0.1
+  done
+done
+# The leases need a bootstrap and one round of heartbeats, the cold upstreams a
+# few seconds of ramp.
+sleep "${DEMO_SETTLE:-4}"
+
+t0=$(date +%s%3N)
+at() { # at SECONDS: sleeps until that many seconds of load have passed
+  local left=$((t0 + $1 * 1000 - $(date +%s%3N)))
+  if [ "$left" -gt 0 ]; then sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"; fi
+}
+out_flags=()
+for i in 03 07 11; do
+  out_flags+=(--take-out "barrierline/dispatch/dispatch-$i,$((t0 + 14000)),$((t0 + 23000))")
+done
+out_flags+=(--take-out "barrierline/photo-evidence/photo-03,$((t0 + 14000)),$((t0 + 23000))")
+bin/standin caller --fabric 127.10.0.9:7100 --listen-ip 127.10.0.20 \
+  --service 127.10.0.1:7101 --service 127.10.0.2:7102 --duration "${load_seconds}s" \
+  --opens-per-second 40 --long-flows 40 --history "$out/caller.jsonl" \
+  --upstream-history "$out/upstream-*.jsonl" "${out_flags[@]}" >"$out/report.txt" 2>"$out/caller.log" &
+caller=$!
+
+at 6
+echo "event=drain upstream=barrierline/dispatch/dispatch-01"
+bin/chivemast upstream drain barrierline/dispatch/dispatch-01
+at 14
+echo "event=take_out failure_domain=barrierline-c"
+bin/chivemast domain take-out barrierline-c
+at 23
+echo "event=bring_back failure_domain=barrierline-c"
+bin/chivemast domain bring-back barrierline-c
+at 30
+echo "event=kill instance=instance-6"
+kill -KILL "${instance_pids[5]}"
+
+status=0
+wait "$caller" || status=$?
+cat "$out/report.txt"
+for i in 1 2 3; do
+  curl -s "http://$(instance_address "$i"):7202/metrics" >"$out/metrics-$i.txt" || true
+done
+bin/chivemast status >"$out/status.txt" 2>&1 || true
+if [ "$status" = 0 ]; then
+  echo "demo=passed"
+else
+  echo "demo=failed exit=$status logs=$out"
+fi
+exit "$status"
