--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,7 +80,7 @@
   upstream dispatch 127.10.0.1:7101 "dispatch-$(printf %02d "$i")" "127.10.$((1 + (i - 1) % 4)).$((1 + (i - 1) / 4)):7101" 20
 done
 for i in $(seq 4); do
-  upstream photo-evidence 127.10.0.2:7102 "photo-0$i" "127.10.$i.1:7102" 5
+  upstream photo-evidence 127.10.0.2:7102 "photo-evidence-0$i" "127.10.$i.51:7102" 5
 done
 start fabric bin/standin fabric --listen 127.10.0.9:7100 "${fabric_flags[@]}" --drop 0.001 --duplicate 0.01 --reorder 0.01
 
@@ -107,7 +107,7 @@
 for i in 03 07 11; do
   out_flags+=(--take-out "barrierline/dispatch/dispatch-$i,$((t0 + 14000)),$((t0 + 23000))")
 done
-out_flags+=(--take-out "barrierline/photo-evidence/photo-03,$((t0 + 14000)),$((t0 + 23000))")
+out_flags+=(--take-out "barrierline/photo-evidence/photo-evidence-03,$((t0 + 14000)),$((t0 + 23000))")
 bin/standin caller --fabric 127.10.0.9:7100 --listen-ip 127.10.0.20 \
   --service 127.10.0.1:7101 --service 127.10.0.2:7102 --duration "${load_seconds}s" \
   --opens-per-second 40 --long-flows 40 --history "$out/caller.jsonl" \
