Hold an OPEN until a credit for its cold upstream arrives

Cause: on a fresh start all upstreams are cold. An OPEN without a credit was refused at once; its credit arrived up to 100 ms later and expired after 100 ms, before the caller's retransmission after 250 ms, which usually reached another instance anyway.

Ruled out: too little sustainable load (14 x 20 opens/s were declared, 40/s offered) and missing leases (64 of 64 slots granted).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/chivemast/chivemast/internal/admission"
 	"github.com/chivemast/chivemast/internal/configsync"
 	"github.com/chivemast/chivemast/internal/domain"
+	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/health"
 	"github.com/chivemast/chivemast/internal/lease"
 	"github.com/chivemast/chivemast/internal/membership"
@@ -100,6 +101,10 @@
 
 	// held maps the tracker's tickets to the packets that wait.
 	held map[uint64]heldPacket
+	// awaiting holds OPENs that wait for a credit, awaitOrder their order.
+	awaiting                 map[flow.Key]awaitingOpen
+	awaitOrder               []flow.Key
+	retryingOpens, stillCold bool
 	// behind holds redirected packets whose sender has a newer revision.
 	behind     []behindPacket
 	nextReport time.Time
@@ -128,6 +133,7 @@
 		byAddress:  map[netip.AddrPort]*service{},
 		byUpstream: map[netip.AddrPort]*upstream{},
 		held:       map[uint64]heldPacket{},
+		awaiting:   map[flow.Key]awaitingOpen{},
 	}
 	cfg.Domain.OwnDomain = cfg.Self.FailureDomain
 	n.domains = domain.New(cfg.Domain, cfg.Self.Name)
@@ -180,6 +186,7 @@
 	out = append(out, actions...)
 	out = append(out, n.release(releases)...)
 	out = append(out, n.retryBehind(now)...)
+	out = append(out, n.retryOpens()...)
 	out = append(out, n.route(n.engine.Tick(now))...)
 	return append(out, n.writeTables(now)...)
 }
@@ -253,6 +260,7 @@
 		return n.credits.HandleRequest(now, m.GetFrom(), member.Address, body.CreditRequest, slotsView{n})
 	case *pb.PeerMessage_CreditGrant:
 		n.handleGrant(now, body.CreditGrant)
+		return n.retryOpens()
 	case *pb.PeerMessage_ObjectPush:
 		changed, out := n.sync.HandlePush(now, m.GetFrom(), body.ObjectPush)
 		n.adopt(changed)
--- a/internal/node/packet.go
+++ b/internal/node/packet.go
@@ -126,6 +126,9 @@
 // drop counts a dropped packet and tells the caller when that helps: an OPEN
 // gets a refusal, any other packet is retransmitted by the caller.
 func (n *Node) drop(s *service, p *pb.Packet, key flow.Key, reason placement.DropReason) []action.Action {
+	if reason == placement.DropNoUpstream && p.GetKind() == pb.PacketKind_PACKET_KIND_OPEN && n.coldOwner(s, key) {
+		return n.awaitCredit(s, p, key)
+	}
 	n.observer.Dropped(string(reason))
 	switch {
 	case reason == placement.DropDomainOut:
@@ -134,8 +137,6 @@
 		return nil
 	case reason != placement.DropNoUpstream:
 		return nil
-	case n.coldOwner(s, key):
-		return n.refuse(p, pb.RefusalReason_REFUSAL_REASON_COLD)
 	}
 	return n.refuse(p, pb.RefusalReason_REFUSAL_REASON_NO_UPSTREAM)
 }
