--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,72 @@
+// Command measure runs the scenarios in virtual time and prints one key=value
+// line per scenario and policy.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chivemast/chivemast/internal/measure"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "measure",
+		Usage: "run scenarios of instances, upstreams and callers in virtual time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Usage: "run only scenarios whose name contains `TEXT`"},
+			&cli.StringFlag{Name: "policy", Usage: "run only this `POLICY`"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the run"},
+			&cli.IntFlag{Name: "parallel", Value: 4, Usage: "runs at a time"},
+			&cli.BoolFlag{Name: "violations", Usage: "print the violations found"},
+		},
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+type job struct {
+	scenario measure.Scenario
+	policy   string
+	result   *measure.Result
+}
+
+func run(_ context.Context, cmd *cli.Command) error {
+	var jobs []*job
+	for _, s := range measure.Scenarios() {
+		for _, p := range measure.Policies() {
+			if strings.Contains(s.Name, cmd.String("scenario")) && (cmd.String("policy") == "" || cmd.String("policy") == p) {
+				jobs = append(jobs, &job{scenario: s, policy: p})
+			}
+		}
+	}
+	var group errgroup.Group
+	group.SetLimit(cmd.Int("parallel"))
+	for _, j := range jobs {
+		group.Go(func() error {
+			result, err := measure.RunScenario(j.scenario, measure.DefaultOptions(j.policy, cmd.Uint64("seed")))
+			j.result = result
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	for _, j := range jobs {
+		fmt.Println(j.result.Line())
+		if cmd.Bool("violations") {
+			for _, v := range j.result.Report.Violations {
+				fmt.Println("violation", v)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/scenario.go
@@ -0,0 +1,162 @@
+package measure
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/standin/caller"
+	"github.com/chivemast/chivemast/internal/standin/upstream"
+)
+
+// Scenario is a run with faults and changes at fixed times.
+type Scenario struct {
+	Name string
+	// Script schedules what happens.
+	Script func(w *World)
+	// Prepare changes the options.
+	Prepare func(opt *Options)
+	// Planned: the scenario has only planned changes, so that no flow may
+	// break.
+	Planned bool
+}
+
+// Scenarios returns the scenarios of flows, membership and failure domains.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady", Planned: true, Script: func(*World) {}},
+		{Name: "drain", Planned: true, Script: func(w *World) {
+			w.At(10*time.Second, func() { w.Drain(0, 0, 2, true) })
+			w.At(30*time.Second, func() { w.Drain(0, 0, 2, false) })
+		}},
+		{Name: "remove", Planned: true, Script: func(w *World) {
+			w.At(10*time.Second, func() {
+				w.Change(0, func(t *declare.Team) {
+					t.Services[0].Upstreams = slices.Delete(t.Services[0].Upstreams, 4, 5)
+				})
+			})
+		}},
+		{Name: "add", Planned: true, Script: func(w *World) {
+			full := w.opt.Teams[0].Clone()
+			w.after(0, func() {
+				w.Change(0, func(t *declare.Team) { t.Services[0].Upstreams = t.Services[0].Upstreams[:12] })
+			})
+			w.At(10*time.Second, func() { w.Change(0, func(t *declare.Team) { *t = *full }) })
+		}},
+		{Name: "reweight", Planned: true, Script: func(w *World) {
+			w.At(10*time.Second, func() {
+				w.Change(0, func(t *declare.Team) { t.Services[0].Upstreams[1].Weight = 200 })
+			})
+			w.At(30*time.Second, func() {
+				w.Change(0, func(t *declare.Team) { t.Services[0].Upstreams[1].Weight = 100 })
+			})
+		}},
+		{Name: "rolling_restart", Planned: true, Script: func(w *World) {
+			w.At(5*time.Second, func() { w.RestartAll(0) })
+		}, Prepare: longRun},
+		{Name: "restart_and_drain", Planned: true, Script: func(w *World) {
+			w.At(5*time.Second, func() { w.RestartAll(0) })
+			w.At(20*time.Second, func() { w.Drain(0, 0, 2, true) })
+			w.At(40*time.Second, func() {
+				w.Change(0, func(t *declare.Team) { t.Services[0].Upstreams[1].Weight = 150 })
+			})
+		}, Prepare: longRun},
+		{Name: "kill", Script: func(w *World) {
+			w.At(20*time.Second, func() { w.Kill(4) })
+			w.At(35*time.Second, func() { w.Start(4) })
+		}},
+		{Name: "kill_during_drain", Script: func(w *World) {
+			w.At(10*time.Second, func() { w.Drain(0, 0, 2, true) })
+			w.At(11500*time.Millisecond, func() { w.Kill(4) })
+			w.At(30*time.Second, func() { w.Start(4) })
+		}},
+		{Name: "freeze", Script: func(w *World) {
+			w.At(10*time.Second, func() { w.Drain(0, 0, 2, true) })
+			w.At(9900*time.Millisecond, func() { w.Freeze(4, 5*time.Second) })
+		}},
+		{Name: "domain_out_and_back", Planned: true, Script: func(w *World) {
+			w.At(10*time.Second, func() { w.TakeOut(w.domainName(2), true) })
+			w.At(25*time.Second, func() { w.TakeOut(w.domainName(2), false) })
+		}},
+		{Name: "platform_down_kill_join", Script: func(w *World) {
+			w.At(8*time.Second, func() { w.store.SetDown(true) })
+			w.At(12*time.Second, func() { w.Kill(4) })
+			w.At(20*time.Second, func() { w.Start(4) })
+			w.At(35*time.Second, func() { w.store.SetDown(false) })
+		}},
+		{Name: "domain_cut_off", Script: func(w *World) {
+			w.At(10*time.Second, func() { w.Isolate(w.domainName(1), true) })
+			w.At(12*time.Second, func() { w.Drain(0, 0, 2, true) })
+			w.At(30*time.Second, func() { w.Isolate(w.domainName(1), false) })
+		}},
+	}
+}
+
+// longRun gives nine restarts, one after the other, the time that they take.
+func longRun(opt *Options) {
+	opt.Load.Duration = 100 * time.Second
+	opt.Load.OpensPerSecond = 1000
+}
+
+// DefaultOptions is a user's deployment of today: nine instances and 18
+// upstreams of two services in four failure domains, and 100,000 flows.
+func DefaultOptions(policy string, seed uint64) Options {
+	return Options{
+		Policy: policy, Seed: seed, Instances: 9, Domains: 4, Teams: []*declare.Team{Team(14, 4, 4)},
+		Settle: 8 * time.Second, ServiceTime: 2 * time.Millisecond,
+		Cold:      upstream.ColdStart{Ramp: -1},
+		Duplicate: 0.005, Reorder: 0.01,
+		Load: caller.Config{
+			Services: []string{serviceAddress(0).String(), serviceAddress(1).String()},
+			Duration: 50 * time.Second, OpensPerSecond: 2000, MaxFlows: 200_000, MaxPackets: 5_000_000,
+			LongFlows: 400, QuietInterval: 15 * time.Second, FlowLifetime: 8 * time.Second,
+			RequestsPerSecond: -1, DataPerSecond: 0.3, Cancel: -1, LateCopies: -1,
+		},
+	}
+}
+
+func serviceAddress(service int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, 0, byte(service + 1)}), 80)
+}
+
+// Team declares a team with two services whose upstreams are spread over the
+// failure domains. The short idle timeout lets transitions end within a run.
+func Team(first, second, domains int) *declare.Team {
+	team := &declare.Team{Name: "barrierline"}
+	for index, count := range []int{first, second} {
+		service := declare.Service{
+			Name: []string{"dispatch", "photo-evidence"}[index], Address: serviceAddress(index),
+			IdleTimeoutSeconds: 20, MaxRequestTimeoutMS: 2000,
+			ColdStart: declare.ColdStart{SustainableOpensPerSecond: 2000, RampSeconds: 1},
+		}
+		for u := range count {
+			service.Upstreams = append(service.Upstreams, declare.Upstream{
+				Name:          fmt.Sprintf("u%02d", u+1),
+				Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, byte(index), byte(u + 1)}), 8080),
+				FailureDomain: fmt.Sprintf("domain-%c", 'a'+u%domains),
+			})
+		}
+		team.Services = append(team.Services, service)
+	}
+	return team
+}
+
+// Policies returns the policies in the order in which they are reported.
+func Policies() []string { return []string{PolicyChivemast, PolicyRendezvous, PolicyModulo} }
+
+// RunScenario runs a scenario under a policy. It fails when the options cannot
+// be used.
+func RunScenario(s Scenario, opt Options) (*Result, error) {
+	if s.Prepare != nil {
+		s.Prepare(&opt)
+	}
+	w, err := NewWorld(opt)
+	if err != nil {
+		return nil, err
+	}
+	s.Script(w)
+	w.Run()
+	return w.result(s.Name), nil
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -123,3 +123,6 @@
 	}
 	return s
 }
+
+// Revision returns the configuration revision in force.
+func (n *Node) Revision() uint64 { return n.sync.Revision() }
--- a/internal/telemetry/kinds.go
+++ b/internal/telemetry/kinds.go
@@ -197,3 +197,6 @@
 	}
 	return labels
 }
+
+// String returns the kind as a metric label.
+func (k MessageKind) String() string { return messageLabels[k] }
