--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -30,8 +30,8 @@
 			&cli.StringSliceFlag{Name: "instance", Usage: "`NAME,DOMAIN,PEER,ADMIN[,leaving]` on the instance list"},
 			&cli.DurationFlag{Name: "instance-lag", Usage: "age of the instance list"},
 			&cli.StringFlag{Name: "initial", Usage: "`FILE` with a /control request in JSON to apply at the start"},
-			&cli.FloatFlag{Name: "writes-per-second", Usage: "limit on writes; 0 for none"},
-			&cli.FloatFlag{Name: "reads-per-second", Usage: "limit on all other calls; 0 for none"},
+			&cli.FloatFlag{Name: "writes-per-second", Value: 500, Usage: "limit on writes; 0 for none"},
+			&cli.FloatFlag{Name: "reads-per-second", Value: 2000, Usage: "limit on all other calls; 0 for none"},
 		},
 		Action: runPlatform,
 	}
--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 )
 
 // Options tell the checker what was done to the system. Zero values take the
@@ -94,9 +96,12 @@
 	// Broken counts broken flows; each counts once. Misrouted counts the
 	// packets and resets that broke them.
 	Broken, Misrouted int
+	BrokenFlows       []BrokenFlow
 
 	Requests, Answered, RequestTimeouts, Cancelled int
-	Runs                                           int
+	// Runs counts executions, and UpstreamRequests all attempts that reached an
+	// upstream that knows the flow, refused ones included.
+	Runs, UpstreamRequests int
 	// OpensRefused and RequestsRefused count by reason.
 	OpensRefused, RequestsRefused map[string]int
 
@@ -125,6 +130,15 @@
 	}
 }
 
+// BrokenFlow tells when a flow was established and when it broke.
+type BrokenFlow struct {
+	Caller, Service string
+	FlowID          uint64
+	Upstream        string
+	EstablishedUS   int64
+	BrokenUS        int64
+}
+
 // flowID identifies a flow.
 type flowID struct {
 	caller, service string
@@ -178,6 +192,11 @@
 			r.RequestsRefused[reasonName(e)]++
 		case UpstreamRun:
 			r.Runs++
+			r.UpstreamRequests++
+		case UpstreamRefused:
+			if e.PacketKind == pb.PacketKind_PACKET_KIND_REQUEST {
+				r.UpstreamRequests++
+			}
 		case CallerMixed:
 			r.violate(CheckMixed, e.TimeUS, "%s flow %d request %d", e.Caller, e.FlowID, e.RequestID)
 		case CallerTruncated:
--- a/internal/standin/history/check_test.go
+++ b/internal/standin/history/check_test.go
@@ -88,6 +88,10 @@
 			events: append(good(), at(35, UpstreamUnknownFlow, at2))},
 		{name: "packet soon after a take-out", opt: outage(35, true), events: good()},
 		{name: "packet long after a take-out", opt: outage(15, true), want: CheckTakeOut, events: good()},
+		{name: "late run of a request that came soon after a take-out", opt: outage(35, true), events: append(good(),
+			at(60, UpstreamRun, func(e *Event) { e.RequestID, e.ReceivedUS = 6, 36_000 }))},
+		{name: "request long after a take-out", opt: outage(35, true), want: CheckTakeOut, events: append(good(),
+			at(60, UpstreamRun, func(e *Event) { e.RequestID = 6 }))},
 		{name: "wrong service", want: CheckWrongService, events: append(good(), at(35, UpstreamWrongService, at2))},
 		{name: "second run", want: CheckDoubleRun, events: append(good(), at(23, UpstreamRun, func(e *Event) { e.Run = 78 }))},
 		{name: "second run of an idempotent request", events: append(without(good(), UpstreamRun),
@@ -137,6 +141,7 @@
 	require.Equal(t, map[string]int{"no_lease": 1}, r.RequestsRefused)
 	require.InDelta(t, 2, r.OpenImbalance, 1e-9)
 	require.InDelta(t, 2.0/3, r.Served, 1e-9)
+	require.InDelta(t, 0.5, r.Amplification(), 1e-9)
 	require.Equal(t, []ServedBin{{Second: 0, Served: 2}, {Second: 1, Failed: 1}}, r.ServedBins)
 	require.Contains(t, r.Lines(), "request_refused_no_lease=1")
 	require.Contains(t, r.Lines(), "violations=0")
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -93,11 +93,22 @@
 	NotRun     bool             `json:"not_run,omitempty"`
 	// Run identifies one execution of a request.
 	Run uint64 `json:"run,omitempty"`
+	// ReceivedUS is when the packet arrived if that was earlier than TimeUS,
+	// because the request waited for a slot.
+	ReceivedUS int64 `json:"received_us,omitempty"`
 	// Cold and Draining tell the state of the upstream.
 	Cold     bool `json:"cold,omitempty"`
 	Draining bool `json:"draining,omitempty"`
 }
 
+// received returns when the packet behind the event arrived.
+func (e *Event) received() time.Time {
+	if e.ReceivedUS != 0 {
+		return time.UnixMicro(e.ReceivedUS)
+	}
+	return e.Time()
+}
+
 // Time returns when the event happened.
 func (e *Event) Time() time.Time { return time.UnixMicro(e.TimeUS) }
 
--- a/internal/standin/history/flows.go
+++ b/internal/standin/history/flows.go
@@ -52,6 +52,8 @@
 	}
 	f.broken = true
 	r.Broken++
+	r.BrokenFlows = append(r.BrokenFlows, BrokenFlow{Caller: e.Caller, Service: e.Service, FlowID: e.FlowID,
+		Upstream: f.upstream, EstablishedUS: f.from, BrokenUS: e.TimeUS})
 	r.violate(CheckBrokenFlow, e.TimeUS, "flow %d of %s to %s, established at %s boot %d, %s: %s boot %d, packet %s",
 		e.FlowID, e.Caller, e.Service, f.upstream, f.bootID, what, e.Upstream, e.BootID, e.PacketKind)
 }
--- a/internal/standin/history/measure.go
+++ b/internal/standin/history/measure.go
@@ -132,6 +132,15 @@
 	return strings.ToLower(strings.TrimPrefix(e.Reason.String(), "REFUSAL_REASON_"))
 }
 
+// Amplification returns the requests that reached upstreams relative to those
+// of the callers; 0 without requests.
+func (r *Report) Amplification() float64 {
+	if r.Requests == 0 {
+		return 0
+	}
+	return float64(r.UpstreamRequests) / float64(r.Requests)
+}
+
 // Lines returns the results as key=value lines.
 func (r *Report) Lines() []string {
 	lines := []string{
@@ -139,6 +148,7 @@
 		line("broken_flows", r.Broken), line("misrouted_packets", r.Misrouted), line("given_up_flows", r.GivenUp),
 		line("requests", r.Requests), line("answered", r.Answered), line("request_timeouts", r.RequestTimeouts),
 		line("cancelled", r.Cancelled), line("runs", r.Runs),
+		line("upstream_requests", r.UpstreamRequests), fmt.Sprintf("amplification=%.3f", r.Amplification()),
 		line("wrong_service", r.Counts[CheckWrongService]), line("double_runs", r.Counts[CheckDoubleRun]),
 		line("false_not_run", r.Counts[CheckFalseNotRun]), line("mixed_answers", r.Counts[CheckMixed]),
 		line("truncated_answers", r.Counts[CheckTruncated]), line("foreign_runs", r.Counts[CheckForeignRun]),
@@ -155,8 +165,8 @@
 	for _, reason := range slices.Sorted(maps.Keys(r.RequestsRefused)) {
 		lines = append(lines, line("request_refused_"+reason, r.RequestsRefused[reason]))
 	}
-	for i, b := range r.ServedBins {
-		lines = append(lines, fmt.Sprintf("served_ratio_second_%d=%.4f", i, b.Ratio()))
+	for _, b := range r.ServedBins {
+		lines = append(lines, fmt.Sprintf("served_ratio_second_%d=%.4f", b.Second-r.ServedBins[0].Second, b.Ratio()))
 	}
 	violations := 0
 	for _, n := range r.Counts {
--- a/internal/standin/history/upstreams.go
+++ b/internal/standin/history/upstreams.go
@@ -39,7 +39,7 @@
 // isPacket tells whether an event of an upstream means that a packet arrived.
 func isPacket(e *Event) bool {
 	switch e.Kind {
-	case UpstreamOpened, UpstreamData, UpstreamRefused, UpstreamUnknownFlow, UpstreamWrongService:
+	case UpstreamOpened, UpstreamData, UpstreamRun, UpstreamRefused, UpstreamUnknownFlow, UpstreamWrongService:
 		return true
 	case UpstreamClosed:
 		return e.PacketKind != 0
@@ -49,10 +49,10 @@
 
 func checkTakeOut(r *Report, opt Options, e *Event) {
 	for _, o := range opt.Outages {
-		if !o.TakenOut || o.Upstream != e.Upstream || !o.covers(e.Time()) {
+		if !o.TakenOut || o.Upstream != e.Upstream || !o.covers(e.received()) {
 			continue
 		}
-		after := e.Time().Sub(o.From)
+		after := e.received().Sub(o.From)
 		r.LastAfterTakeOut = max(r.LastAfterTakeOut, after)
 		if after > opt.TakeOutLimit {
 			r.violate(CheckTakeOut, e.TimeUS, "%s got a packet %v after it was taken out", e.Upstream, after)
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -13,7 +13,8 @@
 // Control is the body of a POST to /control. Absent fields change nothing.
 type Control struct {
 	Down *bool `json:"down,omitempty"`
-	// Hang makes calls wait instead of failing during an outage.
+	// Hang makes calls that fail by an outage or lose their answer wait for the
+	// client's timeout.
 	Hang    *bool `json:"hang,omitempty"`
 	DelayMS *int  `json:"delay_ms,omitempty"`
 	// LoseWrites loses the answers of the next writes that take effect.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -22,7 +22,8 @@
 	store *Store
 
 	mu sync.Mutex
-	// hang makes calls wait instead of failing while the store is down.
+	// hang makes calls wait instead of failing while the store is down, and
+	// lost answers wait instead of resetting the stream.
 	hang bool
 	cut  map[string]bool
 	// changed is closed and replaced when hang or cut changes.
@@ -51,7 +52,8 @@
 	return p
 }
 
-// SetHang makes calls wait for their own timeout while the store is down.
+// SetHang makes calls that fail by an outage or lose their answer wait for the
+// client's timeout.
 func (s *Server) SetHang(hang bool) {
 	s.update(func() { s.hang = hang })
 }
@@ -122,8 +124,11 @@
 	case errors.As(err, &limited):
 		return connect.NewError(connect.CodeResourceExhausted, err)
 	case errors.As(err, &lost):
-		// The stream is reset, so that the client sees neither success nor a
-		// code that says what happened.
+		// The stream is reset, at once or after the client's timeout, so that
+		// the client sees neither success nor a code that says what happened.
+		if _, hang, _ := e.server.isCut(e.listener); hang {
+			<-ctx.Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return connect.NewError(connect.CodeInternal, err)
--- a/internal/standin/upstream/machine.go
+++ b/internal/standin/upstream/machine.go
@@ -40,9 +40,10 @@
 type flowState struct{ lastHeard time.Time }
 
 type job struct {
-	packet *pb.Packet
-	run    uint64
-	ends   time.Time
+	packet   *pb.Packet
+	received time.Time
+	run      uint64
+	ends     time.Time
 }
 
 type faults struct {
@@ -236,7 +237,7 @@
 		j := m.queue[0]
 		m.queue = m.queue[1:]
 		if expired(j.packet, now) {
-			replies = append(replies, m.refuse(now, j.packet, pb.RefusalReason_REFUSAL_REASON_EXPIRED))
+			replies = append(replies, m.refuseWaiting(now, j, pb.RefusalReason_REFUSAL_REASON_EXPIRED))
 			continue
 		}
 		m.start(now, j)
@@ -251,7 +252,9 @@
 	j.ends = now.Add(time.Duration(float64(m.cfg.ServiceTime) * deviation))
 	m.running = append(m.running, j)
 	m.stats.Runs++
-	m.record(now, m.event(history.UpstreamRun, j.packet, j.run))
+	e := m.event(history.UpstreamRun, j.packet, j.run)
+	e.ReceivedUS = j.received.UnixMicro()
+	m.record(now, e)
 }
 
 func (m *Machine) answer(j *job) []Reply {
--- a/internal/standin/upstream/packet.go
+++ b/internal/standin/upstream/packet.go
@@ -96,7 +96,7 @@
 	if now.Before(m.shedUntil) || len(m.queue) >= m.cfg.QueueLimit {
 		return []Reply{m.shed(now, p)}
 	}
-	m.queue = append(m.queue, &job{packet: p})
+	m.queue = append(m.queue, &job{packet: p, received: now})
 	return m.startQueued(now)
 }
 
@@ -110,7 +110,7 @@
 			waiting = append(waiting, j)
 			continue
 		}
-		replies = append(replies, m.refuse(now, j.packet, pb.RefusalReason_REFUSAL_REASON_CANCELLED))
+		replies = append(replies, m.refuseWaiting(now, j, pb.RefusalReason_REFUSAL_REASON_CANCELLED))
 	}
 	m.queue = waiting
 	running := m.running[:0]
@@ -133,16 +133,21 @@
 
 // refuse answers work that has not run here.
 func (m *Machine) refuse(now time.Time, p *pb.Packet, reason pb.RefusalReason) Reply {
+	return m.refuseWaiting(now, &job{packet: p, received: now}, reason)
+}
+
+// refuseWaiting answers a request that has not run and may have waited.
+func (m *Machine) refuseWaiting(now time.Time, j *job, reason pb.RefusalReason) Reply {
 	switch reason {
 	case pb.RefusalReason_REFUSAL_REASON_UPSTREAM_SHED:
 		m.stats.Shed++
 	case pb.RefusalReason_REFUSAL_REASON_EXPIRED:
 		m.stats.Expired++
 	}
-	e := m.event(history.UpstreamRefused, p, 0)
-	e.Reason, e.NotRun = reason, true
+	e := m.event(history.UpstreamRefused, j.packet, 0)
+	e.Reason, e.NotRun, e.ReceivedUS = reason, true, j.received.UnixMicro()
 	m.record(now, e)
-	return m.refusal(p, reason, true)
+	return m.refusal(j.packet, reason, true)
 }
 
 func (m *Machine) refusal(p *pb.Packet, reason pb.RefusalReason, notRun bool) Reply {
