--- a/cmd/standin/fabric.go
+++ b/cmd/standin/fabric.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -74,7 +76,8 @@
 		if err != nil {
 			return fmt.Errorf("fabric: %w", err)
 		}
-		serveHTTP(ctx, group, listener, sprayer.ControlHandler())
+		serveHTTP(ctx, group, listener,
+			&http.Server{Handler: sprayer.ControlHandler(), ReadHeaderTimeout: 5 * time.Second})
 	}
 	return group.Wait()
 }
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -69,14 +68,13 @@
 			return fmt.Errorf("platform: %w", err)
 		}
 		logrus.WithFields(logrus.Fields{"listener": name, "address": listener.Addr()}).Info("platform listens")
-		serveHTTP(ctx, group, listener, server.Handler(name))
+		serveHTTP(ctx, group, listener, server.HTTPServer(name))
 	}
 	return group.Wait()
 }
 
-// serveHTTP serves HTTP/1.1 and HTTP/2 without TLS until the context ends.
-func serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, Protocols: platform.Protocols(), ReadHeaderTimeout: 5 * time.Second}
+// serveHTTP serves until the context ends.
+func serveHTTP(ctx context.Context, group *errgroup.Group, listener net.Listener, server *http.Server) {
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("http server: %w", err)
--- a/internal/standin/caller/machine.go
+++ b/internal/standin/caller/machine.go
@@ -97,6 +97,21 @@
 	return m.closing && (len(m.flows) == 0 || !now.Before(m.endAt))
 }
 
+// Next returns when Tick has to be called next, for programs in virtual time.
+func (m *Machine) Next() time.Time {
+	next := m.endAt
+	if !m.closing {
+		next = m.closeAt
+		if m.opened < m.cfg.MaxFlows && m.nextOpen.Before(next) {
+			next = m.nextOpen
+		}
+	}
+	if len(m.timers) > 0 && m.timers[0].at.Before(next) {
+		next = m.timers[0].at
+	}
+	return next
+}
+
 // OpenFlows returns the number of flows that are not over.
 func (m *Machine) OpenFlows() int { return len(m.flows) }
 
--- a/internal/standin/caller/machine_test.go
+++ b/internal/standin/caller/machine_test.go
@@ -162,7 +162,7 @@
 func TestLoadIsBounded(t *testing.T) {
 	f := newFixture(t, func(c *Config) { c.MaxFlows, c.MaxPackets, c.OpensPerSecond = 1_000_000, 500, 1000 })
 	start := f.now
-	for ; !f.Done(f.now); f.now = f.now.Add(5 * time.Millisecond) {
+	for ; !f.Done(f.now); f.now = f.Next() {
 		for _, p := range f.Tick(f.now) {
 			if p.Kind == pb.PacketKind_PACKET_KIND_OPEN {
 				f.answer(p, pb.PacketKind_PACKET_KIND_OPENED, nil)
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -22,6 +22,8 @@
 	// EndWatches and SilenceWatches act on the present watches.
 	EndWatches     bool `json:"end_watches,omitempty"`
 	SilenceWatches bool `json:"silence_watches,omitempty"`
+	// SilenceConnections makes the present connections silent for good.
+	SilenceConnections bool `json:"silence_connections,omitempty"`
 	// Cut and Heal name listeners.
 	Cut        []string `json:"cut,omitempty"`
 	Heal       []string `json:"heal,omitempty"`
@@ -78,6 +80,9 @@
 	if c.SilenceWatches {
 		s.store.SilenceWatches()
 	}
+	if c.SilenceConnections {
+		s.SilenceConnections()
+	}
 	if c.EndWatches {
 		s.store.EndWatches()
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
+	"github.com/chivemast/chivemast/internal/standin/silence"
 )
 
 // progressInterval is the longest time between two messages of a watch.
@@ -20,6 +21,7 @@
 // listener of its own, so that it can be cut off alone.
 type Server struct {
 	store *Store
+	gate  silence.Gate
 
 	mu sync.Mutex
 	// hang makes calls wait instead of failing while the store is down, and
@@ -35,21 +37,28 @@
 	return &Server{store: store, cut: map[string]bool{}, changed: make(chan struct{})}
 }
 
-// Handler returns the HTTP handler of one listener. The server must accept
-// HTTP/2 without TLS; see Protocols.
-func (s *Server) Handler(listener string) http.Handler {
+// HTTPServer returns the server of one listener. It accepts HTTP/2 without TLS
+// and HTTP/1.1.
+func (s *Server) HTTPServer(listener string) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: s.handler(listener), Protocols: protocols,
+		ConnContext: s.gate.ConnContext, ReadHeaderTimeout: 5 * time.Second}
+}
+
+// SilenceConnections makes every present connection silent for good, watches
+// included. New ones work.
+func (s *Server) SilenceConnections() {
+	s.gate.Silence()
+	s.store.SilenceWatches()
+}
+
+func (s *Server) handler(listener string) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(chivemastv1connect.NewObjectServiceHandler(&endpoint{server: s, listener: listener}))
 	mux.HandleFunc("/control", s.control)
-	return mux
-}
-
-// Protocols returns HTTP/1.1 and HTTP/2 without TLS.
-func Protocols() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
-	return p
+	return s.gate.Wrap(mux)
 }
 
 // SetHang makes calls that fail by an outage or lose their answer wait for the
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -17,8 +17,8 @@
 
 // serve starts a server with HTTP/2 without TLS and returns a client of it.
 func serve(t *testing.T, s *Server) (chivemastv1connect.ObjectServiceClient, string) {
-	h := httptest.NewUnstartedServer(s.Handler("fd1"))
-	h.Config.Protocols = Protocols()
+	h := httptest.NewUnstartedServer(nil)
+	h.Config = s.HTTPServer("fd1")
 	h.Start()
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
@@ -79,6 +79,12 @@
 	require.NoError(t, err)
 	require.Len(t, list.Instances, 1)
 	control(t, url, `{"no_such_field":1}`, http.StatusBadRequest)
+	http.DefaultClient.CloseIdleConnections()
+	control(t, url, `{"silence_connections":true}`, http.StatusOK)
+	silent, cancelSilent := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancelSilent()
+	_, err = client.Get(silent, &pb.GetRequest{Key: "k"})
+	require.Equal(t, connect.CodeDeadlineExceeded, connect.CodeOf(err))
 }
 
 // Guards against a watch that misses changes or progress, and against one that
--- a/internal/standin/platform/store_test.go
+++ b/internal/standin/platform/store_test.go
@@ -1,14 +1,18 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/standin/history"
 )
 
 type clock struct{ now time.Time }
@@ -111,6 +115,54 @@
 	require.Equal(t, map[Call]uint64{CallPut: 4, CallGet: 2, CallWatch: 2, CallListInstances: 1}, s.Calls())
 }
 
+// Guards against lost updates between racing writers, some of which lose their
+// answers and read back what happened.
+func TestStoreIsARegisterForRacingWriters(t *testing.T) {
+	s := NewStore(Options{})
+	s.LoseWriteAnswers(5)
+	var mu sync.Mutex
+	var ops []history.RegisterOp
+	do := func(client int, f func(op *history.RegisterOp)) history.RegisterOp {
+		op := history.RegisterOp{Client: client, Key: "k", CallUS: time.Now().UnixMicro()}
+		f(&op)
+		op.ReturnUS = time.Now().UnixMicro()
+		mu.Lock()
+		defer mu.Unlock()
+		ops = append(ops, op)
+		return op
+	}
+	var group errgroup.Group
+	for client := range 4 {
+		group.Go(func() error {
+			for i := range 20 {
+				var readErr error
+				current := do(client, func(op *history.RegisterOp) {
+					var o *pb.Object
+					o, _, readErr = s.Get("k")
+					op.Outcome, op.Version, op.ChangeID = history.RegisterRead, o.GetVersion(), o.GetChangeId()
+				})
+				if readErr != nil {
+					return readErr
+				}
+				do(client, func(op *history.RegisterOp) {
+					op.Expected, op.ChangeID = current.Version, fmt.Sprint(client, i)
+					o, err := s.Put(&pb.PutRequest{Key: "k", ExpectedVersion: op.Expected, ChangeId: op.ChangeID})
+					var lost *LostAnswerError
+					op.Outcome, op.Version = history.RegisterApplied, o.GetVersion()
+					if errors.As(err, &lost) {
+						op.Outcome = history.RegisterUnknown
+					} else if err != nil {
+						op.Outcome = history.RegisterConflict
+					}
+				})
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	require.Empty(t, history.CheckRegister(ops))
+}
+
 // Guards against an instance list that is fresher than the lag, or overrides
 // that do not show at once.
 func TestInstanceListLagsAndTakesOverrides(t *testing.T) {
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/standin/silence"
 )
 
 const (
@@ -32,6 +33,7 @@
 type Server struct {
 	mu      sync.Mutex
 	machine *Machine
+	gate    silence.Gate
 
 	conn     *net.UDPConn
 	listener net.Listener
@@ -79,7 +81,8 @@
 
 // Serve runs until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: s.gate.Wrap(s.handler()), ConnContext: s.gate.ConnContext,
+		ReadHeaderTimeout: 5 * time.Second}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -176,9 +179,12 @@
 	// Mislead replaces the health report; ClearMislead ends that.
 	Mislead      *Health `json:"mislead,omitempty"`
 	ClearMislead bool    `json:"clear_mislead,omitempty"`
+	// SilenceConnections makes the present HTTP connections silent for good.
+	SilenceConnections bool `json:"silence_connections,omitempty"`
 }
 
-// Apply carries out a control request.
+// Apply carries out a control request, except for SilenceConnections, which
+// concerns the server.
 func (m *Machine) Apply(now time.Time, c *Control) {
 	if c.Restart {
 		m.Restart(now)
@@ -203,8 +209,12 @@
 	}
 }
 
-// Handler serves GET /health and /control. /control answers with Stats.
-func (s *Server) Handler() http.Handler {
+// SilenceConnections makes every present HTTP connection silent for good. New
+// ones work.
+func (s *Server) SilenceConnections() { s.gate.Silence() }
+
+// handler serves GET /health and /control. /control answers with Stats.
+func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		var h Health
@@ -231,6 +241,9 @@
 			m.Apply(now, &c)
 			stats = m.Stats()
 		})
+		if c.SilenceConnections {
+			s.SilenceConnections()
+		}
 		writeJSON(w, stats)
 	})
 	return mux
