Count partial answers

Cause: an instance that sends only some parts of an answer showed up as a plain timeout.

Ruled out: a violation for it, because UDP may have lost the rest and the caller knows that the answer is not whole.

Before: not visible. After: partial_answers counts them; make test passes.

Conclusion: a run in which no packet to callers is lost should show 0.

--- a/internal/standin/caller/machine_test.go
+++ b/internal/standin/caller/machine_test.go
@@ -144,6 +144,7 @@
 	require.Equal(t, first.FlowId, second.FlowId)
 	f.answer(second, pb.PacketKind_PACKET_KIND_OPENED, nil)
 	r := f.next(pb.PacketKind_PACKET_KIND_REQUEST)
+	f.part(r, 7, 1, 2, 1)
 	copies := 0
 	for end := f.now.Add(3 * time.Second); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
 		for _, p := range f.Tick(f.now) {
@@ -154,6 +155,9 @@
 	}
 	require.Equal(t, 7, copies, "one copy per 250 ms before the deadline after 2 s")
 	require.Equal(t, []history.Kind{history.CallerRequestTimeout}, f.outcome(r))
+	report := history.Run(history.Options{}, f.events.Events())
+	require.Equal(t, 1, report.PartialAnswers)
+	require.True(t, report.OK())
 	f.answer(r, pb.PacketKind_PACKET_KIND_UNKNOWN_FLOW, nil)
 	require.Zero(t, f.OpenFlows())
 }
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -59,7 +59,7 @@
 	}
 	if !m.now.Before(r.deadline) {
 		if !r.finished {
-			m.finish(f, r, history.Event{Kind: history.CallerRequestTimeout})
+			m.finish(f, r, history.Event{Kind: history.CallerRequestTimeout, Partial: len(r.answers) > 0})
 		}
 		delete(f.requests, id)
 		m.maybeClose(f)
--- a/internal/standin/history/check.go
+++ b/internal/standin/history/check.go
@@ -99,6 +99,9 @@
 	BrokenFlows       []BrokenFlow
 
 	Requests, Answered, RequestTimeouts, Cancelled int
+	// PartialAnswers counts timeouts of requests of whose answer some parts had
+	// arrived. The caller was not deceived, and UDP may have lost the rest.
+	PartialAnswers int
 	// Runs counts executions, and UpstreamRequests all attempts that reached an
 	// upstream that knows the flow, refused ones included.
 	Runs, UpstreamRequests int
@@ -186,6 +189,9 @@
 			r.Answered++
 		case CallerRequestTimeout:
 			r.RequestTimeouts++
+			if e.Partial {
+				r.PartialAnswers++
+			}
 		case CallerCancel:
 			r.Cancelled++
 		case CallerRequestRefused:
--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -93,6 +93,9 @@
 	NotRun     bool             `json:"not_run,omitempty"`
 	// Run identifies one execution of a request.
 	Run uint64 `json:"run,omitempty"`
+	// Partial tells that some but not all parts of an answer had arrived when
+	// the caller gave up.
+	Partial bool `json:"partial,omitempty"`
 	// ReceivedUS is when the packet arrived if that was earlier than TimeUS,
 	// because the request waited for a slot.
 	ReceivedUS int64 `json:"received_us,omitempty"`
--- a/internal/standin/history/measure.go
+++ b/internal/standin/history/measure.go
@@ -147,7 +147,7 @@
 		line("flows", r.Flows), line("established", r.Established), line("open_timeouts", r.OpenTimeouts),
 		line("broken_flows", r.Broken), line("misrouted_packets", r.Misrouted), line("given_up_flows", r.GivenUp),
 		line("requests", r.Requests), line("answered", r.Answered), line("request_timeouts", r.RequestTimeouts),
-		line("cancelled", r.Cancelled), line("runs", r.Runs),
+		line("partial_answers", r.PartialAnswers), line("cancelled", r.Cancelled), line("runs", r.Runs),
 		line("upstream_requests", r.UpstreamRequests), fmt.Sprintf("amplification=%.3f", r.Amplification()),
 		line("wrong_service", r.Counts[CheckWrongService]), line("double_runs", r.Counts[CheckDoubleRun]),
 		line("false_not_run", r.Counts[CheckFalseNotRun]), line("mixed_answers", r.Counts[CheckMixed]),
