--- a/internal/standin/history/event.go
+++ b/internal/standin/history/event.go
@@ -93,11 +93,25 @@
 	NotRun     bool             `json:"not_run,omitempty"`
 	// Run identifies one execution of a request.
 	Run uint64 `json:"run,omitempty"`
+	// Partial tells that some but not all parts of an answer had arrived when
+	// the caller gave up.
+	Partial bool `json:"partial,omitempty"`
+	// ReceivedUS is when the packet arrived if that was earlier than TimeUS,
+	// because the request waited for a slot.
+	ReceivedUS int64 `json:"received_us,omitempty"`
 	// Cold and Draining tell the state of the upstream.
 	Cold     bool `json:"cold,omitempty"`
 	Draining bool `json:"draining,omitempty"`
 }
 
+// received returns when the packet behind the event arrived.
+func (e *Event) received() time.Time {
+	if e.ReceivedUS != 0 {
+		return time.UnixMicro(e.ReceivedUS)
+	}
+	return e.Time()
+}
+
 // Time returns when the event happened.
 func (e *Event) Time() time.Time { return time.UnixMicro(e.TimeUS) }
 
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -13,7 +13,8 @@
 // Control is the body of a POST to /control. Absent fields change nothing.
 type Control struct {
 	Down *bool `json:"down,omitempty"`
-	// Hang makes calls wait instead of failing during an outage.
+	// Hang makes calls that fail by an outage or lose their answer wait for the
+	// client's timeout.
 	Hang    *bool `json:"hang,omitempty"`
 	DelayMS *int  `json:"delay_ms,omitempty"`
 	// LoseWrites loses the answers of the next writes that take effect.
@@ -21,6 +22,8 @@
 	// EndWatches and SilenceWatches act on the present watches.
 	EndWatches     bool `json:"end_watches,omitempty"`
 	SilenceWatches bool `json:"silence_watches,omitempty"`
+	// SilenceConnections makes the present connections silent for good.
+	SilenceConnections bool `json:"silence_connections,omitempty"`
 	// Cut and Heal name listeners.
 	Cut        []string `json:"cut,omitempty"`
 	Heal       []string `json:"heal,omitempty"`
@@ -77,6 +80,9 @@
 	if c.SilenceWatches {
 		s.store.SilenceWatches()
 	}
+	if c.SilenceConnections {
+		s.SilenceConnections()
+	}
 	if c.EndWatches {
 		s.store.EndWatches()
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
+	"github.com/chivemast/chivemast/internal/standin/silence"
 )
 
 // progressInterval is the longest time between two messages of a watch.
@@ -20,9 +21,11 @@
 // listener of its own, so that it can be cut off alone.
 type Server struct {
 	store *Store
+	gate  silence.Gate
 
 	mu sync.Mutex
-	// hang makes calls wait instead of failing while the store is down.
+	// hang makes calls wait instead of failing while the store is down, and
+	// lost answers wait instead of resetting the stream.
 	hang bool
 	cut  map[string]bool
 	// changed is closed and replaced when hang or cut changes.
@@ -34,24 +37,32 @@
 	return &Server{store: store, cut: map[string]bool{}, changed: make(chan struct{})}
 }
 
-// Handler returns the HTTP handler of one listener. The server must accept
-// HTTP/2 without TLS; see Protocols.
-func (s *Server) Handler(listener string) http.Handler {
+// HTTPServer returns the server of one listener. It accepts HTTP/2 without TLS
+// and HTTP/1.1.
+func (s *Server) HTTPServer(listener string) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: s.handler(listener), Protocols: protocols,
+		ConnContext: s.gate.ConnContext, ReadHeaderTimeout: 5 * time.Second}
+}
+
+// SilenceConnections makes every present connection silent for good, watches
+// included. New ones work.
+func (s *Server) SilenceConnections() {
+	s.gate.Silence()
+	s.store.SilenceWatches()
+}
+
+func (s *Server) handler(listener string) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(chivemastv1connect.NewObjectServiceHandler(&endpoint{server: s, listener: listener}))
 	mux.HandleFunc("/control", s.control)
-	return mux
+	return s.gate.Wrap(mux)
 }
 
-// Protocols returns HTTP/1.1 and HTTP/2 without TLS.
-func Protocols() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
-	return p
-}
-
-// SetHang makes calls wait for their own timeout while the store is down.
+// SetHang makes calls that fail by an outage or lose their answer wait for the
+// client's timeout.
 func (s *Server) SetHang(hang bool) {
 	s.update(func() { s.hang = hang })
 }
@@ -122,8 +133,11 @@
 	case errors.As(err, &limited):
 		return connect.NewError(connect.CodeResourceExhausted, err)
 	case errors.As(err, &lost):
-		// The stream is reset, so that the client sees neither success nor a
-		// code that says what happened.
+		// The stream is reset, at once or after the client's timeout, so that
+		// the client sees neither success nor a code that says what happened.
+		if _, hang, _ := e.server.isCut(e.listener); hang {
+			<-ctx.Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return connect.NewError(connect.CodeInternal, err)
