--- a/internal/admission/credits.go
+++ b/internal/admission/credits.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
@@ -228,7 +230,8 @@
 // Tick requests credits for the cold upstreams that opens were meant for.
 func (c *Credits) Tick(now time.Time, slots Slots) []action.Action {
 	var actions []action.Action
-	for name, u := range c.upstreams {
+	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
+		u := c.upstreams[name]
 		request := u.requester.ask(now, c, u, name)
 		if request == nil {
 			continue
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -172,9 +172,24 @@
 	w.upstreams[u.Address].machine.SetDraining(w.now, draining)
 }
 
+// weights are those of the declarations now in force.
+func (w *World) weights() map[string]int {
+	out := map[string]int{}
+	for _, t := range w.opt.Teams {
+		for _, s := range t.Services {
+			for _, u := range s.Upstreams {
+				if u.Weight != 0 {
+					out[t.Name+"/"+s.Name+"/"+u.Name] = u.Weight
+				}
+			}
+		}
+	}
+	return out
+}
+
 // Report checks the history of the run.
 func (w *World) Report() *history.Report {
 	return history.Run(history.Options{
-		Outages: w.outages, DrainLimit: 4 * time.Second, TakeOutLimit: 3 * time.Second, From: w.started,
+		Outages: w.outages, Weights: w.weights(), DrainLimit: 4 * time.Second, TakeOutLimit: 3 * time.Second, From: w.started,
 	}, w.recorder.Events())
 }
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -16,11 +16,13 @@
 	Seed             uint64
 	Report           *history.Report
 	// ControlMean and ControlMax are bytes per second and instance, sent and
-	// received, without redirected packets; ControlPeak is the largest mean
-	// over one second.
-	ControlMean, ControlMax float64
-	ByKind                  map[string]float64
-	PlatformCallsPerSecond  float64
+	// received, without redirected packets: the mean and the busiest instance.
+	// ControlSteady is the median second; ControlPeak the busiest ten seconds
+	// of the mean instance, both after the first ten seconds of load, in
+	// which the upstreams get warm.
+	ControlMean, ControlMax, ControlSteady, ControlPeak float64
+	ByKind                                              map[string]float64
+	PlatformCallsPerSecond                              float64
 	// InForceP99 is the time from acceptance until a change is in force, over
 	// all instances and changes.
 	InForceP99 time.Duration
@@ -31,6 +33,7 @@
 func (w *World) result(scenario string) *Result {
 	r := &Result{Scenario: scenario, Policy: w.opt.Policy, Seed: w.opt.Seed, Report: w.Report(), ByKind: map[string]float64{}}
 	elapsed := w.now.Sub(w.started).Seconds()
+	r.ControlSteady, r.ControlPeak = w.controlRates()
 	for _, i := range w.instances {
 		rate := float64(i.counted.sent+i.counted.received) / elapsed
 		r.ControlMean += rate / float64(len(w.instances))
@@ -51,6 +54,32 @@
 	return r
 }
 
+// sampleControl notes the control bytes since the last second.
+func (w *World) sampleControl() {
+	total := 0.0
+	for _, i := range w.instances {
+		total += float64(i.counted.sent + i.counted.received)
+	}
+	w.samples = append(w.samples, total/float64(len(w.instances)))
+}
+
+// controlRates returns the median second and the busiest ten seconds.
+func (w *World) controlRates() (steady, peak float64) {
+	const warmUp, window = 10, 10
+	var seconds []float64
+	for n := warmUp + 1; n < len(w.samples); n++ {
+		seconds = append(seconds, w.samples[n]-w.samples[n-1])
+		if n >= warmUp+window {
+			peak = max(peak, (w.samples[n]-w.samples[n-window])/window)
+		}
+	}
+	if len(seconds) == 0 {
+		return 0, 0
+	}
+	slices.Sort(seconds)
+	return seconds[len(seconds)/2], peak
+}
+
 func kindName(kind telemetry.MessageKind) string { return kind.String() }
 
 // Line is the result as key=value pairs.
@@ -66,6 +95,7 @@
 		fmt.Sprintf("given_up=%d", r.Report.GivenUp),
 		fmt.Sprintf("imbalance=%.3f", r.Report.OpenImbalance),
 		fmt.Sprintf("control_bytes_per_second=%.0f", r.ControlMean), fmt.Sprintf("control_bytes_max=%.0f", r.ControlMax),
+		fmt.Sprintf("control_steady=%.0f", r.ControlSteady), fmt.Sprintf("control_peak_10s=%.0f", r.ControlPeak),
 		fmt.Sprintf("served_ratio=%.5f", r.Report.Served), fmt.Sprintf("served_min_second=%.4f", r.MinServed),
 		fmt.Sprintf("opens_refused=%d", refused), fmt.Sprintf("open_timeouts=%d", r.Report.OpenTimeouts),
 		fmt.Sprintf("last_after_takeout_ms=%d", r.Report.LastAfterTakeOut.Milliseconds()),
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -76,8 +76,11 @@
 	// that cannot reach each other, in one direction.
 	cut map[[2]string]bool
 
-	started  time.Time
-	control  controlCount
+	started time.Time
+	control controlCount
+	// samples holds, per second, the control bytes of the mean instance so
+	// far.
+	samples  []float64
 	changes  []time.Time
 	inForce  []time.Duration
 	accepted map[uint64]time.Time
@@ -198,6 +201,7 @@
 		i.counted = controlBytes{}
 	}
 	w.control = controlCount{}
+	w.every(time.Second, w.sampleControl)
 	load := w.opt.Load
 	load.Address = "127.0.0.1:4000"
 	load.Recorder = w.recorder
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -215,8 +215,7 @@
 		s.table, s.tableValue, s.tableVersion = nil, nil, o.GetVersion()
 		return
 	}
-	value := &pb.ServiceTable{}
-	err := proto.Unmarshal(o.GetValue(), value)
+	value, err := decodeTable(o.GetValue())
 	var table *placement.Table
 	if err == nil {
 		table, err = placement.Compile(value, o.GetRevision())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,7 @@
 	out = append(out, n.leases.Tick(now, n.view, n.members)...)
 	out = append(out, n.health.Tick(now, n.view)...)
 	out = append(out, n.credits.Tick(now, slotsView{n})...)
+	n.noteWarm(now)
 	actions, releases := n.tracker.Tick(now, n.view)
 	out = append(out, actions...)
 	out = append(out, n.release(releases)...)
@@ -326,6 +327,17 @@
 	}
 }
 
+// noteWarm tells health of the upstreams that this instance itself granted
+// the last credits of their ramp.
+func (n *Node) noteWarm(now time.Time) {
+	for name := range n.knownUpstreams {
+		if n.credits.Warm(name) && n.health.State(name) == health.Cold {
+			n.health.MarkWarm(now, name, n.health.BootID(name))
+			n.dirty = true
+		}
+	}
+}
+
 // observeBoot treats a new boot id as a cold start.
 func (n *Node) observeBoot(now time.Time, name string, bootID uint64) {
 	if n.credits.ObserveBoot(name, bootID) {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
@@ -17,7 +19,9 @@
 	n.advance(now)
 	n.engine.Drain()
 	var out []action.Action
-	for successor, tenures := range n.tenuresBySuccessor(now) {
+	bySuccessor := n.tenuresBySuccessor(now)
+	for _, successor := range slices.Sorted(maps.Keys(bySuccessor)) {
+		tenures := bySuccessor[successor]
 		member, ok := n.view.Member(successor)
 		if !ok {
 			continue
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/flow"
@@ -26,6 +24,8 @@
 	dueSince time.Time
 	// waitUntil is until when the result of a write is awaited.
 	waitUntil time.Time
+	// nextSettle is when this instance may report settled buckets again.
+	nextSettle time.Time
 	// deadSince notes how long upstreams have been dead.
 	deadSince map[string]time.Time
 }
@@ -34,6 +34,11 @@
 	// deadLimit is how long an upstream has to be dead before its buckets
 	// move; a restart that is quicker moves none.
 	deadLimit = 3 * time.Second
+	// settleInterval is the time between two changes by which an instance
+	// reports the buckets that it tracked to their end. It is long because a
+	// settled bucket that still counts as in transition only costs a redirect,
+	// while each change sends the table to every instance.
+	settleInterval = 30 * time.Second
 	// writeWait is the time within which a written table is expected back.
 	writeWait = 2 * time.Second
 )
@@ -75,9 +80,11 @@
 		s.plan.inputs, s.plan.dueSince = inputs, time.Time{}
 	}
 	s.plan.nextLook = now.Add(n.cfg.StepInterval)
-	next, changed := placement.Plan(s.tableValue, targets, placement.PlanOptions{
-		Service: s.name, ConfigRevision: s.revision, Settled: n.tracker.Settled(now, s.name),
-	})
+	options := placement.PlanOptions{Service: s.name, ConfigRevision: s.revision}
+	if !now.Before(s.plan.nextSettle) {
+		options.Settled = n.tracker.Settled(now, s.name)
+	}
+	next, changed := placement.Plan(s.tableValue, targets, options)
 	if !changed {
 		s.plan.dueSince = time.Time{}
 		return action.WriteObject{}, false
@@ -90,12 +97,13 @@
 		return action.WriteObject{}, false
 	}
 	s.plan.waitUntil = now.Add(writeWait)
+	s.plan.nextSettle = now.Add(settleInterval)
 	return n.tableWrite(key, s, next), true
 }
 
 func (n *Node) tableWrite(key string, s *service, next *pb.ServiceTable) action.WriteObject {
 	addAddresses(next, s)
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	value, err := encodeTable(next)
 	if err != nil {
 		// Names that passed validation are valid UTF-8, the only condition.
 		n.observer.InvalidObject(&InvalidObjectError{Key: key, Version: s.tableVersion, Err: err})
