--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,8 @@
 	// InForceP99 is the time from acceptance until a change is in force, over
 	// all instances and changes.
 	InForceP99 time.Duration
+	// Resets counts flows that the caller was told are unknown.
+	Resets int
 	// MinServed is the lowest served ratio of a second.
 	MinServed float64
 }
@@ -47,6 +50,11 @@
 		slices.Sort(w.inForce)
 		r.InForceP99 = w.inForce[len(w.inForce)*99/100]
 	}
+	for _, e := range w.recorder.Events() {
+		if e.Kind == history.CallerReset {
+			r.Resets++
+		}
+	}
 	r.MinServed = 1
 	for _, bin := range r.Report.ServedBins {
 		r.MinServed = min(r.MinServed, bin.Ratio())
@@ -103,6 +111,10 @@
 		fmt.Sprintf("in_force_p99_ms=%d", r.InForceP99.Milliseconds()),
 		fmt.Sprintf("platform_calls_per_second=%.3f", r.PlatformCallsPerSecond),
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Report.OpensRefused)) {
+		fields = append(fields, fmt.Sprintf("open_refused_%s=%d", reason, r.Report.OpensRefused[reason]))
+	}
+	fields = append(fields, fmt.Sprintf("resets=%d", r.Resets))
 	kinds := make([]string, 0, len(r.ByKind))
 	for kind, n := range r.ByKind {
 		kinds = append(kinds, fmt.Sprintf("%s_bytes=%.0f", kind, n))
