--- a/cmd/chivemast/apply.go
+++ b/cmd/chivemast/apply.go
@@ -86,12 +86,14 @@
 	if err != nil {
 		return err
 	}
+	var lateErr error
 	if !result.Unchanged {
-		if err := checkLateConflicts(ctx, c, client, mine); err != nil {
-			return err
-		}
+		lateErr = checkLateConflicts(ctx, c, client, mine)
+	}
+	if err := finish(ctx, c, client, result); lateErr == nil {
+		return err
 	}
-	return finish(ctx, c, client, result)
+	return lateErr
 }
 
 // desiredTeam reads the files. They may declare only the team that was named,
@@ -159,12 +161,18 @@
 	if !ok || conflict.Current == nil {
 		return err
 	}
-	var theirs *declare.Team
-	if !conflict.Current.GetDeleted() {
-		theirs, _ = declare.Decode(conflict.Key, conflict.Current.GetValue())
+	both := &changeConflictError{Key: conflict.Key, Expected: conflict.Expected, Version: conflict.Current.GetVersion(),
+		ChangeID: conflict.Current.GetChangeId(), Yours: result.Changes, TheirsKnown: true}
+	if conflict.Current.GetDeleted() {
+		both.Theirs = declare.Diff(before, nil)
+		return both
+	}
+	theirs, err := declare.Decode(conflict.Key, conflict.Current.GetValue())
+	if err != nil {
+		return fmt.Errorf("%w; the stored version is not valid: %w", conflict, err)
 	}
-	return &changeConflictError{Key: conflict.Key, Expected: conflict.Expected, Version: conflict.Current.GetVersion(),
-		ChangeID: conflict.Current.GetChangeId(), Yours: result.Changes, Theirs: declare.Diff(before, theirs)}
+	both.Theirs = declare.Diff(before, theirs)
+	return both
 }
 
 // checkLateConflicts reads all teams once more: conditional updates cover one
@@ -172,7 +180,7 @@
 func checkLateConflicts(ctx context.Context, c *cli.Command, client *platform.Client, mine *declare.Team) error {
 	stored, err := readTeams(ctx, c, client)
 	if err != nil {
-		return fmt.Errorf("the change is stored, but address conflicts could not be checked: %w", err)
+		return &uncheckedError{Err: err}
 	}
 	if conflicts := stored.conflicts(mine); len(conflicts) > 0 {
 		return &addressConflictError{Conflicts: conflicts, Accepted: true}
--- a/cmd/chivemast/change.go
+++ b/cmd/chivemast/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -85,7 +86,12 @@
 		return nil, err
 	}
 	result.Changes = []declare.Change{{Path: "out", Old: strconv.FormatBool(!out), New: strconv.FormatBool(out)}}
-	return put(ctx, client, result, platform.Write{Key: result.Key, Value: value, Expected: object.GetVersion()})
+	return put(ctx, client, result, platform.Write{Key: result.Key, Value: value, Expected: object.GetVersion()},
+		func(current *pb.Object) bool {
+			var state pb.DomainState
+			err := proto.Unmarshal(current.GetValue(), &state)
+			return err == nil && (state.GetOut() && !current.GetDeleted()) == out
+		})
 }
 
 // readDomains returns which failure domains are out, and their objects.
@@ -140,15 +146,18 @@
 
 func upstreamCommand() *cli.Command {
 	const argument = "TEAM/SERVICE/UPSTREAM"
+	team := func() []cli.Flag {
+		return []cli.Flag{&cli.StringFlag{Name: "team", Usage: "`NAME` of the only team whose upstreams may change", Sources: cli.EnvVars("CHIVEMAST_TEAM")}}
+	}
 	return &cli.Command{
 		Name:  "upstream",
 		Usage: "stop or resume new work on an upstream",
 		Commands: []*cli.Command{
-			changeCommand("drain", "send no new work to an upstream; its established flows go on", argument, nil,
+			changeCommand("drain", "send no new work to an upstream; its established flows go on", argument, team(),
 				func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error) {
 					return setDraining(ctx, c, client, name, true)
 				}),
-			changeCommand("undrain", "send new work to an upstream again", argument, nil,
+			changeCommand("undrain", "send new work to an upstream again", argument, team(),
 				func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error) {
 					return setDraining(ctx, c, client, name, false)
 				}),
@@ -161,6 +170,9 @@
 	if len(parts) != 3 {
 		return nil, usagef("%q is not of the form TEAM/SERVICE/UPSTREAM", name)
 	}
+	if allowed := c.String("team"); allowed != "" && allowed != parts[0] {
+		return nil, &invalidError{Reason: fmt.Sprintf("%q belongs to team %q, but --team allows only %q", name, parts[0], allowed)}
+	}
 	stored, err := readTeams(ctx, c, client)
 	if err != nil {
 		return nil, err
@@ -202,11 +214,11 @@
 	}
 	undo := c.Bool("undo")
 	if !undo {
-		reports, err := collect(ctx, c, client)
+		fleet, err := listFleet(ctx, c, client)
 		if err != nil {
 			return nil, err
 		}
-		for _, report := range reports {
+		for _, report := range fleet.ask(ctx) {
 			if report.Name == name && report.Answered {
 				return nil, &invalidError{Reason: fmt.Sprintf("instance %q still answers at %s", name, report.AdminAddress)}
 			}
@@ -225,16 +237,30 @@
 		result.Unchanged = true
 		return result, nil
 	}
-	return put(ctx, client, result, platform.Write{Key: key, Expected: object.GetVersion(), Delete: undo})
+	result.Changes = []declare.Change{{Path: "forgotten", Old: strconv.FormatBool(undo), New: strconv.FormatBool(!undo)}}
+	return put(ctx, client, result, platform.Write{Key: key, Expected: object.GetVersion(), Delete: undo},
+		func(current *pb.Object) bool { return current.GetDeleted() == undo })
 }
 
-// put writes an object and records the result.
-func put(ctx context.Context, client *platform.Client, result *changed, write platform.Write) (*changed, error) {
+// put writes an object with a single property and records the result. When
+// another operator made the same change first, this one has nothing to do;
+// agrees tells whether a stored object has the wanted property.
+func put(ctx context.Context, client *platform.Client, result *changed, write platform.Write, agrees func(*pb.Object) bool) (*changed, error) {
 	write.ChangeID = newChangeID()
 	object, err := client.Put(ctx, write)
-	if err != nil {
+	conflict, conflicted := errors.AsType[*platform.ConflictError](err)
+	switch {
+	case err == nil:
+		result.setObject(object)
+		return result, nil
+	case !conflicted || conflict.Current == nil:
 		return nil, err
+	case agrees(conflict.Current):
+		result.setObject(conflict.Current)
+		result.Unchanged, result.Changes = true, nil
+		return result, nil
+	default:
+		return nil, &changeConflictError{Key: write.Key, Expected: write.Expected, Version: conflict.Current.GetVersion(),
+			ChangeID: conflict.Current.GetChangeId(), Yours: result.Changes, TheirsKnown: true}
 	}
-	result.setObject(object)
-	return result, nil
 }
--- a/cmd/chivemast/exit.go
+++ b/cmd/chivemast/exit.go
@@ -27,8 +27,9 @@
 	exitUnavailable code = 5
 	// exitUnknown: the change may or may not have taken effect.
 	exitUnknown code = 6
-	// exitUnconfirmed: instances did not answer or do not have the revision
-	// in force; a change itself was accepted.
+	// exitUnconfirmed: a change was accepted, but instances did not answer or
+	// do not have it in force, or a check after it failed. Also a status with
+	// such instances.
 	exitUnconfirmed code = 7
 	// exitDifferent: diff --exit-code found differences.
 	exitDifferent code = 8
@@ -62,15 +63,26 @@
 	Expected uint64
 	Version  uint64
 	ChangeID string
-	Yours    []declare.Change
-	Theirs   []declare.Change
+	// Yours is relative to the version that this command was based on, and so
+	// is Theirs, if that version is known.
+	Yours       []declare.Change
+	Theirs      []declare.Change
+	TheirsKnown bool
 }
 
 func (e *changeConflictError) Error() string {
-	return fmt.Sprintf("%s: expected version %d, found version %d by change %s\nyour change:\n%sthe other change:\n%srun diff and apply again",
-		e.Key, e.Expected, e.Version, e.ChangeID, formatChanges(e.Yours), formatChanges(e.Theirs))
+	theirs := fmt.Sprintf("  (not known, because version %d is not stored any more; yours is relative to version %d)\n", e.Expected, e.Version)
+	if e.TheirsKnown {
+		theirs = formatChanges(e.Theirs)
+	}
+	return fmt.Sprintf("%s: expected version %d, found version %d by change %s; nothing was changed\nyour change:\n%sthe other change:\n%sread the new version and decide again",
+		e.Key, e.Expected, e.Version, e.ChangeID, formatChanges(e.Yours), theirs)
 }
 
+// maxShownConflicts keeps the message on one screen when a whole file was
+// applied under another team's name.
+const maxShownConflicts = 10
+
 // addressConflictError lists addresses that another team uses.
 type addressConflictError struct {
 	Conflicts []*declare.ConflictError
@@ -84,19 +96,38 @@
 	if e.Accepted {
 		text = "address conflict with a change made at the same time; both changes are stored, and the later one gets no traffic for these addresses"
 	}
-	for _, conflict := range e.Conflicts {
+	shown := e.Conflicts[:min(len(e.Conflicts), maxShownConflicts)]
+	for _, conflict := range shown {
 		text += "\n  " + conflict.Error()
 	}
+	if more := len(e.Conflicts) - len(shown); more > 0 {
+		text += fmt.Sprintf("\n  and %d more", more)
+	}
 	return text
 }
 
+// uncheckedError says that a change was accepted, but that the check for
+// address conflicts after the write failed.
+type uncheckedError struct{ Err error }
+
+func (e *uncheckedError) Error() string {
+	return fmt.Sprintf("the change was accepted, but address conflicts could not be checked: %v", e.Err)
+}
+
+func (e *uncheckedError) Unwrap() error { return e.Err }
+
 // unconfirmedError lists instances that did not confirm a revision.
 type unconfirmedError struct {
 	Revision  uint64
 	Instances []string
+	// Unlisted says that not even the list of instances could be read.
+	Unlisted bool
 }
 
 func (e *unconfirmedError) Error() string {
+	if e.Unlisted {
+		return fmt.Sprintf("the list of instances could not be read, so that revision %d is not confirmed", e.Revision)
+	}
 	return fmt.Sprintf("%d instances have not confirmed revision %d: %v", len(e.Instances), e.Revision, e.Instances)
 }
 
@@ -112,7 +143,7 @@
 		return exitOK
 	case is[*usageError](err):
 		return exitUsage
-	case is[*unconfirmedError](err):
+	case is[*unconfirmedError](err), is[*uncheckedError](err):
 		return exitUnconfirmed
 	case is[*differentError](err):
 		return exitDifferent
--- /dev/null
+++ b/cmd/chivemast/fake_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
+)
+
+// fakePlatform is an object API in memory with instances that have every
+// accepted change in force.
+type fakePlatform struct {
+	chivemastv1connect.UnimplementedObjectServiceHandler
+	url string
+
+	mu        sync.Mutex
+	objects   map[string]*pb.Object
+	revision  uint64
+	instances []*pb.InstanceInfo
+	// beforePut runs before a write and may store other ones; it runs once.
+	beforePut func(f *fakePlatform, r *pb.PutRequest)
+	// losePut carries the next write out and loses its answer.
+	losePut bool
+}
+
+func newFake(t *testing.T) *fakePlatform {
+	f := &fakePlatform{objects: map[string]*pb.Object{}}
+	mux := http.NewServeMux()
+	mux.Handle(chivemastv1connect.NewObjectServiceHandler(f))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+// addInstance starts the AdminService of an instance; lag is how many
+// revisions it is behind.
+func (f *fakePlatform) addInstance(t *testing.T, name string, lag uint64) *pb.InstanceInfo {
+	mux := http.NewServeMux()
+	mux.Handle(chivemastv1connect.NewAdminServiceHandler(&fakeInstance{platform: f, name: name, lag: lag}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return f.list(name, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// list adds an instance to the platform's list.
+func (f *fakePlatform) list(name, admin string) *pb.InstanceInfo {
+	info := &pb.InstanceInfo{Name: name, FailureDomain: "a", AdminAddress: admin}
+	f.instances = append(f.instances, info)
+	return info
+}
+
+func (f *fakePlatform) Get(_ context.Context, r *pb.GetRequest) (*pb.GetResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &pb.GetResponse{Object: f.objects[r.GetKey()], Revision: f.revision}, nil
+}
+
+func (f *fakePlatform) List(_ context.Context, r *pb.ListRequest) (*pb.ListResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answer := &pb.ListResponse{Revision: f.revision}
+	for key, object := range f.objects {
+		if strings.HasPrefix(key, r.GetPrefix()) {
+			answer.Objects = append(answer.Objects, object)
+		}
+	}
+	return answer, nil
+}
+
+func (f *fakePlatform) Put(_ context.Context, r *pb.PutRequest) (*pb.PutResponse, error) {
+	if before := f.beforePut; before != nil {
+		f.beforePut = nil
+		before(f, r)
+	}
+	answer, err := f.store(r)
+	if f.losePut {
+		f.losePut = false
+		return nil, connect.NewError(connect.CodeUnavailable, nil)
+	}
+	return answer, err
+}
+
+func (f *fakePlatform) store(r *pb.PutRequest) (*pb.PutResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objects[r.GetKey()].GetVersion() != r.GetExpectedVersion() {
+		return nil, connect.NewError(connect.CodeAborted, nil)
+	}
+	f.revision++
+	object := &pb.Object{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetExpectedVersion() + 1,
+		Revision: f.revision, Deleted: r.GetDelete(), ChangeId: r.GetChangeId()}
+	f.objects[r.GetKey()] = object
+	return &pb.PutResponse{Object: object}, nil
+}
+
+func (f *fakePlatform) ListInstances(context.Context, *pb.ListInstancesRequest) (*pb.ListInstancesResponse, error) {
+	return &pb.ListInstancesResponse{Instances: f.instances}, nil
+}
+
+type fakeInstance struct {
+	platform *fakePlatform
+	name     string
+	lag      uint64
+}
+
+func (i *fakeInstance) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
+	i.platform.mu.Lock()
+	defer i.platform.mu.Unlock()
+	status := &pb.StatusResponse{Instance: i.name, FailureDomain: "a", Revision: i.platform.revision - i.lag, Ready: true, SlotsHeld: 32,
+		Domains:   []*pb.DomainStatus{{Name: "a", Reachable: i.lag == 0}},
+		Upstreams: []*pb.UpstreamHealth{{Upstream: "t/s/u", State: pb.UpstreamHealth_STATE_WARM, Load: 3, AgeMs: 100 + uint32(i.lag)}}}
+	for key, object := range i.platform.objects {
+		if object.GetRevision() <= status.GetRevision() {
+			status.Objects = append(status.Objects, &pb.ObjectVersion{Key: key, Version: object.GetVersion()})
+		}
+	}
+	return status, nil
+}
+
+// chivemast runs a command line against the fake.
+func (f *fakePlatform) chivemast(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Setenv("CHIVEMAST_PLATFORM", f.url)
+	var stdout, stderr bytes.Buffer
+	code = run(t.Context(), append([]string{"chivemast"}, args...), strings.NewReader(""), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// ok runs a command line that must succeed.
+func (f *fakePlatform) ok(t *testing.T, args ...string) string {
+	code, out, errOut := f.chivemast(t, args...)
+	require.Zero(t, code, "%v: %s", args, errOut)
+	return out
+}
+
+func exampleFile(name string) string { return filepath.Join("..", "..", "examples", name+".jsonc") }
--- a/cmd/chivemast/main.go
+++ b/cmd/chivemast/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/chivemast/chivemast/internal/platform"
 )
 
 func main() {
@@ -34,6 +37,9 @@
 		_ = writeJSON(out, map[string]any{"error": describe(err)})
 	}
 	fmt.Fprintf(errOut, "chivemast: %v\n", err)
+	if unknown, ok := errors.AsType[*platform.UnknownOutcomeError](err); ok {
+		fmt.Fprintf(errOut, "run \"chivemast get %s\" later: the write took effect if the change is %s\n", unknown.Key, unknown.ChangeID)
+	}
 	return int(codeOf(err))
 }
 
@@ -45,6 +51,7 @@
 			&cli.StringFlag{Name: "platform", Usage: "base `URL` of the platform's object API", Sources: cli.EnvVars("CHIVEMAST_PLATFORM")},
 			&cli.DurationFlag{Name: "timeout", Usage: "longest time for the calls to the platform", Value: 15 * time.Second},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "output `FORMAT`, text or json", Value: outputText, Validator: validOutput},
+			&cli.StringSliceFlag{Name: "admin", Usage: "admin `ADDRESS` of an instance to ask as well; without the platform, only these are asked"},
 		},
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), statusCommand(),
--- /dev/null
+++ b/cmd/chivemast/main_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/declare"
+)
+
+// Guards against exit codes that scripts cannot tell apart.
+func TestExitCodes(t *testing.T) {
+	malformed := filepath.Join(t.TempDir(), "malformed.jsonc")
+	require.NoError(t, os.WriteFile(malformed, []byte(`{"name": "t", "servces": []}`), 0o600))
+	tests := []struct {
+		name string
+		args []string
+		want code
+		text string
+	}{
+		{"no command", nil, exitUsage, "needs a command"},
+		{"unknown command", []string{"aply"}, exitUsage, "no command"},
+		{"unknown subcommand", []string{"domain", "remove", "a"}, exitUsage, "no command"},
+		{"unknown flag", []string{"get", "--all"}, exitUsage, "all"},
+		{"no team", []string{"apply", "-f", exampleFile("trentside")}, exitUsage, "team"},
+		{"no file", []string{"apply", "--team", "t"}, exitUsage, "-f"},
+		{"output format", []string{"-o", "yaml", "get"}, exitUsage, "yaml"},
+		{"absent file", []string{"validate", "-f", "absent"}, exitInvalid, "absent"},
+		{"malformed file", []string{"validate", "-f", malformed}, exitInvalid, "malformed.jsonc:1:15: servces"},
+		{"another team's file", []string{"apply", "--team", "t", "-f", exampleFile("trentside")}, exitInvalid, "allows only"},
+		{"absent object", []string{"get", "teams/absent"}, exitInvalid, "no object"},
+		{"unknown failure domain", []string{"domain", "take-out", "absent"}, exitInvalid, "no upstream"},
+		{"unknown upstream", []string{"upstream", "drain", "a/b/c"}, exitInvalid, "no team"},
+		{"upstream name", []string{"upstream", "drain", "a"}, exitUsage, "TEAM/SERVICE/UPSTREAM"},
+		{"another team's upstream", []string{"upstream", "drain", "--team", "t", "a/b/c"}, exitInvalid, "allows only"},
+		{"platform down", []string{"--platform", "http://127.0.0.1:1", "--timeout", "10ms", "get", "k"}, exitUnavailable, "unreachable"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, _, errOut := newFake(t).chivemast(t, test.args...)
+			require.Equal(t, int(test.want), got, errOut)
+			require.Contains(t, errOut, test.text)
+		})
+	}
+}
+
+// Guards against an apply that changes other objects, that is repeated
+// needlessly, or that starts versions anew after a deletion.
+func TestApply(t *testing.T) {
+	f := newFake(t)
+	f.addInstance(t, "i1", 0)
+	f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	out := f.ok(t, "apply", "--team", "barrierline", "-f", exampleFile("barrierline"), "--wait")
+	require.Contains(t, out, "accepted as version 1 (revision 2")
+	require.Contains(t, out, "in force on 1 instances")
+	require.Contains(t, f.ok(t, "apply", "--team", "barrierline", exampleFile("barrierline")), "unchanged at version 1")
+	require.Contains(t, f.ok(t, "diff", "--exit-code", "-f", exampleFile("barrierline")), "0 differences")
+	require.Equal(t, uint64(1), f.objects["teams/trentside"].GetVersion())
+
+	f.ok(t, "apply", "--team", "barrierline", "--delete")
+	require.True(t, f.objects["teams/barrierline"].GetDeleted())
+	require.Contains(t, f.ok(t, "apply", "--team", "barrierline", "--delete"), "unchanged at version 2")
+	f.ok(t, "apply", "--team", "barrierline", "-f", exampleFile("barrierline"))
+	require.Equal(t, uint64(3), f.objects["teams/barrierline"].GetVersion())
+	require.Contains(t, f.ok(t, "get", "teams/barrierline"), "version 3")
+	require.Contains(t, f.ok(t, "get"), "teams/trentside")
+}
+
+// Guards against a lost answer that is reported as a failure, and against a
+// second write.
+func TestApplyResolvesLostAnswer(t *testing.T) {
+	f := newFake(t)
+	f.losePut = true
+	require.Contains(t, f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside")), "version 1 ")
+	require.Equal(t, uint64(1), f.revision)
+}
+
+// drainOther stores a version of trentside in which an upstream is drained.
+func drainOther(t *testing.T) func(f *fakePlatform, r *pb.PutRequest) {
+	return func(f *fakePlatform, r *pb.PutRequest) {
+		team, err := declare.Decode("other", f.objects[r.GetKey()].GetValue())
+		require.NoError(t, err)
+		team.Services[0].Upstreams[1].Draining = true
+		value, err := declare.Encode(team)
+		require.NoError(t, err)
+		_, err = f.store(&pb.PutRequest{Key: r.GetKey(), Value: value, ExpectedVersion: r.GetExpectedVersion(), ChangeId: "other"})
+		require.NoError(t, err)
+	}
+}
+
+// Guards against operators who overwrite each other's changes unseen.
+func TestConflictShowsBothSides(t *testing.T) {
+	f := newFake(t)
+	f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	f.beforePut = drainOther(t)
+	code, _, errOut := f.chivemast(t, "upstream", "drain", "trentside/notice-feed/notice-feed-01")
+	require.Equal(t, int(exitConflict), code)
+	require.Contains(t, errOut, "your change:\n  ~ notice-feed/notice-feed-01.draining: false -> true\n")
+	require.Contains(t, errOut, "the other change:\n  ~ documents/documents-02.draining: false -> true\n")
+	require.Equal(t, "other", f.objects["teams/trentside"].GetChangeId())
+
+	code, out, _ := f.chivemast(t, "-o", "json", "apply", "--team", "trentside", "--expect-version", "1", "-f", exampleFile("trentside"))
+	require.Equal(t, int(exitConflict), code)
+	var result struct {
+		Error description `json:"error"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(out), &result))
+	require.Equal(t, "conflict", result.Error.Kind)
+	require.Len(t, result.Error.Yours, 1)
+	require.Equal(t, uint64(2), f.revision)
+}
+
+// Guards against two teams that declare the same address, one after the other
+// or at the same time.
+func TestAddressConflict(t *testing.T) {
+	data, err := os.ReadFile(exampleFile("trentside"))
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "other.jsonc")
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(string(data), `"trentside"`, `"other"`, 1)), 0o600))
+	f := newFake(t)
+	f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	for _, command := range [][]string{{"apply", "--team", "other"}, {"diff"}, {"validate", exampleFile("trentside")}} {
+		code, _, errOut := f.chivemast(t, append(command, "-f", file)...)
+		require.Equal(t, int(exitConflict), code)
+		require.Contains(t, errOut, "already used by service ")
+	}
+
+	g := newFake(t)
+	g.beforePut = func(g *fakePlatform, _ *pb.PutRequest) {
+		_, err := g.store(&pb.PutRequest{Key: "teams/trentside", Value: f.objects["teams/trentside"].GetValue()})
+		require.NoError(t, err)
+	}
+	code, out, errOut := g.chivemast(t, "apply", "--team", "other", "-f", file)
+	require.Equal(t, int(exitConflict), code)
+	require.Contains(t, out, "accepted")
+	require.Contains(t, errOut, "at the same time")
+}
+
+// Guards against changes of a failure domain that stop all service or that
+// are refused although another operator made the same one.
+func TestDomain(t *testing.T) {
+	f := newFake(t)
+	f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	for _, domain := range []string{"a", "b", "c"} {
+		f.ok(t, "domain", "take-out", "trentside-"+domain)
+	}
+	require.Contains(t, f.ok(t, "domain", "take-out", "trentside-a"), "unchanged")
+	code, _, errOut := f.chivemast(t, "domain", "take-out", "trentside-d")
+	require.Equal(t, int(exitInvalid), code)
+	require.Contains(t, errOut, "last one")
+	f.beforePut = func(f *fakePlatform, r *pb.PutRequest) {
+		_, err := f.store(&pb.PutRequest{Key: r.GetKey(), Value: r.GetValue(), ExpectedVersion: r.GetExpectedVersion(), ChangeId: "other"})
+		require.NoError(t, err)
+	}
+	require.Contains(t, f.ok(t, "domain", "bring-back", "trentside-a"), "unchanged at version 2")
+	require.Contains(t, f.ok(t, "get", "domains/trentside-a"), `"out": false`)
+}
+
+// Guards against an instance that is declared gone while it still acts for
+// its lease slots.
+func TestForget(t *testing.T) {
+	f := newFake(t)
+	f.addInstance(t, "i1", 0)
+	f.list("i2", "127.0.0.1:1")
+	code, _, errOut := f.chivemast(t, "instance", "forget", "i1")
+	require.Equal(t, int(exitInvalid), code)
+	require.Contains(t, errOut, "still answers")
+	f.ok(t, "instance", "forget", "i2", "--wait")
+	require.False(t, f.objects["forgotten/i2"].GetDeleted())
+	f.ok(t, "instance", "forget", "--undo", "i2")
+	require.True(t, f.objects["forgotten/i2"].GetDeleted())
+}
+
+// Guards against a status, or a wait, that passes over instances that are
+// silent or behind.
+func TestStatusAndWaitNameUnconfirmedInstances(t *testing.T) {
+	f := newFake(t)
+	f.addInstance(t, "current", 0)
+	f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	f.ok(t, "status")
+	f.addInstance(t, "behind", 1)
+	f.list("silent", "127.0.0.1:1")
+	code, out, errOut := f.chivemast(t, "status")
+	require.Equal(t, int(exitUnconfirmed), code)
+	require.Contains(t, errOut, "2 instances have not confirmed revision 1: [behind silent]")
+	require.Contains(t, out, "no answer")
+	_, out, _ = f.chivemast(t, "-o", "json", "status")
+	var status fleetStatus
+	require.NoError(t, json.NewDecoder(strings.NewReader(out)).Decode(&status))
+	require.Equal(t, []string{"silent"}, status.Silent)
+	require.Equal(t, []objectState{{Key: "teams/trentside", Version: 1, Behind: []string{"behind"}}}, status.Objects)
+	require.Equal(t, []domainState{{Name: "a", UnreachableFrom: []string{"behind"}}}, status.Domains)
+	require.Equal(t, []upstreamState{{Name: "t/s/u", State: "warm", Load: 3, AgeMS: 100}}, status.Upstreams)
+	require.Equal(t, uint32(64), status.SlotsHeld)
+
+	code, _, errOut = f.chivemast(t, "domain", "take-out", "trentside-a", "--wait", "--wait-timeout", "50ms")
+	require.Equal(t, int(exitUnconfirmed), code)
+	require.Contains(t, errOut, "revision 2: [behind silent]")
+}
+
+// Guards against a status that depends on the platform.
+func TestStatusWithoutPlatform(t *testing.T) {
+	f := newFake(t)
+	admin := f.addInstance(t, "i1", 0).GetAdminAddress()
+	code, out, errOut := f.chivemast(t, "--platform", "http://127.0.0.1:1", "status", "--admin", admin)
+	require.Zero(t, code, errOut)
+	require.Contains(t, out, "platform: ")
+	require.Contains(t, out, "i1")
+}
+
+// Guards against instances that are counted as missing although others have
+// heard of their confirmation, and against joined ones that are passed over.
+func TestConfirmationsUseWhatMembersHeard(t *testing.T) {
+	f := &fleet{gone: map[string]bool{"forgotten": true}}
+	confirmed, missing := f.confirmations([]*instanceReport{
+		{Name: "cut-off"},
+		{Name: "a", Status: &pb.StatusResponse{Revision: 5, Members: []*pb.MemberDigest{
+			{Name: "cut-off", Revision: 5}, {Name: "joined", Revision: 4}, {Name: "forgotten", Revision: 1}}}},
+	}, 5)
+	require.Equal(t, []string{"a", "cut-off"}, confirmed)
+	require.Equal(t, []string{"joined"}, missing)
+}
+
+// Guards against panics on stored values that are not what their key says.
+func FuzzValueJSON(f *testing.F) {
+	f.Add("teams/a", []byte(`{"name": "a"}`))
+	f.Add("slots", []byte{0x0a, 0x02, 0x08, 0x01})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		data, err := valueJSON(&pb.Object{Key: key, Value: value})
+		if err == nil {
+			require.True(t, json.Valid(data), "%q", data)
+		}
+	})
+}
--- a/cmd/chivemast/read.go
+++ b/cmd/chivemast/read.go
@@ -147,14 +147,15 @@
 		ChangeID: o.GetChangeId(), Deleted: o.GetDeleted()}
 }
 
-// valueJSON renders the value of an object by the message type of its key.
+// valueJSON renders the value of an object by the message type of its key;
+// other values become base64 strings.
 func valueJSON(object *pb.Object) (json.RawMessage, error) {
 	var message proto.Message
 	kind, _, _ := strings.Cut(object.GetKey(), "/")
 	switch {
 	case object.GetDeleted():
 		return nil, nil
-	case kind == "teams":
+	case kind == "teams" && json.Valid(object.GetValue()):
 		return object.GetValue(), nil
 	case kind == "domains":
 		message = &pb.DomainState{}
--- a/cmd/chivemast/report.go
+++ b/cmd/chivemast/report.go
@@ -87,7 +87,6 @@
 		}
 		fleet.Instances = append(fleet.Instances, state)
 	}
-	_, fleet.Unconfirmed = confirmations(reports, revision)
 	fleet.Objects = mergeObjects(answers)
 	fleet.Domains = mergeDomains(answers)
 	fleet.Upstreams = mergeUpstreams(answers)
--- a/cmd/chivemast/status.go
+++ b/cmd/chivemast/status.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -24,6 +26,9 @@
 	statusCalls = 32
 	// pollInterval is the time between two rounds of --wait.
 	pollInterval = 200 * time.Millisecond
+	// listInterval is the time between two reads of the list of instances
+	// during --wait. The platform counts every call.
+	listInterval = 2 * time.Second
 )
 
 // instanceReport is what one instance said, or that it did not answer.
@@ -38,91 +43,117 @@
 
 func statusCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "status",
-		Usage: "ask every instance what it has in force",
-		Flags: []cli.Flag{
-			adminFlag(),
-			&cli.BoolFlag{Name: "all", Usage: "list every object and upstream, not only those that need attention"},
-		},
+		Name:   "status",
+		Usage:  "ask every instance what it has in force",
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: "all", Usage: "list the placement tables as well, even where all instances agree"}},
 		Action: withClient(status),
 	}
 }
 
-func adminFlag() cli.Flag {
-	return &cli.StringSliceFlag{Name: "admin", Usage: "admin `ADDRESS` of an instance to ask as well; without the platform, only these are asked"}
-}
-
 func status(ctx context.Context, c *cli.Command, client *platform.Client) error {
-	reports, err := collect(ctx, c, client)
+	fleet, err := listFleet(ctx, c, client)
 	if err != nil {
 		return err
 	}
-	listCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+	// The revision is read before the instances are asked, so that a change
+	// in between does not count against them.
+	getCtx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	// Without the platform, the highest revision in force is the reference.
-	_, revision, platformErr := client.List(listCtx, "", newestRevision(reports))
-	fleet := summarize(reports, max(revision, newestRevision(reports)))
+	_, revision, platformErr := client.Get(getCtx, "slots")
+	reports := fleet.ask(ctx)
+	if platformErr != nil {
+		// Without the platform, the newest revision in force is the reference.
+		revision = newestRevision(reports)
+	}
+	result := summarize(reports, revision)
+	_, result.Unconfirmed = fleet.confirmations(reports, revision)
 	if platformErr != nil {
-		fleet.PlatformError = platformErr.Error()
+		result.PlatformError = platformErr.Error()
 	}
-	if err := output(c, fleet, func(w io.Writer) { fleet.text(w, c.Bool("all")) }); err != nil {
+	if err := output(c, result, func(w io.Writer) { result.text(w, c.Bool("all")) }); err != nil {
 		return err
 	}
-	if len(fleet.Unconfirmed) > 0 {
-		return &unconfirmedError{Revision: fleet.Revision, Instances: fleet.Unconfirmed}
+	if len(result.Unconfirmed) > 0 {
+		return &unconfirmedError{Revision: result.Revision, Instances: result.Unconfirmed}
 	}
 	return nil
 }
 
-// collect asks every instance that the platform lists, and those named by
-// --admin, for its status.
-func collect(ctx context.Context, c *cli.Command, client *platform.Client) ([]*instanceReport, error) {
-	listCtx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
-	defer cancel()
+// fleet is the list of instances to ask.
+type fleet struct {
+	instances []*pb.InstanceInfo
+	// gone holds the instances that an operator has stated to be gone.
+	gone map[string]bool
+}
+
+// listFleet reads the platform's list of instances, without those that an
+// operator has stated to be gone, and adds the addresses given by --admin.
+// With such addresses it works without the platform.
+func listFleet(ctx context.Context, c *cli.Command, client *platform.Client) (*fleet, error) {
 	extra := c.StringSlice("admin")
-	listed, err := client.Instances(listCtx)
+	limit := c.Duration("timeout")
+	if len(extra) > 0 {
+		limit = statusTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	listed, err := client.RetryInstances(ctx)
+	var forgotten []*pb.Object
+	if err == nil {
+		forgotten, _, err = client.RetryList(ctx, forgottenPrefix, 0)
+	}
 	if err != nil && len(extra) == 0 {
 		return nil, err
 	}
-	var reports []*instanceReport
+	f := &fleet{gone: map[string]bool{}}
+	for _, object := range forgotten {
+		f.gone[strings.TrimPrefix(object.GetKey(), forgottenPrefix)] = !object.GetDeleted()
+	}
 	known := map[string]bool{}
 	for _, instance := range listed {
-		known[instance.GetAdminAddress()] = true
-		reports = append(reports, &instanceReport{Name: instance.GetName(), FailureDomain: instance.GetFailureDomain(), AdminAddress: instance.GetAdminAddress()})
+		if !f.gone[instance.GetName()] {
+			known[instance.GetAdminAddress()] = true
+			f.instances = append(f.instances, instance)
+		}
 	}
 	for _, address := range extra {
 		if !known[address] {
 			known[address] = true
-			reports = append(reports, &instanceReport{Name: address, AdminAddress: address})
+			f.instances = append(f.instances, &pb.InstanceInfo{Name: address, AdminAddress: address})
 		}
 	}
-	ask(ctx, reports)
-	slices.SortFunc(reports, func(a, b *instanceReport) int { return cmp.Compare(a.Name, b.Name) })
-	return reports, nil
+	return f, nil
 }
 
-// ask fills the reports in.
-func ask(ctx context.Context, reports []*instanceReport) {
+// ask asks every instance for its status. The reports are ordered by name.
+func (f *fleet) ask(ctx context.Context) []*instanceReport {
 	transport := &http.Transport{DisableKeepAlives: true}
-	defer transport.CloseIdleConnections()
+	reports := make([]*instanceReport, len(f.instances))
 	var group errgroup.Group
 	group.SetLimit(statusCalls)
-	for _, report := range reports {
+	for i, instance := range f.instances {
+		reports[i] = &instanceReport{Name: instance.GetName(), FailureDomain: instance.GetFailureDomain(), AdminAddress: instance.GetAdminAddress()}
 		group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-			defer cancel()
-			admin := chivemastv1connect.NewAdminServiceClient(&http.Client{Transport: transport}, "http://"+report.AdminAddress)
-			answer, err := admin.Status(ctx, &pb.StatusRequest{})
-			if err != nil {
-				report.Error = err.Error()
-				return nil
-			}
-			report.Answered, report.Status = true, answer
-			report.Name, report.FailureDomain = answer.GetInstance(), answer.GetFailureDomain()
+			reports[i].ask(ctx, &http.Client{Transport: transport})
 			return nil
 		})
 	}
 	_ = group.Wait()
+	slices.SortFunc(reports, func(a, b *instanceReport) int { return cmp.Compare(a.Name, b.Name) })
+	return reports
+}
+
+func (r *instanceReport) ask(ctx context.Context, client *http.Client) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	admin := chivemastv1connect.NewAdminServiceClient(client, "http://"+r.AdminAddress, connect.WithReadMaxBytes(platform.MaxMessage))
+	answer, err := admin.Status(ctx, &pb.StatusRequest{})
+	if err != nil {
+		r.Error = err.Error()
+		return
+	}
+	r.Answered, r.Status = true, answer
+	r.Name, r.FailureDomain = answer.GetInstance(), answer.GetFailureDomain()
 }
 
 func newestRevision(reports []*instanceReport) uint64 {
@@ -138,11 +169,17 @@
 func waitForRevision(ctx context.Context, c *cli.Command, client *platform.Client, revision uint64) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("wait-timeout"))
 	defer cancel()
+	var instances *fleet
+	var listedAt time.Time
 	var confirmed, missing []string
 	for {
-		reports, err := collect(ctx, c, client)
-		if err == nil {
-			confirmed, missing = confirmations(reports, revision)
+		if time.Since(listedAt) > listInterval {
+			if listed, err := listFleet(ctx, c, client); err == nil {
+				instances, listedAt = listed, time.Now()
+			}
+		}
+		if instances != nil {
+			confirmed, missing = instances.confirmations(instances.ask(ctx), revision)
 			if len(missing) == 0 {
 				return confirmed, nil
 			}
@@ -150,10 +187,7 @@
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
-			if err != nil && confirmed == nil && missing == nil {
-				return nil, err
-			}
-			return confirmed, &unconfirmedError{Revision: revision, Instances: missing}
+			return confirmed, &unconfirmedError{Revision: revision, Instances: missing, Unlisted: instances == nil}
 		}
 	}
 }
@@ -162,7 +196,7 @@
 // force. An instance that does not answer here counts as confirmed when
 // another one has heard from it that it has the revision, because revisions
 // in force never go back.
-func confirmations(reports []*instanceReport, revision uint64) (confirmed, missing []string) {
+func (f *fleet) confirmations(reports []*instanceReport, revision uint64) (confirmed, missing []string) {
 	heard := map[string]uint64{}
 	for _, report := range reports {
 		heard[report.Name] = max(heard[report.Name], report.Status.GetRevision())
@@ -171,9 +205,11 @@
 		}
 	}
 	for name, reached := range heard {
-		if reached >= revision {
+		switch {
+		case f.gone[name]:
+		case reached >= revision:
 			confirmed = append(confirmed, name)
-		} else {
+		default:
 			missing = append(missing, name)
 		}
 	}
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -126,7 +126,10 @@
 	const allowed = "ip:port with a specified IP and port 1 to 65535"
 	switch {
 	case !address.IsValid():
-		return c.doc.Errorf(path, document.Missing, allowed, "required key is missing")
+		return c.doc.Errorf(path, document.Missing, allowed, "required key is missing or empty")
+	case address.Addr().Is4In6() || address.Addr().Zone() != "":
+		// The same host would have two spellings, or another one per instance.
+		return c.doc.Errorf(path, document.OutOfRange, allowed, "%s is an IPv6-mapped IPv4 address or has a zone", address)
 	case address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
 		return c.doc.Errorf(path, document.OutOfRange, allowed, "%s is not a unicast address with a port", address)
 	}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -114,6 +115,9 @@
 		d.offsets[keyPath] = member.Name.StartOffset
 		field, known := fields[key]
 		switch {
+		case !known && strings.ContainsFunc(key, func(r rune) bool { return r < ' ' || strings.ContainsRune(".[]", r) }):
+			// The path stays readable and unambiguous.
+			return d.Errorf(Join(path, strconv.Quote(key)), UnknownKey, "", "unknown key")
 		case !known:
 			return d.Errorf(keyPath, UnknownKey, "", "unknown key %q", key)
 		case seen[key]:
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,9 +17,9 @@
 	"github.com/chivemast/chivemast/internal/action"
 )
 
-// maxMessage bounds an answer of the platform: 300 services with tables of at
+// MaxMessage bounds an answer of the platform: 300 services with tables of at
 // most 16 KB each, with room for growth.
-const maxMessage = 16 << 20
+const MaxMessage = 16 << 20
 
 // Client is a client of the object API. The synchronous methods may be called
 // at any time; Do and Events need Run.
@@ -30,6 +30,7 @@
 	limiters  map[Call]*rate.Limiter
 	backoffs  map[Call]*backoff
 	calls     metric.Int64Counter
+	watching  metric.Int64UpDownCounter
 
 	events    chan action.PlatformEvent
 	reads     chan action.ReadObjects
@@ -46,8 +47,14 @@
 	if err != nil {
 		return nil, &CallError{Outcome: OutcomeRejected, Err: err}
 	}
+	watching, err := cfg.Meter.Int64UpDownCounter("chivemast.platform.watches",
+		metric.WithDescription("Open watches. chivemast.platform.calls counts a watch when it ends."))
+	if err != nil {
+		return nil, &CallError{Outcome: OutcomeRejected, Err: err}
+	}
 	c := &Client{
 		cfg:       cfg,
+		watching:  watching,
 		transport: newTransport(),
 		limiters:  map[Call]*rate.Limiter{},
 		backoffs:  map[Call]*backoff{},
@@ -66,7 +73,7 @@
 		c.backoffs[call] = &backoff{base: cfg.BackoffBase, limit: cfg.BackoffMax}
 	}
 	c.api = chivemastv1connect.NewObjectServiceClient(&http.Client{Transport: c.transport}, cfg.URL,
-		connect.WithReadMaxBytes(maxMessage))
+		connect.WithReadMaxBytes(MaxMessage))
 	return c, nil
 }
 
@@ -170,6 +177,15 @@
 	}
 }
 
+// RetryInstances is Instances, repeated until ctx ends.
+func (c *Client) RetryInstances(ctx context.Context) (instances []*pb.InstanceInfo, err error) {
+	err = c.retry(ctx, CallInstances, func() (err error) {
+		instances, err = c.Instances(ctx)
+		return err
+	})
+	return instances, err
+}
+
 // RetryGet is Get, repeated until ctx ends.
 func (c *Client) RetryGet(ctx context.Context, key string) (object *pb.Object, revision uint64, err error) {
 	err = c.retry(ctx, CallGet, func() (err error) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -9,6 +9,8 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 	"golang.org/x/time/rate"
+
+	"github.com/chivemast/chivemast/internal/settings"
 )
 
 // Call is a kind of platform call. Each kind has its own budget, backoff and
@@ -76,6 +78,31 @@
 	CallInstances: {PerSecond: 1, Burst: 5},
 }
 
+// FromSettings returns the configuration for an instance. The budget of reads
+// applies to reads of objects and of the list of instances separately; reading
+// back after lost answers has the budget of writes.
+func FromSettings(s *settings.Settings, meter metric.Meter) Config {
+	perMinute := func(n int) Budget {
+		return Budget{PerSecond: rate.Limit(n) / 60, Burst: min(n, 40)}
+	}
+	l := s.Limits
+	return Config{
+		URL:          s.PlatformURL,
+		CallTimeout:  l.PlatformCallTimeoutMS.Duration(),
+		WriteTimeout: l.PlatformWriteTimeoutMS.Duration(),
+		BackoffMax:   l.PlatformBackoffMaxMS.Duration(),
+		WatchSilence: l.PlatformWatchSilenceMS.Duration(),
+		Budgets: map[Call]Budget{
+			CallGet:       perMinute(l.PlatformWritesPerMinute),
+			CallPut:       perMinute(l.PlatformWritesPerMinute),
+			CallList:      perMinute(l.PlatformReadsPerMinute),
+			CallInstances: perMinute(l.PlatformReadsPerMinute),
+			CallWatch:     perMinute(l.PlatformWatchesPerMinute),
+		},
+		Meter: meter,
+	}
+}
+
 func (c *Config) setDefaults() {
 	setDefault(&c.CallTimeout, 2*time.Second)
 	setDefault(&c.WriteTimeout, 10*time.Second)
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -35,7 +35,7 @@
 type ConflictError struct {
 	Key      string
 	Expected uint64
-	// Current is the stored object.
+	// Current is the stored object; nil when it could not be read.
 	Current *pb.Object
 }
 
@@ -59,6 +59,20 @@
 // Unwrap returns the last error.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
 
+// MaxObject is the size of the largest value that the platform holds, in
+// bytes.
+const MaxObject = 1 << 20
+
+// ObjectSizeError says that a value is too large to be written.
+type ObjectSizeError struct {
+	Key  string
+	Size int
+}
+
+func (e *ObjectSizeError) Error() string {
+	return fmt.Sprintf("value of object %q has %d bytes, at most %d are allowed", e.Key, e.Size, MaxObject)
+}
+
 // QueueFullError says that an action was not accepted because too many of its
 // kind wait.
 type QueueFullError struct {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -20,9 +20,11 @@
 func (c *Client) Do(a action.Action) error {
 	switch a := a.(type) {
 	case action.ReadObjects:
-		return offerRead(c.reads, a)
+		return offerRead(c.reads, a, func(waiting action.ReadObjects) action.ReadObjects {
+			return action.ReadObjects{Since: min(waiting.Since, a.Since)}
+		})
 	case action.ReadInstances:
-		return offerRead(c.instances, a)
+		return offerRead(c.instances, a, func(action.ReadInstances) action.ReadInstances { return a })
 	case action.WriteObject:
 		return offer(c.writes, a, CallPut)
 	case action.WatchObjects:
@@ -43,8 +45,8 @@
 	}
 }
 
-// offerRead replaces a waiting read by the newer one.
-func offerRead[T any](queue chan T, item T) error {
+// offerRead merges a read with the one that waits already, if any.
+func offerRead[T any](queue chan T, item T, merge func(waiting T) T) error {
 	for {
 		select {
 		case queue <- item:
@@ -52,7 +54,8 @@
 		default:
 		}
 		select {
-		case <-queue:
+		case waiting := <-queue:
+			item = merge(waiting)
 		default:
 		}
 	}
@@ -123,7 +126,7 @@
 	switch {
 	case err == nil:
 		result.Outcome, result.Object = action.WriteApplied, object
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict) && conflict.Current != nil:
 		result.Outcome, result.Object = action.WriteConflict, conflict.Current
 	case errors.As(err, &unknown):
 		result.Outcome = action.WriteUnknown
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -84,6 +84,8 @@
 	if err := c.admit(ctx, CallWatch); err != nil {
 		return c.finish(parent, CallWatch, c.cfg.Prefix, err)
 	}
+	c.watching.Add(parent, 1)
+	defer c.watching.Add(context.WithoutCancel(parent), -1)
 	silence := time.AfterFunc(c.cfg.WatchSilence, func() { cancel(&SilentWatchError{Silence: c.cfg.WatchSilence}) })
 	defer silence.Stop()
 	err := c.receive(ctx, reached, silence)
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -28,8 +28,11 @@
 // go back, so that at most one of the copies can take effect.
 //
 // It fails with *ConflictError, *UnknownOutcomeError, or, when the write did
-// not take effect, *CallError.
+// not take effect, *CallError or *ObjectSizeError.
 func (c *Client) Put(parent context.Context, w Write) (*pb.Object, error) {
+	if len(w.Value) > MaxObject {
+		return nil, &ObjectSizeError{Key: w.Key, Size: len(w.Value)}
+	}
 	ctx, cancel := context.WithTimeout(parent, c.cfg.WriteTimeout)
 	defer cancel()
 	sent := false
@@ -81,8 +84,9 @@
 	return object, err
 }
 
-// conflict reads the object that a write conflicts with. The network may
-// have delivered the write twice, so that it conflicts with itself.
+// conflict reads the object that a write conflicts with; the object is nil in
+// the error when it could not be read. The network may have delivered the
+// write twice, so that it conflicts with itself.
 func (c *Client) conflict(ctx context.Context, w Write) (*pb.Object, error) {
 	current, _, err := c.RetryGet(ctx, w.Key)
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,7 +142,9 @@
 	const allowed = "ip:port with port 1 to 65535"
 	switch {
 	case !address.IsValid():
-		return doc.Errorf(path, document.Missing, allowed, "required key is missing")
+		return doc.Errorf(path, document.Missing, allowed, "required key is missing or empty")
+	case address.Addr().Is4In6() || address.Addr().Zone() != "":
+		return doc.Errorf(path, document.OutOfRange, allowed, "%s is an IPv6-mapped IPv4 address or has a zone", address)
 	case address.Port() == 0:
 		return doc.Errorf(path, document.OutOfRange, allowed, "port 0 cannot be reached by others")
 	case address.Addr().IsUnspecified() && !unspecified:
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/document"
+)
+
+const required = `"instance": "i1", "failure_domain": "a", "traffic_address": "127.0.0.1:1",
+	"peer_address": "127.0.0.1:2", "admin_address": "0.0.0.0:3", "platform_url": "http://127.0.0.1:4"`
+
+// Guards against wrong settings that start an instance, and against errors
+// that do not name file, key and allowed values.
+func TestParseRejects(t *testing.T) {
+	peer := func(name, address string) string {
+		return fmt.Sprintf(`{"name": %q, "failure_domain": "a", "peer_address": %q}`, name, address)
+	}
+	tests := []struct {
+		name, input string
+		kind        document.Kind
+		path        string
+		allowed     string
+	}{
+		{"required key", `{}`, document.Missing, "instance", "lower-case"},
+		{"name", `{"instance": "Upper"}`, document.OutOfRange, "instance", "lower-case"},
+		{"address without IP", strings.Replace("{"+required+"}", "127.0.0.1:1", ":1", 1), document.WrongType, "traffic_address", "ip:port"},
+		{"unspecified address", strings.Replace("{"+required+"}", "127.0.0.1:2", "0.0.0.0:2", 1), document.OutOfRange, "peer_address", "ip:port"},
+		{"mapped address", strings.Replace("{"+required+"}", "127.0.0.1:2", "[::ffff:127.0.0.1]:2", 1), document.OutOfRange, "peer_address", "ip:port"},
+		{"port", strings.Replace("{"+required+"}", "127.0.0.1:2", "127.0.0.1:0", 1), document.OutOfRange, "peer_address", "1 to 65535"},
+		{"same address twice", strings.Replace("{"+required+"}", "127.0.0.1:2", "127.0.0.1:1", 1), document.Duplicate, "peer_address", "of its own"},
+		{"URL", strings.Replace("{"+required+"}", "http:", "ftp:", 1), document.OutOfRange, "platform_url", "http://"},
+		{"level", "{" + required + `, "log_level": "loud"}`, document.OutOfRange, "log_level", "error, warn, info, debug"},
+		{"peer twice", "{" + required + `, "peers": [` + peer("p", "127.0.0.1:9") + "," + peer("p", "127.0.0.1:10") + "]}", document.Duplicate, "peers[1].name", "unique"},
+		{"peer with own address", "{" + required + `, "peers": [` + peer("p", "127.0.0.1:2") + "]}", document.Duplicate, "peers[0]", "this instance"},
+		{"limit", "{" + required + `, "limits": {"lease_duration_ms": 999}}`, document.OutOfRange, "limits.lease_duration_ms", "1000 to 60000"},
+		{"zero limit", "{" + required + `, "limits": {"heartbeat_peers": 0}}`, document.OutOfRange, "limits.heartbeat_peers", "2 to 64"},
+		{"relation", "{" + required + `, "limits": {"heartbeat_interval_ms": 2000}}`, document.OutOfRange, "limits.suspect_timeout_ms", "twice"},
+		{"unknown limit", "{" + required + `, "limits": {"lease_ms": 1}}`, document.UnknownKey, "limits.lease_ms", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse("file.jsonc", []byte(test.input))
+			var target *Error
+			require.ErrorAs(t, err, &target)
+			require.Equal(t, test.kind, target.Kind, "%v", err)
+			require.Equal(t, test.path, target.Path)
+			require.Contains(t, target.Allowed, test.allowed)
+			require.Contains(t, err.Error(), "file.jsonc:")
+		})
+	}
+}
+
+// Guards against an example that does not load and against defaults that are
+// not set.
+func TestLoadExample(t *testing.T) {
+	s, err := Load(filepath.Join("..", "..", "examples", "chivemastd.jsonc"))
+	require.NoError(t, err)
+	require.Len(t, s.OtherPeers(), 3)
+	require.Equal(t, 6*time.Second, s.Limits.LeaseDurationMS.Duration())
+	require.Equal(t, "info", s.Level().String())
+	_, err = Load("absent.jsonc")
+	var target *Error
+	require.ErrorAs(t, err, &target)
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// rows returns the row that docs/settings.md must have for every key.
+func rows(t *testing.T, prefix string, typ reflect.Type) []string {
+	var all []string
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		key := prefix + document.FieldKey(field)
+		switch {
+		case field.Type == reflect.TypeFor[Limits]():
+			all = append(all, rows(t, key+".", field.Type)...)
+			continue
+		case field.Type.Kind() == reflect.Slice:
+			all = append(all, rows(t, key+"[].", field.Type.Elem())...)
+		}
+		row := fmt.Sprintf("| `%s` | ", key)
+		if prefix == "limits." {
+			numbers := map[string]int64{}
+			for _, tag := range []string{"default", "min", "max"} {
+				n, err := strconv.ParseInt(field.Tag.Get(tag), 10, 64)
+				require.NoError(t, err, "tag %s of %s", tag, field.Name)
+				numbers[tag] = n
+			}
+			require.LessOrEqual(t, numbers["min"], numbers["default"], field.Name)
+			require.LessOrEqual(t, numbers["default"], numbers["max"], field.Name)
+			unit := "count"
+			for _, u := range []string{"ms", "percent", "bytes", "per_minute"} {
+				if strings.HasSuffix(key, "_"+u) {
+					unit = strings.ReplaceAll(u, "_", " ")
+				}
+			}
+			row += fmt.Sprintf("%s | %d | %d to %d | ", unit, numbers["default"], numbers["min"], numbers["max"])
+		}
+		all = append(all, row)
+	}
+	return all
+}
+
+// Guards against a page that misses a key or states another unit, default or
+// range than the code.
+func TestSettingsPageListsEveryKey(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "settings.md"))
+	require.NoError(t, err)
+	want := rows(t, "", reflect.TypeFor[Settings]())
+	for _, row := range want {
+		require.Contains(t, string(page), "\n"+row)
+	}
+	require.Equal(t, len(want), strings.Count(string(page), "\n| `"), "rows for keys that do not exist")
+}
+
+// Guards against panics and against settings out of range.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("{" + required + "}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("file", data)
+		if err != nil {
+			var target *Error
+			require.ErrorAs(t, err, &target)
+			return
+		}
+		require.NotZero(t, s.PeerAddress.Port())
+		require.GreaterOrEqual(t, s.Limits.LeaseDurationMS, 2*s.Limits.HeartbeatIntervalMS)
+	})
+}
