Type lost answers of platform writes exactly

Cause: connect-go reports an answer that it cannot decode as an invalid argument. The client took that for a rejection by the platform and reported a write as failed although it had taken effect. It also called a write that never got a connection "possibly applied" when the time ran out. A stored declaration that is not valid kept every other team from changing theirs.

Ruled out: deciding by the connect code alone. Conflicts and rejections now count only if the platform itself sent them (connect.IsWireError), and a request counts as sent only once it had a connection (httptrace).

Conclusion: the outcome of a write is true for the faults that the tests know. Shared checks of names, addresses and ranges moved to internal/document. Completion offers names from the platform. An added or removed upstream is one line of a diff.

--- a/cmd/chivemast/apply.go
+++ b/cmd/chivemast/apply.go
@@ -133,7 +133,7 @@
 		return nil, &changeConflictError{Key: result.Key, Expected: uint64(expected), Version: object.GetVersion(),
 			ChangeID: object.GetChangeId(), Yours: result.Changes}
 	}
-	if len(result.Changes) == 0 && (before == nil) == remove {
+	if len(result.Changes) == 0 && (before == nil) == remove && stored.invalid[mine.Name] == nil {
 		result.setObject(object)
 		result.Unchanged = true
 		return result, nil
--- a/cmd/chivemast/change.go
+++ b/cmd/chivemast/change.go
@@ -21,13 +21,15 @@
 )
 
 // changeCommand builds a command that takes one name and changes an object.
-func changeCommand(name, usage, argument string, flags []cli.Flag,
+func changeCommand(name, usage, argument string, names completion, flags []cli.Flag,
 	do func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error)) *cli.Command {
 	return &cli.Command{
 		Name:      name,
 		Usage:     usage,
 		ArgsUsage: argument,
 		Flags:     append(flags, waitFlags()...),
+
+		ShellComplete: complete(names),
 		Action: withClient(func(ctx context.Context, c *cli.Command, client *platform.Client) error {
 			if c.Args().Len() != 1 {
 				return usagef("%s takes one argument, %s", c.FullName(), argument)
@@ -49,11 +51,11 @@
 		Name:  "domain",
 		Usage: "take a failure domain out of service or bring it back",
 		Commands: []*cli.Command{
-			changeCommand("take-out", "give up all flows of a failure domain and send it no packets", "NAME", force(),
+			changeCommand("take-out", "give up all flows of a failure domain and send it no packets", "NAME", domainNames, force(),
 				func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error) {
 					return setDomain(ctx, c, client, name, true)
 				}),
-			changeCommand("bring-back", "use a failure domain again", "NAME", force(),
+			changeCommand("bring-back", "use a failure domain again", "NAME", domainNames, force(),
 				func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error) {
 					return setDomain(ctx, c, client, name, false)
 				}),
@@ -153,11 +155,11 @@
 		Name:  "upstream",
 		Usage: "stop or resume new work on an upstream",
 		Commands: []*cli.Command{
-			changeCommand("drain", "send no new work to an upstream; its established flows go on", argument, team(),
+			changeCommand("drain", "send no new work to an upstream; its established flows go on", argument, upstreamNames, team(),
 				func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error) {
 					return setDraining(ctx, c, client, name, true)
 				}),
-			changeCommand("undrain", "send new work to an upstream again", argument, team(),
+			changeCommand("undrain", "send new work to an upstream again", argument, upstreamNames, team(),
 				func(ctx context.Context, c *cli.Command, client *platform.Client, name string) (*changed, error) {
 					return setDraining(ctx, c, client, name, false)
 				}),
@@ -177,6 +179,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := stored.invalid[parts[0]]; err != nil {
+		return nil, err
+	}
 	if stored.decoded[parts[0]] == nil {
 		return nil, &invalidError{Reason: fmt.Sprintf("there is no team %q", parts[0])}
 	}
@@ -200,7 +205,7 @@
 		Name:  "instance",
 		Usage: "state facts about instances",
 		Commands: []*cli.Command{
-			changeCommand("forget", "state that an instance is gone for good, so that others may take over its lease slots", "NAME",
+			changeCommand("forget", "state that an instance is gone for good, so that others may take over its lease slots", "NAME", instanceNames,
 				[]cli.Flag{&cli.BoolFlag{Name: "undo", Usage: "withdraw the statement"}}, forget),
 		},
 	}
--- a/cmd/chivemast/common.go
+++ b/cmd/chivemast/common.go
@@ -96,19 +96,20 @@
 
 // teams holds the stored declarations of all teams.
 type teams struct {
-	objects  map[string]*pb.Object
-	decoded  map[string]*declare.Team
-	revision uint64
+	objects map[string]*pb.Object
+	// decoded lacks deleted teams and those in invalid.
+	decoded map[string]*declare.Team
+	invalid map[string]error
 }
 
 func readTeams(ctx context.Context, c *cli.Command, client *platform.Client) (*teams, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
 	defer cancel()
-	objects, revision, err := client.RetryList(ctx, declare.KeyPrefix, 0)
+	objects, _, err := client.RetryList(ctx, declare.KeyPrefix, 0)
 	if err != nil {
 		return nil, err
 	}
-	t := &teams{objects: map[string]*pb.Object{}, decoded: map[string]*declare.Team{}, revision: revision}
+	t := &teams{objects: map[string]*pb.Object{}, decoded: map[string]*declare.Team{}, invalid: map[string]error{}}
 	for _, object := range objects {
 		name := strings.TrimPrefix(object.GetKey(), declare.KeyPrefix)
 		t.objects[name] = object
@@ -117,7 +118,11 @@
 		}
 		team, err := declare.Decode(object.GetKey(), object.GetValue())
 		if err != nil {
-			return nil, fmt.Errorf("stored declaration: %w", err)
+			// Instances reject it as well. It must not keep other teams from
+			// changing theirs, nor its own team from replacing it.
+			fmt.Fprintf(c.Root().ErrWriter, "chivemast: warning: the stored declaration is not valid and is left out: %v\n", err)
+			t.invalid[name] = err
+			continue
 		}
 		t.decoded[name] = team
 	}
--- a/cmd/chivemast/exit.go
+++ b/cmd/chivemast/exit.go
@@ -134,7 +134,7 @@
 // differentError says that diff found differences.
 type differentError struct{ Changes int }
 
-func (e *differentError) Error() string { return fmt.Sprintf("%d differences", e.Changes) }
+func (e *differentError) Error() string { return fmt.Sprintf("differences: %d", e.Changes) }
 
 // codeOf maps an error to its exit code.
 func codeOf(err error) code {
@@ -155,10 +155,10 @@
 		return exitUnknown
 	}
 	var call *platform.CallError
-	if errors.As(err, &call) && call.Outcome != platform.OutcomeRejected {
-		return exitUnavailable
+	if !errors.As(err, &call) || call.Outcome == platform.OutcomeRejected || call.Outcome == platform.OutcomeCancelled {
+		return exitFailure
 	}
-	return exitFailure
+	return exitUnavailable
 }
 
 func is[T error](err error) bool {
@@ -171,6 +171,9 @@
 	Code     code             `json:"code"`
 	Kind     string           `json:"kind"`
 	Message  string           `json:"message"`
+	File     string           `json:"file,omitempty"`
+	Path     string           `json:"path,omitempty"`
+	Line     int              `json:"line,omitempty"`
 	Yours    []declare.Change `json:"yours,omitempty"`
 	Theirs   []declare.Change `json:"theirs,omitempty"`
 	ChangeID string           `json:"change_id,omitempty"`
@@ -178,6 +181,9 @@
 
 func describe(err error) description {
 	d := description{Code: codeOf(err), Kind: codeOf(err).String(), Message: err.Error()}
+	if fault, ok := errors.AsType[*document.Error](err); ok {
+		d.File, d.Path, d.Line = fault.Source, fault.Path, fault.Line
+	}
 	if conflict, ok := errors.AsType[*changeConflictError](err); ok {
 		d.Yours, d.Theirs, d.ChangeID = conflict.Yours, conflict.Theirs, conflict.ChangeID
 	}
--- a/cmd/chivemast/main_test.go
+++ b/cmd/chivemast/main_test.go
@@ -59,7 +59,7 @@
 	require.Contains(t, out, "accepted as version 1 (revision 2")
 	require.Contains(t, out, "in force on 1 instances")
 	require.Contains(t, f.ok(t, "apply", "--team", "barrierline", exampleFile("barrierline")), "unchanged at version 1")
-	require.Contains(t, f.ok(t, "diff", "--exit-code", "-f", exampleFile("barrierline")), "0 differences")
+	require.Contains(t, f.ok(t, "diff", "--exit-code", "-f", exampleFile("barrierline")), "differences: 0")
 	require.Equal(t, uint64(1), f.objects["teams/trentside"].GetVersion())
 
 	f.ok(t, "apply", "--team", "barrierline", "--delete")
@@ -203,6 +203,39 @@
 	require.Contains(t, errOut, "revision 2: [behind silent]")
 }
 
+// Guards against a declaration stored by other means that keeps all teams from
+// changing theirs, or its own team from replacing it.
+func TestInvalidStoredDeclaration(t *testing.T) {
+	f := newFake(t)
+	for _, key := range []string{"teams/broken", "teams/trentside"} {
+		_, err := f.store(&pb.PutRequest{Key: key, Value: []byte(`{"name": 1}`)})
+		require.NoError(t, err)
+	}
+	code, _, errOut := f.chivemast(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	require.Zero(t, code, errOut)
+	require.Contains(t, errOut, "warning: the stored declaration is not valid and is left out: teams/broken:1:10: name")
+	code, _, _ = f.chivemast(t, "upstream", "drain", "broken/s/u")
+	require.Equal(t, int(exitInvalid), code)
+}
+
+// Guards against completion that breaks the shell or names nothing.
+func TestCompletion(t *testing.T) {
+	f := newFake(t)
+	f.list("i1", "127.0.0.1:1")
+	f.ok(t, "apply", "--team", "trentside", "-f", exampleFile("trentside"))
+	for want, args := range map[string][]string{
+		"take-out":                           {"domain"},
+		"trentside-c\n":                      {"domain", "take-out"},
+		"trentside/documents/documents-03\n": {"upstream", "drain"},
+		"i1\n":                               {"instance", "forget"},
+		"--wait-timeout":                     {"instance", "forget", "--w"},
+	} {
+		require.Contains(t, f.ok(t, append(args, "--generate-shell-completion")...), want)
+	}
+	_, out, _ := f.chivemast(t, "--platform", "http://127.0.0.1:1", "domain", "take-out", "--generate-shell-completion")
+	require.Empty(t, out)
+}
+
 // Guards against a status that depends on the platform.
 func TestStatusWithoutPlatform(t *testing.T) {
 	f := newFake(t)
--- a/cmd/chivemast/read.go
+++ b/cmd/chivemast/read.go
@@ -50,7 +50,7 @@
 	result.setObject(stored.objects[mine.Name])
 	result.Unchanged = len(result.Changes) == 0
 	err = output(c, result, func(w io.Writer) {
-		fmt.Fprintf(w, "%s version %d: %d differences\n", result.Key, result.Version, len(result.Changes))
+		fmt.Fprintf(w, "%s version %d, differences: %d\n", result.Key, result.Version, len(result.Changes))
 		if !result.Unchanged {
 			fmt.Fprint(w, formatChanges(result.Changes))
 		}
@@ -169,7 +169,7 @@
 	if err := proto.Unmarshal(object.GetValue(), message); err != nil {
 		return nil, fmt.Errorf("value of %s: %w", object.GetKey(), err)
 	}
-	return protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(message)
+	return protojson.MarshalOptions{EmitUnpopulated: true, UseProtoNames: true}.Marshal(message)
 }
 
 func validateCommand() *cli.Command {
--- a/cmd/chivemast/report.go
+++ b/cmd/chivemast/report.go
@@ -79,7 +79,7 @@
 		state := instanceState{instanceReport: *report, answer: report.Status}
 		if report.Answered {
 			answers = append(answers, report.Status)
-			state.Status, _ = protojson.Marshal(report.Status)
+			state.Status, _ = protojson.MarshalOptions{UseProtoNames: true}.Marshal(report.Status)
 			fleet.SlotsHeld += report.Status.GetSlotsHeld()
 			fleet.SlotsGranted += report.Status.GetSlotsGranted()
 		} else {
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -135,10 +135,7 @@
 	require.Equal(t, []string{
 		"~ dispatch.cold_start.ramp_seconds: 30 -> 40",
 		"~ dispatch/dispatch-01.draining: false -> true",
-		"- photo-evidence/photo-evidence-04.address: " + removed.Address.String(),
-		"- photo-evidence/photo-evidence-04.draining: false",
-		"- photo-evidence/photo-evidence-04.failure_domain: barrierline-d",
-		"- photo-evidence/photo-evidence-04.weight: 100",
+		"- photo-evidence/photo-evidence-04: " + removed.Address.String() + " in barrierline-d, weight 100",
 	}, lines)
 	require.Equal(t, "127.10.0.1:7101", Diff(nil, before)[0].New)
 }
--- a/internal/declare/diff.go
+++ b/internal/declare/diff.go
@@ -30,9 +30,10 @@
 }
 
 // Diff returns the differences between two versions of a team, ordered by
-// path. Nil stands for a team that does not exist.
+// path. Nil stands for a team that does not exist. An added or removed
+// upstream is one change.
 func Diff(before, after *Team) []Change {
-	a, b := flatten(before), flatten(after)
+	a, b := flatten(before, after), flatten(after, before)
 	var changes []Change
 	for path, old := range a {
 		if b[path] != old {
@@ -48,23 +49,46 @@
 	return changes
 }
 
-// flatten maps the path of every declared value to its text.
-func flatten(team *Team) map[string]string {
+// flatten maps the path of every declared value to its text. Upstreams that
+// the other version lacks have a single value.
+func flatten(team, other *Team) map[string]string {
 	values := map[string]string{}
 	if team == nil {
 		return values
 	}
+	common := upstreamNames(other)
 	normal := team.Clone()
 	normal.Normalize()
 	for _, service := range normal.Services {
 		flattenStruct(values, service.Name, reflect.ValueOf(service))
 		for _, upstream := range service.Upstreams {
-			flattenStruct(values, service.Name+"/"+upstream.Name, reflect.ValueOf(upstream))
+			name := service.Name + "/" + upstream.Name
+			if common[name] {
+				flattenStruct(values, name, reflect.ValueOf(upstream))
+				continue
+			}
+			values[name] = fmt.Sprintf("%s in %s, weight %d", upstream.Address, upstream.FailureDomain, upstream.Weight)
+			if upstream.Draining {
+				values[name] += ", draining"
+			}
 		}
 	}
 	return values
 }
 
+func upstreamNames(team *Team) map[string]bool {
+	names := map[string]bool{}
+	if team == nil {
+		return names
+	}
+	for _, service := range team.Services {
+		for _, upstream := range service.Upstreams {
+			names[service.Name+"/"+upstream.Name] = true
+		}
+	}
+	return names
+}
+
 func flattenStruct(values map[string]string, path string, v reflect.Value) {
 	for i := range v.NumField() {
 		key := document.FieldKey(v.Type().Field(i))
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"regexp"
 
 	"github.com/chivemast/chivemast/internal/document"
 )
@@ -17,15 +16,9 @@
 	MaxUpstreams = 1024
 )
 
-// nameForm is the form of names. They are parts of object keys, so that "/"
-// is excluded.
-var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-
-const nameAllowed = "lower-case letters, digits and inner hyphens, 1 to 63 characters"
-
 // ValidName tells whether a name has the form of team, service, upstream,
 // instance and failure domain names.
-func ValidName(name string) bool { return nameForm.MatchString(name) }
+func ValidName(name string) bool { return document.ValidName(name) }
 
 // checker validates one or more documents of the same team.
 type checker struct {
@@ -35,7 +28,7 @@
 }
 
 func (c *checker) team(t *Team) error {
-	if err := c.name("name", t.Name); err != nil {
+	if err := c.doc.CheckName("name", t.Name); err != nil {
 		return err
 	}
 	if len(t.Services) > MaxServices {
@@ -50,7 +43,7 @@
 }
 
 func (c *checker) service(path, team string, s *Service) error {
-	if err := c.name(path+".name", s.Name); err != nil {
+	if err := c.doc.CheckName(path+".name", s.Name); err != nil {
 		return err
 	}
 	if first, ok := c.services[s.Name]; ok {
@@ -58,8 +51,9 @@
 	}
 	c.services[s.Name] = path
 	for _, r := range []struct {
-		key             string
-		value, low, top int
+		key       string
+		value     int
+		low, high int64
 	}{
 		{"idle_timeout_seconds", s.IdleTimeoutSeconds, 1, 86_400},
 		{"max_request_timeout_ms", s.MaxRequestTimeoutMS, 10, 5_000},
@@ -68,7 +62,7 @@
 		{"limits.requests_per_second", s.Limits.RequestsPerSecond, 0, 10_000_000},
 		{"limits.concurrent_requests", s.Limits.ConcurrentRequests, 0, 10_000_000},
 	} {
-		if err := c.within(path+"."+r.key, r.value, r.low, r.top); err != nil {
+		if err := c.doc.CheckRange(path+"."+r.key, int64(r.value), r.low, r.high); err != nil {
 			return err
 		}
 	}
@@ -93,45 +87,21 @@
 }
 
 func (c *checker) upstream(path, team, service string, u *Upstream) error {
-	if err := c.name(path+".name", u.Name); err != nil {
+	if err := c.doc.CheckName(path+".name", u.Name); err != nil {
 		return err
 	}
-	if err := c.name(path+".failure_domain", u.FailureDomain); err != nil {
+	if err := c.doc.CheckName(path+".failure_domain", u.FailureDomain); err != nil {
 		return err
 	}
-	if err := c.within(path+".weight", u.Weight, 1, 1_000); err != nil {
+	if err := c.doc.CheckRange(path+".weight", int64(u.Weight), 1, 1_000); err != nil {
 		return err
 	}
 	return c.address(path+".address", u.Address, Use{Team: team, Service: service, Upstream: u.Name})
 }
 
-func (c *checker) name(path, name string) error {
-	switch {
-	case name == "":
-		return c.doc.Errorf(path, document.Missing, nameAllowed, "required key is missing or empty")
-	case !ValidName(name):
-		return c.doc.Errorf(path, document.OutOfRange, nameAllowed, "name %q is malformed", name)
-	}
-	return nil
-}
-
-func (c *checker) within(path string, value, low, top int) error {
-	if value < low || value > top {
-		return c.doc.Errorf(path, document.OutOfRange, fmt.Sprintf("%d to %d", low, top), "%d is outside the range", value)
-	}
-	return nil
-}
-
 func (c *checker) address(path string, address netip.AddrPort, use Use) error {
-	const allowed = "ip:port with a specified IP and port 1 to 65535"
-	switch {
-	case !address.IsValid():
-		return c.doc.Errorf(path, document.Missing, allowed, "required key is missing or empty")
-	case address.Addr().Is4In6() || address.Addr().Zone() != "":
-		// The same host would have two spellings, or another one per instance.
-		return c.doc.Errorf(path, document.OutOfRange, allowed, "%s is an IPv6-mapped IPv4 address or has a zone", address)
-	case address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
-		return c.doc.Errorf(path, document.OutOfRange, allowed, "%s is not a unicast address with a port", address)
+	if err := c.doc.CheckAddress(path, address, false); err != nil {
+		return err
 	}
 	if conflict := c.addresses.add(address, use); conflict != nil {
 		return c.doc.Errorf(path, document.Duplicate, "an address of its own", "%w", conflict)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -97,11 +99,21 @@
 func (c *Client) call(parent context.Context, kind Call, key string, do func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(parent, c.cfg.CallTimeout)
 	defer cancel()
+	ctx, sent := traceSent(ctx)
 	err := c.admit(ctx, kind)
 	if err == nil {
 		err = do(ctx)
 	}
-	return c.finish(parent, kind, key, err)
+	return c.finish(parent, kind, key, sent.Load(), err)
+}
+
+// traceSent tells whether the call of a context got a connection. Without
+// one, nothing was sent, so that a failed write did not take effect.
+func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
+	sent := &atomic.Bool{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}), sent
 }
 
 // admit waits for the budget of a kind.
@@ -113,8 +125,8 @@
 }
 
 // finish counts a call, records it for the backoff and types its error.
-func (c *Client) finish(parent context.Context, kind Call, key string, err error) error {
-	outcome := classify(parent, err)
+func (c *Client) finish(parent context.Context, kind Call, key string, sent bool, err error) error {
+	outcome := classify(parent, sent, err)
 	c.calls.Add(context.WithoutCancel(parent), 1, metric.WithAttributes(
 		attribute.String("kind", string(kind)), attribute.String("outcome", string(outcome))))
 	switch outcome {
@@ -127,7 +139,7 @@
 	if err == nil {
 		return nil
 	}
-	return &CallError{Call: kind, Key: key, Outcome: outcome, Err: err}
+	return &CallError{Call: kind, Key: key, Outcome: outcome, Sent: sent, Err: err}
 }
 
 // Get reads one object; nil when the key was never written. The revision is
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,6 +124,79 @@
 	})
 }
 
+// Guards against an answer that cannot be decoded being taken for a rejection,
+// although the write took effect.
+func TestPutResolvesMalformedAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFake()
+		fake.garble = true
+		object, err := fake.connect(t, Config{}).Put(t.Context(), Write{Key: "k", ChangeID: "mine"})
+		applied(t, object, err)
+		require.Equal(t, 1, fake.count(CallPut))
+	})
+}
+
+// Guards against a write that takes effect twice and against an outcome that
+// is not true, over random sequences of faults. The writes of others count as
+// well, because they decide what reading back can tell.
+func TestPutOutcomesAreTrue(t *testing.T) {
+	late := func(ctx context.Context, f *fakePlatform, r *pb.PutRequest) (*pb.PutResponse, error) {
+		time.AfterFunc(3*time.Second, func() { _, _ = f.store(r) })
+		return hang(ctx, f, r)
+	}
+	faults := []putFault{loseAnswer, loseRequest, hang, late, overtaken(1), overtaken(2), overtaken(3), nil}
+	outcomes := map[string]int{}
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		for i := range 500 {
+			fake := newFake()
+			for range rng.IntN(6) {
+				fake.putFaults = append(fake.putFaults, faults[rng.IntN(len(faults))])
+			}
+			_, err := fake.connect(t, Config{}).Put(t.Context(), Write{Key: "k", ChangeID: "mine"})
+			// Writes that are still on their way take effect now or never.
+			time.Sleep(time.Minute)
+			count := 0
+			for _, id := range fake.written {
+				if id == "mine" {
+					count++
+				}
+			}
+			var conflict *ConflictError
+			var unknown *UnknownOutcomeError
+			switch {
+			case err == nil:
+				outcomes["applied"]++
+				require.Equal(t, 1, count, "schedule %d", i)
+			case errors.As(err, &unknown):
+				outcomes["unknown"]++
+				require.LessOrEqual(t, count, 1, "schedule %d", i)
+			default:
+				outcomes["conflict"]++
+				require.ErrorAs(t, err, &conflict, "schedule %d", i)
+				require.Zero(t, count, "schedule %d", i)
+			}
+		}
+	})
+	require.Len(t, outcomes, 3, "every outcome occurs: %v", outcomes)
+	t.Log(outcomes)
+}
+
+// Guards against a write that never left being reported as possibly applied.
+func TestPutWithoutConnectionFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newFake().connect(t, Config{})
+		client.transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		_, err := client.Put(t.Context(), Write{Key: "k", ChangeID: "mine"})
+		var target *CallError
+		require.ErrorAs(t, err, &target)
+		require.Equal(t, OutcomeUnreachable, target.Outcome)
+	})
+}
+
 // Guards against values that every platform rejects, and that would be sent
 // again and again.
 func TestPutRejectsLargeValues(t *testing.T) {
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,7 +16,9 @@
 	Call    Call
 	Key     string
 	Outcome Outcome
-	Err     error
+	// Sent tells whether the request may have reached the platform.
+	Sent bool
+	Err  error
 }
 
 func (e *CallError) Error() string {
@@ -137,9 +138,11 @@
 )
 
 // classify maps an error of connect-go to an outcome. The parent context
-// tells a cancelled call from one that timed out.
-func classify(parent context.Context, err error) Outcome {
-	var dial *net.OpError
+// tells a cancelled call from one that timed out. Only an error that the
+// platform itself sent is a conflict or a rejection: connect-go also reports
+// an answer that it cannot decode as an invalid argument, and such a write may
+// have taken effect.
+func classify(parent context.Context, sent bool, err error) Outcome {
 	var budget *BudgetError
 	var silent *SilentWatchError
 	switch {
@@ -149,16 +152,21 @@
 		return OutcomeBudget
 	case errors.As(err, &silent):
 		return OutcomeSilent
-	case parent.Err() != nil:
+	case errors.Is(parent.Err(), context.Canceled):
 		return OutcomeCancelled
-	case errors.As(err, &dial) && dial.Op == "dial":
+	case !sent:
 		return OutcomeUnreachable
 	}
-	switch connect.CodeOf(err) {
+	code := connect.CodeOf(err)
+	if code == connect.CodeDeadlineExceeded || code == connect.CodeCanceled {
+		return OutcomeTimeout
+	}
+	if !connect.IsWireError(err) {
+		return OutcomeUnavailable
+	}
+	switch code {
 	case connect.CodeAborted:
 		return OutcomeConflict
-	case connect.CodeDeadlineExceeded, connect.CodeCanceled:
-		return OutcomeTimeout
 	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeAlreadyExists,
 		connect.CodePermissionDenied, connect.CodeFailedPrecondition, connect.CodeOutOfRange,
 		connect.CodeUnimplemented, connect.CodeUnauthenticated:
--- a/internal/platform/fake_test.go
+++ b/internal/platform/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -28,6 +29,11 @@
 	// down makes every call fail, silent makes watches send nothing.
 	down, silent bool
 	watches      []uint64
+	// garble makes the next Put take effect with an answer that cannot be
+	// decoded.
+	garble bool
+	// written holds the change ids that took effect, in order.
+	written []string
 }
 
 func newFake() *fakePlatform {
@@ -39,7 +45,16 @@
 	listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.Handle(chivemastv1connect.NewObjectServiceHandler(f))
-	server := &http.Server{Handler: mux}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !f.garble || r.URL.Path != chivemastv1connect.ObjectServicePutProcedure {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		f.garble = false
+		mux.ServeHTTP(httptest.NewRecorder(), r)
+		w.Header().Set("Content-Type", "application/proto")
+		_, _ = w.Write([]byte{0xff})
+	})}
 	go func() { _ = server.Serve(listener) }()
 	cfg.URL = "http://platform"
 	client, err := New(cfg)
@@ -130,6 +145,7 @@
 	object := &pb.Object{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetExpectedVersion() + 1,
 		Revision: f.revision, Deleted: r.GetDelete(), ChangeId: r.GetChangeId()}
 	f.objects[r.GetKey()] = object
+	f.written = append(f.written, r.GetChangeId())
 	return &pb.PutResponse{Object: object}, nil
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -82,17 +82,18 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	if err := c.admit(ctx, CallWatch); err != nil {
-		return c.finish(parent, CallWatch, c.cfg.Prefix, err)
+		return c.finish(parent, CallWatch, c.cfg.Prefix, false, err)
 	}
 	c.watching.Add(parent, 1)
 	defer c.watching.Add(context.WithoutCancel(parent), -1)
 	silence := time.AfterFunc(c.cfg.WatchSilence, func() { cancel(&SilentWatchError{Silence: c.cfg.WatchSilence}) })
 	defer silence.Stop()
-	err := c.receive(ctx, reached, silence)
+	traced, sent := traceSent(ctx)
+	err := c.receive(traced, reached, silence)
 	if cause := context.Cause(ctx); cause != nil && parent.Err() == nil {
 		err = cause
 	}
-	return c.finish(parent, CallWatch, c.cfg.Prefix, err)
+	return c.finish(parent, CallWatch, c.cfg.Prefix, sent.Load(), err)
 }
 
 func (c *Client) receive(ctx context.Context, reached *atomic.Uint64, silence *time.Timer) error {
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -39,28 +39,20 @@
 	for {
 		object, err := c.put(ctx, w)
 		var failed *CallError
-		if err == nil {
-			return object, nil
-		}
 		if !errors.As(err, &failed) {
-			return nil, err
+			return object, err
 		}
-		switch failed.Outcome {
-		case OutcomeRejected:
-			if !sent {
-				return nil, err
-			}
-		case OutcomeUnreachable, OutcomeBudget:
-		case OutcomeConflict:
-			if !sent {
-				return c.conflict(ctx, w)
-			}
-		default:
-			sent = true
+		answered := failed.Outcome == OutcomeRejected || failed.Outcome == OutcomeConflict
+		switch {
+		case sent:
+		case failed.Outcome == OutcomeRejected:
+			return nil, err
+		case failed.Outcome == OutcomeConflict:
+			return c.conflict(ctx, w)
 		}
+		sent = sent || (failed.Sent && !answered)
 		if sent {
-			stored, settled, resolveErr := c.resolve(ctx, w)
-			if settled {
+			if stored, settled, resolveErr := c.resolve(ctx, w); settled {
 				return stored, resolveErr
 			}
 		}
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"fmt"
 	"reflect"
 	"strconv"
 	"time"
@@ -116,9 +115,8 @@
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
 		low, high := bound(field, "min"), bound(field, "max")
-		if n := v.Field(i).Int(); n < low || n > high {
-			return doc.Errorf(document.Join("limits", document.FieldKey(field)), document.OutOfRange,
-				fmt.Sprintf("%d to %d", low, high), "%d is outside the range", n)
+		if err := doc.CheckRange("limits."+document.FieldKey(field), v.Field(i).Int(), low, high); err != nil {
+			return err
 		}
 	}
 	relations := []struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"os"
 	"reflect"
-	"regexp"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -99,21 +98,15 @@
 	return s, nil
 }
 
-// nameForm is the form of the names of instances and failure domains.
-var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-
-const (
-	nameAllowed = "lower-case letters, digits and inner hyphens, 1 to 63 characters"
-	maxPeers    = 1000
-)
+const maxPeers = 1000
 
 func (s *Settings) validate(doc *document.Document) error {
 	checks := []error{
-		checkName(doc, "instance", s.Instance),
-		checkName(doc, "failure_domain", s.FailureDomain),
-		checkAddress(doc, "traffic_address", s.TrafficAddress, false),
-		checkAddress(doc, "peer_address", s.PeerAddress, false),
-		checkAddress(doc, "admin_address", s.AdminAddress, true),
+		doc.CheckName("instance", s.Instance),
+		doc.CheckName("failure_domain", s.FailureDomain),
+		doc.CheckAddress("traffic_address", s.TrafficAddress, false),
+		doc.CheckAddress("peer_address", s.PeerAddress, false),
+		doc.CheckAddress("admin_address", s.AdminAddress, true),
 		s.checkDistinct(doc),
 		checkURL(doc, "platform_url", s.PlatformURL),
 		s.checkPeers(doc),
@@ -128,31 +121,6 @@
 	return nil
 }
 
-func checkName(doc *document.Document, path, name string) error {
-	switch {
-	case name == "":
-		return doc.Errorf(path, document.Missing, nameAllowed, "required key is missing or empty")
-	case !nameForm.MatchString(name):
-		return doc.Errorf(path, document.OutOfRange, nameAllowed, "name %q is malformed", name)
-	}
-	return nil
-}
-
-func checkAddress(doc *document.Document, path string, address netip.AddrPort, unspecified bool) error {
-	const allowed = "ip:port with port 1 to 65535"
-	switch {
-	case !address.IsValid():
-		return doc.Errorf(path, document.Missing, allowed, "required key is missing or empty")
-	case address.Addr().Is4In6() || address.Addr().Zone() != "":
-		return doc.Errorf(path, document.OutOfRange, allowed, "%s is an IPv6-mapped IPv4 address or has a zone", address)
-	case address.Port() == 0:
-		return doc.Errorf(path, document.OutOfRange, allowed, "port 0 cannot be reached by others")
-	case address.Addr().IsUnspecified() && !unspecified:
-		return doc.Errorf(path, document.OutOfRange, allowed, "%s cannot be reached by others", address.Addr())
-	}
-	return nil
-}
-
 // checkDistinct rejects sockets that cannot be opened side by side: traffic
 // and peer both use UDP, admin and peer both use TCP.
 func (s *Settings) checkDistinct(doc *document.Document) error {
@@ -188,13 +156,13 @@
 	names, addresses := map[string]bool{}, map[netip.AddrPort]bool{}
 	for i, peer := range s.Peers {
 		path := document.Index("peers", i)
-		if err := checkName(doc, path+".name", peer.Name); err != nil {
+		if err := doc.CheckName(path+".name", peer.Name); err != nil {
 			return err
 		}
-		if err := checkName(doc, path+".failure_domain", peer.FailureDomain); err != nil {
+		if err := doc.CheckName(path+".failure_domain", peer.FailureDomain); err != nil {
 			return err
 		}
-		if err := checkAddress(doc, path+".peer_address", peer.PeerAddress, false); err != nil {
+		if err := doc.CheckAddress(path+".peer_address", peer.PeerAddress, false); err != nil {
 			return err
 		}
 		if names[peer.Name] {
