Write one JSON object per command and check the page of the command line

Ruled out: writing errors only to standard error, because scripts need both sides of a conflict in a form that they can read.

Conclusion: the page lists every command, option, exit code and key of a declaration, and a test says so.

--- a/cmd/chivemast/common.go
+++ b/cmd/chivemast/common.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -51,19 +52,53 @@
 	}
 }
 
-// output writes a result as JSON, or as text by the given function.
+// resultKey is the key under which a command leaves its result for run, which
+// writes it as one JSON object together with the error, if any.
+const resultKey = "result"
+
+// output takes the result of a command: it is kept for run, or written as text
+// by the given function.
 func output(c *cli.Command, result any, text func(w io.Writer)) error {
-	if c.String("output") == outputJSON {
-		return writeJSON(c.Root().Writer, result)
+	if c.String("output") != outputJSON {
+		text(c.Root().Writer)
+		return nil
+	}
+	data, err := json.Marshal(result)
+	if err != nil {
+		return fmt.Errorf("encoding the result: %w", err)
 	}
-	text(c.Root().Writer)
+	c.Root().Metadata[resultKey] = json.RawMessage(data)
 	return nil
 }
 
-func writeJSON(w io.Writer, v any) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(v)
+// writeJSON writes a result, a JSON object or nothing, and an error as one
+// object. It writes nothing when there is neither, as for help.
+func writeJSON(w io.Writer, result json.RawMessage, failure error) error {
+	if failure != nil {
+		data, err := json.Marshal(describe(failure))
+		if err != nil {
+			return fmt.Errorf("encoding the error: %w", err)
+		}
+		fields := strings.TrimSuffix(string(result), "}")
+		switch fields {
+		case "":
+			fields = "{"
+		case "{":
+		default:
+			fields += ","
+		}
+		result = json.RawMessage(fields + `"error":` + string(data) + "}")
+	}
+	if result == nil {
+		return nil
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, result, "", "  "); err != nil {
+		return fmt.Errorf("formatting the result: %w", err)
+	}
+	indented.WriteByte('\n')
+	_, err := indented.WriteTo(w)
+	return err
 }
 
 // filesFlag takes declarations; further files may follow as arguments.
--- a/cmd/chivemast/main.go
+++ b/cmd/chivemast/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -30,12 +31,15 @@
 	root := newRoot()
 	root.Reader, root.Writer, root.ErrWriter = in, out, errOut
 	err := root.Run(ctx, args)
+	if root.String("output") == outputJSON {
+		result, _ := root.Metadata[resultKey].(json.RawMessage)
+		if writeErr := writeJSON(out, result, err); err == nil {
+			err = writeErr
+		}
+	}
 	if err == nil {
 		return int(exitOK)
 	}
-	if root.String("output") == outputJSON {
-		_ = writeJSON(out, map[string]any{"error": describe(err)})
-	}
 	fmt.Fprintf(errOut, "chivemast: %v\n", err)
 	if unknown, ok := errors.AsType[*platform.UnknownOutcomeError](err); ok {
 		fmt.Fprintf(errOut, "run \"chivemast get %s\" later: the write took effect if the change is %s\n", unknown.Key, unknown.ChangeID)
@@ -58,6 +62,7 @@
 			domainCommand(), upstreamCommand(), instanceCommand(), validateCommand(),
 		},
 		EnableShellCompletion: true,
+		Metadata:              map[string]any{},
 		// run maps errors to exit codes.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/cmd/chivemast/main_test.go
+++ b/cmd/chivemast/main_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/document"
 )
 
 // Guards against exit codes that scripts cannot tell apart.
@@ -191,7 +196,8 @@
 	require.Contains(t, out, "no answer")
 	_, out, _ = f.chivemast(t, "-o", "json", "status")
 	var status fleetStatus
-	require.NoError(t, json.NewDecoder(strings.NewReader(out)).Decode(&status))
+	require.NoError(t, json.Unmarshal([]byte(out), &status), "one JSON object")
+	require.Contains(t, out, `"error": {`)
 	require.Equal(t, []string{"silent"}, status.Silent)
 	require.Equal(t, []objectState{{Key: "teams/trentside", Version: 1, Behind: []string{"behind"}}}, status.Objects)
 	require.Equal(t, []domainState{{Name: "a", UnreachableFrom: []string{"behind"}}}, status.Domains)
@@ -259,6 +265,46 @@
 	require.Equal(t, []string{"joined"}, missing)
 }
 
+// Guards against a page that misses a command, an option, an exit code or a
+// key of a declaration.
+func TestPageIsComplete(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "cli.md"))
+	require.NoError(t, err)
+	lists := func(text string) {
+		require.True(t, strings.Contains(string(page), text), "%q is not in docs/cli.md", text)
+	}
+	var check func(path string, c *cli.Command)
+	check = func(path string, c *cli.Command) {
+		lists("`" + strings.TrimSpace(path))
+		for _, flag := range c.Flags {
+			lists("--" + flag.Names()[0])
+		}
+		for _, sub := range c.Commands {
+			check(path+sub.Name+" ", sub)
+		}
+	}
+	check("", newRoot())
+	for c := exitOK; c <= exitDifferent; c++ {
+		lists(fmt.Sprintf("\n| %d | %s |", c, c))
+	}
+	var keys func(prefix string, typ reflect.Type)
+	keys = func(prefix string, typ reflect.Type) {
+		for i := range typ.NumField() {
+			field := typ.Field(i)
+			path := prefix + document.FieldKey(field)
+			switch {
+			case field.Type.Kind() == reflect.Slice:
+				keys(path+"[].", field.Type.Elem())
+			case field.Type.Kind() == reflect.Struct && field.Type != reflect.TypeFor[netip.AddrPort]():
+				keys(path+".", field.Type)
+			default:
+				lists("\n| `" + path + "` |")
+			}
+		}
+	}
+	keys("", reflect.TypeFor[declare.Team]())
+}
+
 // Guards against panics on stored values that are not what their key says.
 func FuzzValueJSON(f *testing.F) {
 	f.Add("teams/a", []byte(`{"name": "a"}`))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,7 @@
 		{"limit", "{" + required + `, "limits": {"lease_duration_ms": 999}}`, document.OutOfRange, "limits.lease_duration_ms", "1000 to 60000"},
 		{"zero limit", "{" + required + `, "limits": {"heartbeat_peers": 0}}`, document.OutOfRange, "limits.heartbeat_peers", "2 to 64"},
 		{"relation", "{" + required + `, "limits": {"heartbeat_interval_ms": 2000}}`, document.OutOfRange, "limits.suspect_timeout_ms", "twice"},
+		{"relation of the lease", "{" + required + `, "limits": {"heartbeat_interval_ms": 600, "lease_duration_ms": 1000}}`, document.OutOfRange, "limits.lease_duration_ms", "twice"},
 		{"unknown limit", "{" + required + `, "limits": {"lease_ms": 1}}`, document.UnknownKey, "limits.lease_ms", ""},
 	}
 	for _, test := range tests {
