Keep confirmations of earlier rounds while waiting for instances

Ruled out: leaving the last round out of the result, because it may be the only one.

Conclusion: an instance that has confirmed stays confirmed, because revisions in force never go back.

--- a/cmd/chivemast/status.go
+++ b/cmd/chivemast/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -165,13 +166,16 @@
 }
 
 // waitForRevision asks all instances until each has a revision in force. It
-// fails with *unconfirmedError and returns who has confirmed.
+// fails with *unconfirmedError and returns who has confirmed. Revisions in
+// force never go back, so that a confirmation stays valid in later rounds; the
+// last round may be cut short by the time limit.
 func waitForRevision(ctx context.Context, c *cli.Command, client *platform.Client, revision uint64) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("wait-timeout"))
 	defer cancel()
 	var instances *fleet
 	var listedAt time.Time
 	var confirmed, missing []string
+	done := map[string]bool{}
 	for {
 		if time.Since(listedAt) > listInterval {
 			if listed, err := listFleet(ctx, c, client); err == nil {
@@ -180,6 +184,11 @@
 		}
 		if instances != nil {
 			confirmed, missing = instances.confirmations(instances.ask(ctx), revision)
+			for _, name := range confirmed {
+				done[name] = true
+			}
+			confirmed = slices.Sorted(maps.Keys(done))
+			missing = slices.DeleteFunc(missing, func(name string) bool { return done[name] })
 			if len(missing) == 0 {
 				return confirmed, nil
 			}
