--- a/cmd/chivemast/exit.go
+++ b/cmd/chivemast/exit.go
@@ -27,8 +27,9 @@
 	exitUnavailable code = 5
 	// exitUnknown: the change may or may not have taken effect.
 	exitUnknown code = 6
-	// exitUnconfirmed: instances did not answer or do not have the revision
-	// in force; a change itself was accepted.
+	// exitUnconfirmed: a change was accepted, but instances did not answer or
+	// do not have it in force, or a check after it failed. Also a status with
+	// such instances.
 	exitUnconfirmed code = 7
 	// exitDifferent: diff --exit-code found differences.
 	exitDifferent code = 8
@@ -62,15 +63,26 @@
 	Expected uint64
 	Version  uint64
 	ChangeID string
-	Yours    []declare.Change
-	Theirs   []declare.Change
+	// Yours is relative to the version that this command was based on, and so
+	// is Theirs, if that version is known.
+	Yours       []declare.Change
+	Theirs      []declare.Change
+	TheirsKnown bool
 }
 
 func (e *changeConflictError) Error() string {
-	return fmt.Sprintf("%s: expected version %d, found version %d by change %s\nyour change:\n%sthe other change:\n%srun diff and apply again",
-		e.Key, e.Expected, e.Version, e.ChangeID, formatChanges(e.Yours), formatChanges(e.Theirs))
+	theirs := fmt.Sprintf("  (not known, because version %d is not stored any more; yours is relative to version %d)\n", e.Expected, e.Version)
+	if e.TheirsKnown {
+		theirs = formatChanges(e.Theirs)
+	}
+	return fmt.Sprintf("%s: expected version %d, found version %d by change %s; nothing was changed\nyour change:\n%sthe other change:\n%sread the new version and decide again",
+		e.Key, e.Expected, e.Version, e.ChangeID, formatChanges(e.Yours), theirs)
 }
 
+// maxShownConflicts keeps the message on one screen when a whole file was
+// applied under another team's name.
+const maxShownConflicts = 10
+
 // addressConflictError lists addresses that another team uses.
 type addressConflictError struct {
 	Conflicts []*declare.ConflictError
@@ -84,26 +96,45 @@
 	if e.Accepted {
 		text = "address conflict with a change made at the same time; both changes are stored, and the later one gets no traffic for these addresses"
 	}
-	for _, conflict := range e.Conflicts {
+	shown := e.Conflicts[:min(len(e.Conflicts), maxShownConflicts)]
+	for _, conflict := range shown {
 		text += "\n  " + conflict.Error()
 	}
+	if more := len(e.Conflicts) - len(shown); more > 0 {
+		text += fmt.Sprintf("\n  and %d more", more)
+	}
 	return text
 }
 
+// uncheckedError says that a change was accepted, but that the check for
+// address conflicts after the write failed.
+type uncheckedError struct{ Err error }
+
+func (e *uncheckedError) Error() string {
+	return fmt.Sprintf("the change was accepted, but address conflicts could not be checked: %v", e.Err)
+}
+
+func (e *uncheckedError) Unwrap() error { return e.Err }
+
 // unconfirmedError lists instances that did not confirm a revision.
 type unconfirmedError struct {
 	Revision  uint64
 	Instances []string
+	// Unlisted says that not even the list of instances could be read.
+	Unlisted bool
 }
 
 func (e *unconfirmedError) Error() string {
+	if e.Unlisted {
+		return fmt.Sprintf("the list of instances could not be read, so that revision %d is not confirmed", e.Revision)
+	}
 	return fmt.Sprintf("%d instances have not confirmed revision %d: %v", len(e.Instances), e.Revision, e.Instances)
 }
 
 // differentError says that diff found differences.
 type differentError struct{ Changes int }
 
-func (e *differentError) Error() string { return fmt.Sprintf("%d differences", e.Changes) }
+func (e *differentError) Error() string { return fmt.Sprintf("differences: %d", e.Changes) }
 
 // codeOf maps an error to its exit code.
 func codeOf(err error) code {
@@ -112,7 +143,7 @@
 		return exitOK
 	case is[*usageError](err):
 		return exitUsage
-	case is[*unconfirmedError](err):
+	case is[*unconfirmedError](err), is[*uncheckedError](err):
 		return exitUnconfirmed
 	case is[*differentError](err):
 		return exitDifferent
@@ -124,10 +155,10 @@
 		return exitUnknown
 	}
 	var call *platform.CallError
-	if errors.As(err, &call) && call.Outcome != platform.OutcomeRejected {
-		return exitUnavailable
+	if !errors.As(err, &call) || call.Outcome == platform.OutcomeRejected || call.Outcome == platform.OutcomeCancelled {
+		return exitFailure
 	}
-	return exitFailure
+	return exitUnavailable
 }
 
 func is[T error](err error) bool {
@@ -140,6 +171,9 @@
 	Code     code             `json:"code"`
 	Kind     string           `json:"kind"`
 	Message  string           `json:"message"`
+	File     string           `json:"file,omitempty"`
+	Path     string           `json:"path,omitempty"`
+	Line     int              `json:"line,omitempty"`
 	Yours    []declare.Change `json:"yours,omitempty"`
 	Theirs   []declare.Change `json:"theirs,omitempty"`
 	ChangeID string           `json:"change_id,omitempty"`
@@ -147,6 +181,9 @@
 
 func describe(err error) description {
 	d := description{Code: codeOf(err), Kind: codeOf(err).String(), Message: err.Error()}
+	if fault, ok := errors.AsType[*document.Error](err); ok {
+		d.File, d.Path, d.Line = fault.Source, fault.Path, fault.Line
+	}
 	if conflict, ok := errors.AsType[*changeConflictError](err); ok {
 		d.Yours, d.Theirs, d.ChangeID = conflict.Yours, conflict.Theirs, conflict.ChangeID
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,9 +19,9 @@
 	"github.com/chivemast/chivemast/internal/action"
 )
 
-// maxMessage bounds an answer of the platform: 300 services with tables of at
+// MaxMessage bounds an answer of the platform: 300 services with tables of at
 // most 16 KB each, with room for growth.
-const maxMessage = 16 << 20
+const MaxMessage = 16 << 20
 
 // Client is a client of the object API. The synchronous methods may be called
 // at any time; Do and Events need Run.
@@ -30,6 +32,7 @@
 	limiters  map[Call]*rate.Limiter
 	backoffs  map[Call]*backoff
 	calls     metric.Int64Counter
+	watching  metric.Int64UpDownCounter
 
 	events    chan action.PlatformEvent
 	reads     chan action.ReadObjects
@@ -46,8 +49,14 @@
 	if err != nil {
 		return nil, &CallError{Outcome: OutcomeRejected, Err: err}
 	}
+	watching, err := cfg.Meter.Int64UpDownCounter("chivemast.platform.watches",
+		metric.WithDescription("Open watches. chivemast.platform.calls counts a watch when it ends."))
+	if err != nil {
+		return nil, &CallError{Outcome: OutcomeRejected, Err: err}
+	}
 	c := &Client{
 		cfg:       cfg,
+		watching:  watching,
 		transport: newTransport(),
 		limiters:  map[Call]*rate.Limiter{},
 		backoffs:  map[Call]*backoff{},
@@ -66,7 +75,7 @@
 		c.backoffs[call] = &backoff{base: cfg.BackoffBase, limit: cfg.BackoffMax}
 	}
 	c.api = chivemastv1connect.NewObjectServiceClient(&http.Client{Transport: c.transport}, cfg.URL,
-		connect.WithReadMaxBytes(maxMessage))
+		connect.WithReadMaxBytes(MaxMessage))
 	return c, nil
 }
 
@@ -90,11 +99,21 @@
 func (c *Client) call(parent context.Context, kind Call, key string, do func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(parent, c.cfg.CallTimeout)
 	defer cancel()
+	ctx, sent := traceSent(ctx)
 	err := c.admit(ctx, kind)
 	if err == nil {
 		err = do(ctx)
 	}
-	return c.finish(parent, kind, key, err)
+	return c.finish(parent, kind, key, sent.Load(), err)
+}
+
+// traceSent tells whether the call of a context got a connection. Without
+// one, nothing was sent, so that a failed write did not take effect.
+func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
+	sent := &atomic.Bool{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}), sent
 }
 
 // admit waits for the budget of a kind.
@@ -106,8 +125,8 @@
 }
 
 // finish counts a call, records it for the backoff and types its error.
-func (c *Client) finish(parent context.Context, kind Call, key string, err error) error {
-	outcome := classify(parent, err)
+func (c *Client) finish(parent context.Context, kind Call, key string, sent bool, err error) error {
+	outcome := classify(parent, sent, err)
 	c.calls.Add(context.WithoutCancel(parent), 1, metric.WithAttributes(
 		attribute.String("kind", string(kind)), attribute.String("outcome", string(outcome))))
 	switch outcome {
@@ -120,7 +139,7 @@
 	if err == nil {
 		return nil
 	}
-	return &CallError{Call: kind, Key: key, Outcome: outcome, Err: err}
+	return &CallError{Call: kind, Key: key, Outcome: outcome, Sent: sent, Err: err}
 }
 
 // Get reads one object; nil when the key was never written. The revision is
@@ -170,6 +189,15 @@
 	}
 }
 
+// RetryInstances is Instances, repeated until ctx ends.
+func (c *Client) RetryInstances(ctx context.Context) (instances []*pb.InstanceInfo, err error) {
+	err = c.retry(ctx, CallInstances, func() (err error) {
+		instances, err = c.Instances(ctx)
+		return err
+	})
+	return instances, err
+}
+
 // RetryGet is Get, repeated until ctx ends.
 func (c *Client) RetryGet(ctx context.Context, key string) (object *pb.Object, revision uint64, err error) {
 	err = c.retry(ctx, CallGet, func() (err error) {
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -28,36 +28,31 @@
 // go back, so that at most one of the copies can take effect.
 //
 // It fails with *ConflictError, *UnknownOutcomeError, or, when the write did
-// not take effect, *CallError.
+// not take effect, *CallError or *ObjectSizeError.
 func (c *Client) Put(parent context.Context, w Write) (*pb.Object, error) {
+	if len(w.Value) > MaxObject {
+		return nil, &ObjectSizeError{Key: w.Key, Size: len(w.Value)}
+	}
 	ctx, cancel := context.WithTimeout(parent, c.cfg.WriteTimeout)
 	defer cancel()
 	sent := false
 	for {
 		object, err := c.put(ctx, w)
 		var failed *CallError
-		if err == nil {
-			return object, nil
-		}
 		if !errors.As(err, &failed) {
-			return nil, err
+			return object, err
 		}
-		switch failed.Outcome {
-		case OutcomeRejected:
-			if !sent {
-				return nil, err
-			}
-		case OutcomeUnreachable, OutcomeBudget:
-		case OutcomeConflict:
-			if !sent {
-				return c.conflict(ctx, w)
-			}
-		default:
-			sent = true
+		answered := failed.Outcome == OutcomeRejected || failed.Outcome == OutcomeConflict
+		switch {
+		case sent:
+		case failed.Outcome == OutcomeRejected:
+			return nil, err
+		case failed.Outcome == OutcomeConflict:
+			return c.conflict(ctx, w)
 		}
+		sent = sent || (failed.Sent && !answered)
 		if sent {
-			stored, settled, resolveErr := c.resolve(ctx, w)
-			if settled {
+			if stored, settled, resolveErr := c.resolve(ctx, w); settled {
 				return stored, resolveErr
 			}
 		}
@@ -81,8 +76,9 @@
 	return object, err
 }
 
-// conflict reads the object that a write conflicts with. The network may
-// have delivered the write twice, so that it conflicts with itself.
+// conflict reads the object that a write conflicts with; the object is nil in
+// the error when it could not be read. The network may have delivered the
+// write twice, so that it conflicts with itself.
 func (c *Client) conflict(ctx context.Context, w Write) (*pb.Object, error) {
 	current, _, err := c.RetryGet(ctx, w.Key)
 	switch {
