--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -9,9 +9,6 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
-	"github.com/chivemast/chivemast/internal/platform"
-	"github.com/chivemast/chivemast/internal/settings"
-	"github.com/chivemast/chivemast/internal/telemetry"
 )
 
 const adminHeaderTimeout = 5 * time.Second
@@ -70,24 +67,3 @@
 func (a adminServer) Status(ctx context.Context, _ *pb.StatusRequest) (*pb.StatusResponse, error) {
 	return a.daemon.requestStatus(ctx)
 }
-
-func platformConfig(s *settings.Settings, metrics *telemetry.Metrics) platform.Config {
-	l := s.Limits
-	perMinute := func(n int) platform.Budget {
-		return platform.Budget{PerSecond: rateOf(n), Burst: max(1, n/6)}
-	}
-	return platform.Config{
-		URL:          s.PlatformURL,
-		CallTimeout:  l.PlatformCallTimeoutMS.Duration(),
-		WriteTimeout: l.PlatformWriteTimeoutMS.Duration(),
-		BackoffMax:   l.PlatformBackoffMaxMS.Duration(),
-		WatchSilence: l.PlatformWatchSilenceMS.Duration(),
-		Budgets: map[platform.Call]platform.Budget{
-			platform.CallList:      perMinute(l.PlatformReadsPerMinute),
-			platform.CallInstances: perMinute(l.PlatformReadsPerMinute),
-			platform.CallPut:       perMinute(l.PlatformWritesPerMinute),
-			platform.CallWatch:     perMinute(l.PlatformWatchesPerMinute),
-		},
-		Meter: metrics.Meter(),
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,7 @@
 	if d.admin, err = net.Listen("tcp", s.AdminAddress.String()); err != nil {
 		return &ListenError{Address: s.AdminAddress, Err: err}
 	}
-	if d.platform, err = platform.New(platformConfig(s, d.metrics)); err != nil {
+	if d.platform, err = platform.New(platform.FromSettings(s, d.metrics.Meter())); err != nil {
 		return fmt.Errorf("platform client: %w", err)
 	}
 	d.probes = newProber(d.results)
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/sirupsen/logrus"
-	"golang.org/x/time/rate"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/telemetry"
@@ -30,5 +29,3 @@
 	o.daemon.metrics.InvalidObject()
 	o.daemon.log.WithFields(logrus.Fields{"event": "object_invalid", "error": err}).Warn("object not put in force")
 }
-
-func rateOf(perMinute int) rate.Limit { return rate.Limit(float64(perMinute) / 60) }
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -81,7 +81,6 @@
 	// samples holds, per second, the control bytes of the mean instance so
 	// far.
 	samples  []float64
-	changes  []time.Time
 	inForce  []time.Duration
 	accepted map[uint64]time.Time
 }
