Let an OPEN wait for an upstream instead of refusing it at once

Cause: during changes an OPEN was refused although an upstream was ready within a few hundred milliseconds: its failure domain had just been taken out and the new table was under way, or the instance had just started and knew neither services nor warm upstreams. An instance without configuration refused every service as unknown.

Ruled out: faster table writes; the table is written within 100 ms of the change, and the refusals came before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,11 +100,8 @@
 	slots          *pb.SlotTable
 
 	// held maps the tracker's tickets to the packets that wait.
-	held map[uint64]heldPacket
-	// awaiting holds OPENs that wait for a credit, awaitOrder their order.
-	awaiting                 map[flow.Key]awaitingOpen
-	awaitOrder               []flow.Key
-	retryingOpens, stillCold bool
+	held  map[uint64]heldPacket
+	opens openQueue
 	// behind holds redirected packets whose sender has a newer revision.
 	behind     []behindPacket
 	nextReport time.Time
@@ -133,7 +130,7 @@
 		byAddress:  map[netip.AddrPort]*service{},
 		byUpstream: map[netip.AddrPort]*upstream{},
 		held:       map[uint64]heldPacket{},
-		awaiting:   map[flow.Key]awaitingOpen{},
+		opens:      openQueue{entries: map[flow.Key]waitingOpen{}},
 	}
 	cfg.Domain.OwnDomain = cfg.Self.FailureDomain
 	n.domains = domain.New(cfg.Domain, cfg.Self.Name)
@@ -186,12 +183,16 @@
 	actions, releases := n.tracker.Tick(now, n.view)
 	out = append(out, actions...)
 	out = append(out, n.release(releases)...)
-	out = append(out, n.retryBehind(now)...)
-	out = append(out, n.retryOpens()...)
+	out = append(out, n.retryWaiting(now)...)
 	out = append(out, n.route(n.engine.Tick(now))...)
 	return append(out, n.writeTables(now)...)
 }
 
+// retryWaiting decides packets again that wait for configuration or credits.
+func (n *Node) retryWaiting(now time.Time) []action.Action {
+	return append(n.retryBehind(now), n.retryOpens()...)
+}
+
 // NextDue returns when Tick is due before the next TickInterval; zero when it
 // is not.
 func (n *Node) NextDue() time.Time {
@@ -230,7 +231,7 @@
 	}
 	n.adopt(changed)
 	n.advance(now)
-	return append(out, n.retryBehind(now)...)
+	return append(out, n.retryWaiting(now)...)
 }
 
 // HandlePeer takes a message of another instance.
@@ -266,7 +267,7 @@
 		changed, out := n.sync.HandlePush(now, m.GetFrom(), body.ObjectPush)
 		n.adopt(changed)
 		n.advance(now)
-		return append(out, n.retryBehind(now)...)
+		return append(out, n.retryWaiting(now)...)
 	case *pb.PeerMessage_ObjectPull:
 		return n.sync.HandlePull(now, m.GetFrom(), body.ObjectPull)
 	case *pb.PeerMessage_SlotHandover:
--- a/internal/node/packet.go
+++ b/internal/node/packet.go
@@ -58,6 +58,9 @@
 		n.observer.Dropped(DropMalformed)
 		return nil
 	}
+	if !n.sync.Ready() {
+		return n.passOn(p, hops)
+	}
 	s := n.byAddress[key.Service]
 	if s == nil {
 		return n.refuse(p, n.unknownServiceReason(key))
@@ -73,6 +76,22 @@
 	return n.forward(s, p, key, hops, revision)
 }
 
+// passOn hands a packet to another instance while this one has no
+// configuration to decide by.
+func (n *Node) passOn(p *pb.Packet, hops uint32) []action.Action {
+	if hops >= placement.MaxHops {
+		n.observer.Dropped(DropTooManyHops)
+		return nil
+	}
+	for _, m := range n.view.Rank(flow.NameHash(n.self.Name)) {
+		if m.Name != n.self.Name && m.Ready {
+			return n.redirect(m.Name, p, hops+1)
+		}
+	}
+	n.observer.Dropped(string(placement.DropNotSynchronized))
+	return nil
+}
+
 func (n *Node) unknownServiceReason(key flow.Key) pb.RefusalReason {
 	for _, s := range n.services {
 		if s.conflicting && s.declared.Address == key.Service {
@@ -123,27 +142,17 @@
 	return n.drop(s, p, key, d.Reason)
 }
 
-// drop counts a dropped packet and tells the caller when that helps: an OPEN
-// gets a refusal, any other packet is retransmitted by the caller.
+// drop counts a dropped packet. An OPEN may wait; the caller is told when its
+// flow was given up, and retransmits any other packet.
 func (n *Node) drop(s *service, p *pb.Packet, key flow.Key, reason placement.DropReason) []action.Action {
-	if reason == placement.DropNoUpstream && p.GetKind() == pb.PacketKind_PACKET_KIND_OPEN && n.coldOwner(s, key) {
-		return n.awaitCredit(s, p, key)
+	if mayWait(p, reason) {
+		return n.awaitUpstream(s, p, key, reason)
 	}
 	n.observer.Dropped(string(reason))
-	switch {
-	case reason == placement.DropDomainOut:
+	if reason == placement.DropDomainOut {
 		return n.refuse(p, pb.RefusalReason_REFUSAL_REASON_DOMAIN_OUT)
-	case p.GetKind() != pb.PacketKind_PACKET_KIND_OPEN:
-		return nil
-	case reason != placement.DropNoUpstream:
-		return nil
 	}
-	return n.refuse(p, pb.RefusalReason_REFUSAL_REASON_NO_UPSTREAM)
-}
-
-func (n *Node) coldOwner(s *service, key flow.Key) bool {
-	u := s.upstreams[s.table.Lookup(key.Hash()).Owner]
-	return u != nil && !n.credits.Warm(u.name) && n.health.State(u.name) != health.Dead
+	return nil
 }
 
 // send sends a packet to an upstream if its failure domain may receive any.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -142,7 +142,7 @@
 	if s == nil || s.table == nil {
 		return false
 	}
-	return s.table.Lookup(key.Hash()).InTransition || !n.tracker.Ready(n.now, n.view)
+	return s.table.Lookup(key.Hash()).InTransition || n.stale() || !n.tracker.Ready(n.now, n.view)
 }
 
 // slotsView shows the lease slots to admission.
