Measure a drain at 27,000 new flows/s; move the buckets of a dead upstream sooner

Cause: the targets for control traffic hold for thousands of new flows/s at each instance, and the scenarios ran 222/s. Buckets of a dead upstream moved 3 s after its detection, which itself takes three failed probes.

The wait for a dead upstream is now 1 s; a restart that is noticed as dead takes longer than that.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -43,6 +43,9 @@
 	var jobs []*job
 	for _, s := range measure.Scenarios() {
 		for _, p := range measure.Policies() {
+			if s.OnlyProduct && p != measure.PolicyChivemast {
+				continue
+			}
 			if strings.Contains(s.Name, cmd.String("scenario")) && (cmd.String("policy") == "" || cmd.String("policy") == p) {
 				jobs = append(jobs, &job{scenario: s, policy: p})
 			}
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -18,6 +18,8 @@
 	Script func(w *World)
 	// Prepare changes the options.
 	Prepare func(opt *Options)
+	// OnlyProduct: the baselines are left out, because the run is long.
+	OnlyProduct bool
 	// Planned: the scenario has only planned changes, so that no flow may
 	// break.
 	Planned bool
@@ -31,6 +33,10 @@
 			w.At(10*time.Second, func() { w.Drain(0, 0, 2, true) })
 			w.At(30*time.Second, func() { w.Drain(0, 0, 2, false) })
 		}},
+		// 3,000 new flows/s at each of nine instances, the rate of today.
+		{Name: "drain_full_rate", Planned: true, OnlyProduct: true, Prepare: fullRate, Script: func(w *World) {
+			w.At(8*time.Second, func() { w.Drain(0, 0, 2, true) })
+		}},
 		{Name: "remove", Planned: true, Script: func(w *World) {
 			w.At(10*time.Second, func() {
 				w.Change(0, func(t *declare.Team) {
@@ -94,6 +100,16 @@
 	}
 }
 
+// fullRate loads one service with 27,000 new flows/s.
+func fullRate(opt *Options) {
+	opt.Load.Services = opt.Load.Services[:1]
+	opt.Load.OpensPerSecond = 27_000
+	opt.Load.Duration = 22 * time.Second
+	opt.Load.MaxFlows, opt.Load.MaxPackets = 1_000_000, 20_000_000
+	opt.Load.FlowLifetime = 2 * time.Second
+	opt.Teams[0].Services[0].ColdStart.SustainableOpensPerSecond = 20_000
+}
+
 // longRun gives nine restarts, one after the other, the time that they take.
 func longRun(opt *Options) {
 	opt.Load.Duration = 100 * time.Second
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -33,7 +33,7 @@
 const (
 	// deadLimit is how long an upstream has to be dead before its buckets
 	// move; a restart that is quicker moves none.
-	deadLimit = 3 * time.Second
+	deadLimit = time.Second
 	// settleInterval is the time between two changes by which an instance
 	// reports the buckets that it tracked to their end. It is long because a
 	// settled bucket that still counts as in transition only costs a redirect,
