Test membership, configuration sync and leases in virtual time

Cause: the three packages had no tests.

Ruled out: a check of tenures at fixed times, which can miss a short overlap. Tenures begin and are extended in Tick only, so the check runs after each Tick.

--- /dev/null
+++ b/internal/lease/sim_test.go
@@ -0,0 +1,332 @@
+package lease_test
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/configsync"
+	"github.com/chivemast/chivemast/internal/flow"
+	"github.com/chivemast/chivemast/internal/lease"
+	"github.com/chivemast/chivemast/internal/membership"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+)
+
+var errLost = errors.New("connection lost")
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// grantPolicy wraps the membership that an instance's leases see. A broken
+// one shows that the check finds its violation.
+type grantPolicy func(lease.Grants) lease.Grants
+
+// world is a set of instances with their own clocks, a network and a
+// platform, in virtual true time.
+type world struct {
+	rng       *rand.Rand
+	now       time.Duration
+	events    eventHeap
+	seq       int
+	insts     []*inst
+	policy    grantPolicy
+	violation error
+
+	cut      map[[2]string]bool
+	loss     float64
+	maxDelay time.Duration
+
+	platformDown, loseAnswers bool
+	objects                   map[string]*pb.Object
+	revision                  uint64
+	bytes                     int
+}
+
+type inst struct {
+	w            *world
+	self         membership.Member
+	rate         float64
+	offset       time.Duration
+	mem          *membership.Membership
+	sync         *configsync.Sync
+	leases       *lease.Leases
+	run          int // number of this run; events of earlier runs are dropped
+	dead, frozen bool
+	releasing    bool
+	inbox        []func()
+	watchSent    uint64
+	watching     bool
+	progressAt   time.Duration
+	seenVersion  map[string]uint64
+}
+
+func newWorld(n int, seed uint64, policy grantPolicy) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), policy: policy, cut: map[[2]string]bool{},
+		objects: map[string]*pb.Object{},
+	}
+	for k := range n {
+		w.insts = append(w.insts, &inst{w: w, self: membership.Member{
+			Name: fmt.Sprintf("node-%02d", k+1), FailureDomain: fmt.Sprintf("d%d", k%4),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(k + 1)}), 7000),
+		}})
+	}
+	for _, x := range w.insts {
+		x.offset = time.Duration(w.rng.Int64N(int64(time.Minute)))
+		x.rate = 0.99 + 0.02*w.rng.Float64()
+		x.start()
+	}
+	return w
+}
+
+// start begins a run with no state and a new incarnation.
+func (x *inst) start() {
+	x.run++
+	x.dead, x.frozen, x.releasing, x.watching, x.inbox = false, false, false, false, nil
+	x.self.Incarnation = uint64(x.clock().UnixNano()) + uint64(x.run)
+	var peers []membership.Member
+	var names []string
+	for _, o := range x.w.insts {
+		peers, names = append(peers, o.self), append(names, o.self.Name)
+	}
+	rng := rand.New(rand.NewPCG(x.w.rng.Uint64(), 2))
+	x.mem = membership.New(membership.Config{Peers: peers}, x.self, rng)
+	x.sync = configsync.New(configsync.Config{Peers: names}, x.self.Name, rng)
+	x.leases = lease.New(lease.Config{}, x.self, rng)
+	x.seenVersion = map[string]uint64{}
+	x.tick()
+}
+
+// clock is the local clock of the instance.
+func (x *inst) clock() time.Time {
+	return time.Unix(1_000_000, 0).Add(x.offset + time.Duration(float64(x.w.now)*x.rate))
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, do: do})
+}
+
+// deliver runs an event at an instance after d, in this run of it only. A
+// frozen instance gets it when it resumes.
+func (x *inst) deliver(d time.Duration, do func()) {
+	run := x.run
+	x.w.after(d, func() {
+		switch {
+		case x.run != run || x.dead:
+		case x.frozen:
+			x.inbox = append(x.inbox, do)
+		default:
+			do()
+		}
+	})
+}
+
+func (w *world) advance(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end && w.violation == nil {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (x *inst) tick() {
+	x.deliver(100*time.Millisecond, x.tick)
+	now := x.clock()
+	x.mem.SetLocal(x.sync.Revision(), x.sync.ConfirmedAt(), x.sync.Ready(), x.releasing)
+	x.mem.SetPartners(x.leases.Partners())
+	view := x.mem.View(now)
+	x.do(x.mem.Tick(now))
+	x.do(x.sync.Tick(now, view))
+	x.do(x.leases.Tick(now, view, x.grants()))
+	x.w.checkTenures(x)
+	x.pollWatch()
+}
+
+func (x *inst) grants() lease.Grants {
+	if x.w.policy != nil {
+		return x.w.policy(x.mem)
+	}
+	return x.mem
+}
+
+// checkTenures finds two instances that may act for one slot at this moment.
+// Tenures begin and are extended in Tick only, so a check after each Tick
+// misses none.
+func (w *world) checkTenures(x *inst) {
+	for slot := range flow.LeaseSlots {
+		if _, ok := x.leases.Tenure(slot, x.clock()); !ok {
+			continue
+		}
+		for _, o := range w.insts {
+			if _, ok := o.leases.Tenure(slot, o.clock()); ok && o != x && !o.dead && w.violation == nil {
+				w.violation = fmt.Errorf("slot %d: %s and %s both have a tenure at %v",
+					slot, x.self.Name, o.self.Name, w.now)
+			}
+		}
+	}
+}
+
+func (x *inst) adopt(changed []*pb.Object, actions []action.Action) {
+	for _, o := range changed {
+		if o.GetVersion() <= x.seenVersion[o.GetKey()] && x.w.violation == nil {
+			x.w.violation = fmt.Errorf("%s: %s went back to version %d", x.self.Name, o.GetKey(), o.GetVersion())
+		}
+		x.seenVersion[o.GetKey()] = o.GetVersion()
+		if o.GetKey() == lease.Key {
+			table := &pb.SlotTable{}
+			if err := proto.Unmarshal(o.GetValue(), table); err != nil {
+				panic(err)
+			}
+			x.leases.Adopt(x.clock(), table, o.GetVersion(), o.GetRevision())
+		}
+	}
+	x.do(actions)
+}
+
+func (x *inst) handlePeer(m *pb.PeerMessage) {
+	now, from := x.clock(), m.GetFrom()
+	switch body := m.GetBody().(type) {
+	case *pb.PeerMessage_Heartbeat:
+		x.do(x.mem.HandleHeartbeat(now, from, m.GetIncarnation(), body.Heartbeat))
+	case *pb.PeerMessage_ObjectPush:
+		x.adopt(x.sync.HandlePush(now, from, body.ObjectPush))
+	case *pb.PeerMessage_ObjectPull:
+		x.do(x.sync.HandlePull(now, from, body.ObjectPull))
+	case *pb.PeerMessage_SlotHandover:
+		x.leases.HandleHandover(from, m.GetIncarnation(), body.SlotHandover.GetSlots())
+	}
+}
+
+func (x *inst) do(actions []action.Action) {
+	w := x.w
+	for _, a := range actions {
+		switch a := a.(type) {
+		case action.SendPeer:
+			w.bytes += proto.Size(a.Message)
+			for _, o := range w.insts {
+				if o.self.Name == a.Instance && !w.cut[[2]string{x.self.Name, o.self.Name}] && w.rng.Float64() >= w.loss {
+					m := proto.Clone(a.Message).(*pb.PeerMessage)
+					o.deliver(w.delay(), func() { o.handlePeer(m) })
+				}
+			}
+		case action.ReadObjects:
+			x.read(a)
+		case action.WatchObjects:
+			x.watching, x.watchSent, x.progressAt = true, a.Since, w.now
+		case action.StopWatch:
+			x.watching = false
+		case action.WriteObject:
+			x.write(a)
+		}
+	}
+}
+
+func (w *world) delay() time.Duration {
+	return 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(max(w.maxDelay, 3*time.Millisecond))))
+}
+
+func (w *world) reaches(x *inst) bool {
+	return !w.platformDown && !w.cut[[2]string{x.self.Name, "platform"}]
+}
+
+func (w *world) since(revision uint64) []*pb.Object {
+	var out []*pb.Object
+	for _, o := range w.objects {
+		if o.GetRevision() > revision {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (x *inst) read(a action.ReadObjects) {
+	if !x.w.reaches(x) {
+		x.deliver(time.Second, func() { x.sync.HandleReadFailed(x.clock(), errLost) })
+		return
+	}
+	objects, revision := x.w.since(a.Since), x.w.revision
+	x.deliver(x.w.delay(), func() { x.adopt(x.sync.HandleRead(x.clock(), objects, revision)) })
+}
+
+// pollWatch delivers changes and progress of the watch.
+func (x *inst) pollWatch() {
+	w := x.w
+	switch {
+	case !x.watching:
+	case !w.reaches(x):
+		x.watching = false
+		x.deliver(time.Millisecond, func() { x.do(x.sync.HandleWatchLost(x.clock(), errLost)) })
+	case w.revision > x.watchSent || w.now-x.progressAt >= time.Second:
+		objects, revision := w.since(x.watchSent), w.revision
+		x.watchSent, x.progressAt = revision, w.now
+		x.deliver(2*time.Millisecond, func() { x.adopt(x.sync.HandleWatch(x.clock(), objects, revision)) })
+	}
+}
+
+// write carries out a conditional write. With loseAnswers, the write takes
+// effect late or never, and the writer is told that the outcome is unknown.
+func (x *inst) write(a action.WriteObject) {
+	w := x.w
+	result := func(outcome action.WriteOutcome, o *pb.Object) {
+		x.do(x.leases.HandleWriteResult(x.clock(), action.WriteResult{
+			Key: a.Key, ChangeID: a.ChangeID, Outcome: outcome, Object: o,
+		}))
+	}
+	switch {
+	case w.loseAnswers && w.rng.IntN(2) == 0:
+		if w.rng.IntN(3) > 0 {
+			w.after(time.Duration(w.rng.Int64N(int64(8*time.Second))), func() { w.put(a) })
+		}
+		x.deliver(time.Second, func() { result(action.WriteUnknown, nil) })
+	case !w.reaches(x):
+		x.deliver(time.Second, func() { result(action.WriteFailed, nil) })
+	default:
+		run := x.run
+		w.after(w.delay(), func() {
+			outcome, o := w.put(a)
+			if x.run == run {
+				x.deliver(w.delay(), func() { result(outcome, o) })
+			}
+		})
+	}
+}
+
+func (w *world) put(a action.WriteObject) (action.WriteOutcome, *pb.Object) {
+	old := w.objects[a.Key]
+	if old.GetVersion() != a.Expected {
+		return action.WriteConflict, old
+	}
+	w.revision++
+	w.objects[a.Key] = &pb.Object{
+		Key: a.Key, Value: a.Value, Version: a.Expected + 1, Revision: w.revision, ChangeId: a.ChangeID,
+	}
+	return action.WriteApplied, w.objects[a.Key]
+}
