Compress tables and the slot table with one codec

Cause: the slot table of 2.9 KB went to every instance at each change of a lease. Names and incarnations repeat in it. The command line could not show compressed tables.

Ruled out: compressing every message; heartbeats and births are too small to gain.

--- a/cmd/chivemast/read.go
+++ b/cmd/chivemast/read.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/platform"
 	"github.com/chivemast/chivemast/internal/settings"
@@ -151,6 +152,7 @@
 // other values become base64 strings.
 func valueJSON(object *pb.Object) (json.RawMessage, error) {
 	var message proto.Message
+	decode := codec.Decode
 	kind, _, _ := strings.Cut(object.GetKey(), "/")
 	switch {
 	case object.GetDeleted():
@@ -159,6 +161,7 @@
 		return object.GetValue(), nil
 	case kind == "domains":
 		message = &pb.DomainState{}
+		decode = proto.Unmarshal
 	case kind == "tables":
 		message = &pb.ServiceTable{}
 	case kind == "slots":
@@ -166,7 +169,7 @@
 	default:
 		return json.Marshal(object.GetValue())
 	}
-	if err := proto.Unmarshal(object.GetValue(), message); err != nil {
+	if err := decode(object.GetValue(), message); err != nil {
 		return nil, fmt.Errorf("value of %s: %w", object.GetKey(), err)
 	}
 	return protojson.MarshalOptions{EmitUnpopulated: true, UseProtoNames: true}.Marshal(message)
--- a/internal/lease/write.go
+++ b/internal/lease/write.go
@@ -4,11 +4,9 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"github.com/chivemast/chivemast/internal/action"
-
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/codec"
 )
 
 // write is a conditional write whose effect is not known yet.
@@ -27,7 +25,7 @@
 
 // begin issues the write of a new table.
 func (l *Leases) begin(now time.Time, table *pb.SlotTable) []action.Action {
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(table)
+	value, err := codec.Encode(table)
 	if err != nil {
 		l.err = &TableError{Version: l.version, Reason: "cannot be encoded", Err: err}
 		l.stats.TableErrors++
@@ -155,7 +153,7 @@
 		return
 	}
 	table := &pb.SlotTable{}
-	if err := proto.Unmarshal(o.GetValue(), table); err != nil {
+	if err := codec.Decode(o.GetValue(), table); err != nil {
 		l.stats.TableErrors++
 		l.err = &TableError{Version: o.GetVersion(), Reason: "cannot be decoded", Err: err}
 		table = nil
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/admission"
+	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/health"
 	"github.com/chivemast/chivemast/internal/lease"
@@ -104,7 +105,7 @@
 		return
 	}
 	table := &pb.SlotTable{}
-	if err := proto.Unmarshal(o.GetValue(), table); err != nil {
+	if err := codec.Decode(o.GetValue(), table); err != nil {
 		n.observer.InvalidObject(&InvalidObjectError{Key: o.GetKey(), Version: o.GetVersion(), Err: err})
 		return
 	}
@@ -215,7 +216,8 @@
 		s.table, s.tableValue, s.tableVersion = nil, nil, o.GetVersion()
 		return
 	}
-	value, err := decodeTable(o.GetValue())
+	value := &pb.ServiceTable{}
+	err := codec.Decode(o.GetValue(), value)
 	var table *placement.Table
 	if err == nil {
 		table, err = placement.Compile(value, o.GetRevision())
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/health"
 	"github.com/chivemast/chivemast/internal/placement"
@@ -103,7 +104,7 @@
 
 func (n *Node) tableWrite(key string, s *service, next *pb.ServiceTable) action.WriteObject {
 	addAddresses(next, s)
-	value, err := encodeTable(next)
+	value, err := codec.Encode(next)
 	if err != nil {
 		// Names that passed validation are valid UTF-8, the only condition.
 		n.observer.InvalidObject(&InvalidObjectError{Key: key, Version: s.tableVersion, Err: err})
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,8 @@
 # the 18 upstreams of team barrierline and a caller. During the load it drains
 # an upstream, takes a failure domain out and back, and kills an instance. It
 # exits non-zero if a promise was broken, and stops everything it started.
+# With DEMO_KEEP=1 it starts everything, applies the declarations and waits to
+# be interrupted, without load.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -88,16 +90,15 @@
   bin/chivemast validate -f "examples/$team.jsonc"
   bin/chivemast apply --team "$team" -f "examples/$team.jsonc" --wait
 done
-for i in $(seq 9); do
-  for _ in $(seq 100); do
-    bin/chivemast status -o json >"$out/status.json" 2>/dev/null && break
-    sleep 0.1
-  done
-done
 # The leases need a bootstrap and one round of heartbeats, the cold upstreams a
 # few seconds of ramp.
 sleep "${DEMO_SETTLE:-4}"
 
+if [ "${DEMO_KEEP:-0}" = 1 ]; then
+  echo "platform=$CHIVEMAST_PLATFORM instances=9 fabric=127.10.0.9:7100; interrupt to stop"
+  wait
+fi
+
 t0=$(date +%s%3N)
 at() { # at SECONDS: sleeps until that many seconds of load have passed
   local left=$((t0 + $1 * 1000 - $(date +%s%3N)))
