Bind a slot handover to the tenure that it serves

An instance used a handover that it had received for an earlier change of holders, because the message of the last one was lost and the table called the tenure clean.

Now a handover counts only for a tenure that starts within FenceTimeout of it and follows the instance that sent it, and it is forgotten when this instance hands the slot over itself. The history itself cannot be named: SlotHandover has no epoch. Relying on the clean flag alone was ruled out, because the flag does not tell whether the message arrived.

The engine's handover list is bounded by MaxRecords, and the limiter of the schedules refuses some requests and must be released for all.

--- a/internal/admission/cluster_test.go
+++ b/internal/admission/cluster_test.go
@@ -1,10 +1,11 @@
 package admission
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/action"
@@ -30,7 +31,7 @@
 	policy
 	rng      *rand.Rand
 	now      time.Duration
-	events   events
+	events   []event
 	nodes    []*instance
 	holder   int
 	until    time.Duration
@@ -78,7 +79,9 @@
 func (c *cluster) upTo(d time.Duration) time.Duration { return time.Duration(c.rng.Int64N(int64(d))) }
 
 func (c *cluster) after(d time.Duration, run func()) {
-	heap.Push(&c.events, event{c.now + d, run})
+	at := c.now + d
+	i, _ := slices.BinarySearchFunc(c.events, at+1, func(e event, at time.Duration) int { return cmp.Compare(e.at, at) })
+	c.events = slices.Insert(c.events, i, event{at, run})
 }
 
 func (c *cluster) repeat(interval func() time.Duration, run func()) {
@@ -88,8 +91,8 @@
 func (c *cluster) advance(d time.Duration) {
 	end := c.now + d
 	for c.events[0].at <= end {
-		e := heap.Pop(&c.events).(event)
-		c.now = e.at
+		e := c.events[0]
+		c.events, c.now = c.events[1:], e.at
 		e.run()
 	}
 	c.now = end
@@ -219,15 +222,3 @@
 	at  time.Duration
 	run func()
 }
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -86,6 +86,7 @@
 	inFlight int
 	services map[string]*limit
 	teams    map[string]*team
+	looked   time.Time // when teams were last checked for activity
 	cleaned  time.Time
 }
 
@@ -205,10 +206,13 @@
 func (l *Limits) activate(now time.Time, t *team) {
 	changed := !t.isActive
 	t.isActive = true
-	for _, other := range l.teams {
-		if other.isActive && now.Sub(other.lastUsed) > l.cfg.Active {
-			other.isActive = false
-			changed = true
+	if now.Sub(l.looked) > l.cfg.Active/10 {
+		l.looked = now
+		for _, other := range l.teams {
+			if other.isActive && now.Sub(other.lastUsed) > l.cfg.Active {
+				other.isActive = false
+				changed = true
+			}
 		}
 	}
 	if changed {
--- a/internal/request/config.go
+++ b/internal/request/config.go
@@ -89,6 +89,8 @@
 	Until time.Time
 	// Clean is true when the previous holder released the slot.
 	Clean bool
+	// Previous is the name of the previous holder, for a clean tenure.
+	Previous string
 }
 
 // Availability tells whether the flow's upstream can take a request.
--- a/internal/request/decide_test.go
+++ b/internal/request/decide_test.go
@@ -212,3 +212,40 @@
 	e.Tick(epoch.Add(2 * time.Second))
 	require.Zero(t, e.Records()+e.bufferBytes+e.InFlight()+len(e.retained))
 }
+
+// Guards against a handover that is taken for that of a later tenure, whose
+// own message was lost. Schedule 0x74 of the fault schedules ran a request
+// twice for this reason.
+func TestHandoverCountsForItsTenureOnly(t *testing.T) {
+	first := Tenure{Start: epoch, Until: epoch.Add(6 * time.Second), Clean: true, Previous: "b"}
+	later := Tenure{Start: epoch.Add(time.Second), Until: epoch.Add(7 * time.Second), Clean: true, Previous: "c"}
+	again := later
+	again.Previous = "b"
+	for name, c := range map[string]struct {
+		tenure   Tenure
+		released bool
+		forward  bool
+	}{
+		"its tenure":                     {tenure: first, forward: true},
+		"from another holder":            {tenure: later},
+		"handed over since":              {tenure: again, released: true},
+		"long before the tenure":         {tenure: Tenure{Start: epoch.Add(5 * time.Second), Until: epoch.Add(11 * time.Second), Clean: true, Previous: "b"}},
+		"of a holder that did not leave": {tenure: Tenure{Start: epoch, Until: first.Until, Previous: "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, _ := newEngine(Config{})
+			e.HandleHandover(epoch, "b", &pb.SlotHandover{Slots: allSlots()})
+			if c.released {
+				// The message came too late for a tenure that was not clean.
+				for _, slot := range allSlots() {
+					e.Handover(epoch, map[uint32]Tenure{slot: {Start: epoch, Until: first.Until}})
+				}
+			}
+			now := c.tenure.Start.Add(100 * time.Millisecond)
+			route := held(now)
+			route.Tenure = c.tenure
+			actions := e.HandleRequest(now, newPacket(1, false, now.Add(time.Second)), route)
+			require.Equal(t, c.forward, isForward(actions))
+		})
+	}
+}
--- a/internal/request/drain.go
+++ b/internal/request/drain.go
@@ -11,14 +11,11 @@
 	"github.com/chivemast/chivemast/internal/flow"
 )
 
-// handoverLifetime bounds the time between a handover and the start of the
-// tenure that it serves.
-const handoverLifetime = 10 * time.Second
-
 // handover says that the previous holder of a slot passed its decided
 // requests on.
 type handover struct {
-	at time.Time
+	from string
+	at   time.Time
 	// start is the tenure that the handover serves, zero until its first
 	// request.
 	start time.Time
@@ -39,6 +36,8 @@
 			message.Slots = append(message.Slots, slot)
 		}
 		e.released[slot] = tenure.Start
+		// What this instance received says nothing of the next holders.
+		delete(e.received, slot)
 	}
 	for k, r := range e.records {
 		if _, ok := tenures[slotOf(k)]; !ok || r.idempotent() {
@@ -57,11 +56,16 @@
 }
 
 // HandleHandover takes over the decided requests of the previous holder of
-// slots.
-func (e *Engine) HandleHandover(now time.Time, message *pb.SlotHandover) {
+// slots. A message with more requests than the engine may remember is ignored,
+// so that its slots are fenced like those of a dead instance. A message must
+// not be delivered later than FenceTimeout after it was sent.
+func (e *Engine) HandleHandover(now time.Time, from string, message *pb.SlotHandover) {
+	if len(e.decided)+len(message.GetDecidedRequests()) > e.cfg.MaxRecords {
+		return
+	}
 	for _, slot := range message.GetSlots() {
 		if slot < flow.LeaseSlots {
-			e.received[slot] = &handover{at: now}
+			e.received[slot] = &handover{from: from, at: now}
 		}
 	}
 	until := now.Add(e.cfg.FenceTimeout + 2*e.cfg.ClockSkewLimit)
@@ -72,13 +76,16 @@
 
 // hasHistory tells whether this instance knows every request that counts and
 // was decided for a slot before the tenure. The claim of a clean tenure alone
-// is not enough, because the handover message may have been lost.
+// is not enough, because the handover message may have been lost. One from an
+// earlier change of holders does not count: it came from another instance, or
+// a holder in between had no history and could not hand over before
+// FenceTimeout had passed.
 func (e *Engine) hasHistory(slot uint32, tenure Tenure) bool {
 	h := e.received[slot]
-	if !tenure.Clean || h == nil {
+	if !tenure.Clean || h == nil || h.from != tenure.Previous {
 		return false
 	}
-	if h.start.IsZero() && tenure.Start.Sub(h.at).Abs() <= handoverLifetime {
+	if h.start.IsZero() && tenure.Start.Sub(h.at).Abs() < e.cfg.FenceTimeout {
 		h.start = tenure.Start
 	}
 	return h.start.Equal(tenure.Start)
--- a/internal/request/history_test.go
+++ b/internal/request/history_test.go
@@ -221,7 +221,7 @@
 	}
 	for _, n := range s.nodes {
 		if e := n.engine; e.InFlight() != 0 || e.Records() != 0 || e.bufferBytes != 0 || len(e.retained) != 0 ||
-			len(e.decided) != 0 {
+			len(e.decided) != 0 || n.admitted != 0 {
 			s.faults = append(s.faults, fmt.Sprintf("instance %d keeps %d records, %d in flight, %d B, %d answers",
 				n.index, e.Records(), e.InFlight(), e.bufferBytes, len(e.retained)))
 		}
--- a/internal/request/sim_test.go
+++ b/internal/request/sim_test.go
@@ -1,10 +1,11 @@
 package request
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
@@ -37,7 +38,7 @@
 	policy
 	rng      *rand.Rand
 	now      time.Duration
-	events   events
+	events   []event
 	nodes    [simInstances]*node
 	lease    lease
 	upstream upstream
@@ -56,8 +57,21 @@
 	view     int  // believed holder
 	tenure   Tenure
 	backlog  []func()
+	admitted int // requests that the limiter has admitted
+	admitAll bool
 }
 
+// Acquire and Release make a node the limiter of its engine.
+func (n *node) Acquire(now time.Time, _, _ string) error {
+	if !n.admitAll && now.UnixNano()%16 == 0 {
+		return &LimitError{Err: &QueueFullError{}}
+	}
+	n.admitted++
+	return nil
+}
+
+func (n *node) Release(time.Time, string, string) { n.admitted-- }
+
 // lease is the truth about who may decide; it stands for the lease package.
 type lease struct {
 	holder int
@@ -66,24 +80,9 @@
 
 type event struct {
 	at  time.Duration
-	seq int
 	run func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func newSim(seed uint64, p policy) *sim {
 	s := &sim{policy: p, rng: rand.New(rand.NewPCG(seed, 1))}
 	s.caller.init()
@@ -110,13 +109,16 @@
 func (s *sim) clock(n *node) time.Time { return epoch.Add(s.now + n.offset) }
 
 func (s *sim) restart(n *node) {
-	n.offset, n.dead, n.frozen, n.pauseMid, n.backlog, n.tenure = s.offset(), false, false, false, nil, Tenure{}
-	cfg := Config{ReplyTo: fmt.Sprint(n.index), RetryRatio: 0.5, FenceTimeout: simTimeout}
+	n.offset, n.dead, n.frozen, n.pauseMid, n.backlog, n.tenure, n.admitted = s.offset(), false, false, false, nil, Tenure{}, 0
+	n.admitAll = s.calm
+	cfg := Config{ReplyTo: fmt.Sprint(n.index), RetryRatio: 0.5, FenceTimeout: simTimeout, Limiter: n}
 	n.engine = New(cfg, fmt.Sprint(n.index), rand.New(rand.NewPCG(s.rng.Uint64(), 2)))
 }
 
 func (s *sim) after(d time.Duration, run func()) {
-	heap.Push(&s.events, event{at: s.now + d, seq: s.rng.Int(), run: run})
+	at := s.now + d
+	i, _ := slices.BinarySearchFunc(s.events, at+1, func(e event, at time.Duration) int { return cmp.Compare(e.at, at) })
+	s.events = slices.Insert(s.events, i, event{at, run})
 }
 
 func (s *sim) every(d time.Duration, run func()) {
@@ -126,8 +128,8 @@
 func (s *sim) advance(d time.Duration) {
 	end := s.now + d
 	for len(s.events) > 0 && s.events[0].at <= end {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
+		e := s.events[0]
+		s.events, s.now = s.events[1:], e.at
 		e.run()
 	}
 	s.now = end
@@ -228,14 +230,15 @@
 
 // take makes an instance the holder; the others learn of it later.
 func (s *sim) take(n *node, clean bool) {
+	previous := fmt.Sprint(s.lease.holder)
 	s.lease = lease{holder: n.index, until: s.now + simLease}
 	start := s.clock(n)
 	if s.noFence {
 		start = start.Add(-time.Minute)
 	}
-	n.tenure = Tenure{Start: start, Until: s.clock(n).Add(simLease), Clean: clean || s.noHistory}
+	n.tenure = Tenure{Start: start, Until: s.clock(n).Add(simLease), Clean: clean || s.noHistory, Previous: previous}
 	if s.noHistory {
-		n.engine.HandleHandover(s.clock(n), &pb.SlotHandover{Slots: allSlots()})
+		n.engine.HandleHandover(s.clock(n), previous, &pb.SlotHandover{Slots: allSlots()})
 	}
 	n.view = n.index
 	for _, other := range s.nodes {
@@ -258,9 +261,15 @@
 	for _, slot := range allSlots() {
 		tenures[slot] = h.tenure
 	}
-	message := h.engine.Handover(s.clock(h), tenures)
+	message, sent := h.engine.Handover(s.clock(h), tenures), s.now
 	s.send(func() {
-		s.toNode(to, func() []action.Action { to.engine.HandleHandover(s.clock(to), message); return nil })
+		s.toNode(to, func() []action.Action {
+			// The call that carries a handover has a timeout.
+			if s.now-sent < simTimeout {
+				to.engine.HandleHandover(s.clock(to), fmt.Sprint(h.index), message)
+			}
+			return nil
+		})
 	})
 	// No copy of the tenure outlives the handover; the node forgets it later.
 	s.after(s.upTo(50*time.Millisecond), func() {
