--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -251,7 +251,7 @@
 	case *pb.PeerMessage_BirthAck:
 		return n.release(n.tracker.HandleBirthAck(now, m.GetFrom(), body.BirthAck))
 	case *pb.PeerMessage_TrackerSyncRequest:
-		return n.tracker.HandleSyncRequest(now, m.GetFrom(), body.TrackerSyncRequest)
+		return n.tracker.HandleSyncRequest(now, m.GetFrom(), m.GetIncarnation(), body.TrackerSyncRequest)
 	case *pb.PeerMessage_TrackerSync:
 		return n.release(n.tracker.HandleSync(now, m.GetFrom(), m.GetIncarnation(), body.TrackerSync))
 	case *pb.PeerMessage_CreditRequest:
