Tell the engine who held a slot before

Cause: the engine takes a handover as clean only from the previous holder, and the node did not know that name. Ruled out: the sender of the latest handover; a late one of an earlier holder would count. If a change of the slot was not seen, the tenure counts as not clean. Build, vet and the node tests pass.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -109,11 +109,31 @@
 		n.observer.InvalidObject(&InvalidObjectError{Key: o.GetKey(), Version: o.GetVersion(), Err: err})
 		return
 	}
+	n.notePredecessors(table)
 	n.slots = table
 	n.leases.Adopt(n.now, table, o.GetVersion(), o.GetRevision())
 	n.members.SetPartners(n.leases.Partners())
 }
 
+// notePredecessors remembers who held the slots that change to this instance.
+// When a change in between was not seen, nobody counts as the predecessor, and
+// the engine takes the tenure as not clean.
+func (n *Node) notePredecessors(next *pb.SlotTable) {
+	for i, slot := range next.GetSlots() {
+		if slot.GetHolder() != n.self.Name || i >= len(n.slots.GetSlots()) {
+			continue
+		}
+		before := n.slots.GetSlots()[i]
+		switch {
+		case slot.GetEpoch() == before.GetEpoch():
+		case slot.GetEpoch() == before.GetEpoch()+1 && before.GetHolder() != n.self.Name:
+			n.predecessors[i] = before.GetHolder()
+		default:
+			delete(n.predecessors, i)
+		}
+	}
+}
+
 func (n *Node) adoptForgotten() {
 	names := map[string]bool{}
 	for _, o := range n.sync.List(forgottenPrefix) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,9 @@
 	knownUpstreams map[string]bool
 	forgotten      map[string]bool
 	slots          *pb.SlotTable
+	// predecessors holds the previous holder of slots that this instance
+	// took, where it saw the change.
+	predecessors map[int]string
 
 	// held maps the tracker's tickets to the packets that wait.
 	held  map[uint64]heldPacket
@@ -130,7 +133,9 @@
 		byAddress:  map[netip.AddrPort]*service{},
 		byUpstream: map[netip.AddrPort]*upstream{},
 		held:       map[uint64]heldPacket{},
-		opens:      openQueue{entries: map[flow.Key]waitingOpen{}},
+
+		predecessors: map[int]string{},
+		opens:        openQueue{entries: map[flow.Key]waitingOpen{}},
 	}
 	cfg.Domain.OwnDomain = cfg.Self.FailureDomain
 	n.domains = domain.New(cfg.Domain, cfg.Self.Name)
@@ -271,7 +276,7 @@
 	case *pb.PeerMessage_ObjectPull:
 		return n.sync.HandlePull(now, m.GetFrom(), body.ObjectPull)
 	case *pb.PeerMessage_SlotHandover:
-		n.engine.HandleHandover(now, body.SlotHandover)
+		n.engine.HandleHandover(now, m.GetFrom(), body.SlotHandover)
 		n.leases.HandleHandover(m.GetFrom(), m.GetIncarnation(), body.SlotHandover.GetSlots())
 	}
 	return nil
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -38,7 +38,9 @@
 	}
 	if tenure, ok := n.leases.Tenure(slot, n.now); ok {
 		route.Holds = true
-		route.Tenure = request.Tenure{Start: tenure.Start, Until: tenure.Until, Clean: tenure.Clean}
+		route.Tenure = request.Tenure{
+			Start: tenure.Start, Until: tenure.Until, Clean: tenure.Clean, Previous: n.predecessors[slot],
+		}
 		return route
 	}
 	route.Holder = n.leases.Holder(slot)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -51,7 +51,9 @@
 		if out[successor] == nil {
 			out[successor] = map[uint32]request.Tenure{}
 		}
-		out[successor][uint32(slot)] = request.Tenure{Start: tenure.Start, Until: tenure.Until, Clean: tenure.Clean}
+		out[successor][uint32(slot)] = request.Tenure{
+			Start: tenure.Start, Until: tenure.Until, Clean: tenure.Clean, Previous: n.predecessors[slot],
+		}
 	}
 	return out
 }
