Measure the cost of each control duty at several sizes

The subcommand slopes of cmd/measure runs fleets in virtual time, and one decision core among stand-ins at sizes whose fleet takes too long. It prints bytes, messages, processor time, allocations and platform calls per duty, the cost of one-off events, and least-squares fits over the sizes.

A node tells an optional meter which duty the following work belongs to; processor time is the wall time inside the methods of the core, so that a busy machine inflates it. A processor profile was ruled out: it attributes by function, and the duties share functions such as the ranking of members.

--- /dev/null
+++ b/cmd/measure/slopes.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chivemast/chivemast/internal/measure"
+)
+
+func slopesCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "slopes",
+		Usage: "measure the cost of each control duty at several sizes and fit how it grows",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "fleets", Value: "9/36/4,24/96/10,50/200/20", Usage: "`SIZES` of fleets, as instances/upstreams/services"},
+			&cli.StringFlag{Name: "cores", Value: "9/36/4,50/200/20,200/800/60,500/3700/300", Usage: "`SIZES` at which one core runs among stand-ins"},
+			&cli.IntFlag{Name: "event-limit", Value: 50, Usage: "largest fleet that runs the one-off events"},
+		},
+		Action: runSlopes,
+	}
+}
+
+func runSlopes(_ context.Context, cmd *cli.Command) error {
+	s := measure.Slopes{Seed: cmd.Uint64("seed"), Out: os.Stdout, EventLimit: cmd.Int("event-limit")}
+	var err error
+	if s.Fleets, err = measure.ParseSizes(cmd.String("fleets")); err != nil {
+		return err
+	}
+	if s.Cores, err = measure.ParseSizes(cmd.String("cores")); err != nil {
+		return err
+	}
+	fmt.Printf("kind=run seed=%d fleets=%s cores=%s\n", s.Seed, cmd.String("fleets"), cmd.String("cores"))
+	return s.Run()
+}
--- a/internal/measure/instance.go
+++ b/internal/measure/instance.go
@@ -57,6 +57,8 @@
 	counted controlBytes
 	// revision is the last one in force.
 	revision uint64
+	// meter is nil when costs are not measured.
+	meter *meter
 }
 
 // controlBytes counts the control messages of an instance.
@@ -75,6 +77,9 @@
 		peer:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(index >> 8), byte(index)}), 7201),
 		replyTo: fmt.Sprintf("127.1.%d.%d:7203", index>>8, index&0xff),
 	}
+	if w.opt.Measured {
+		i.meter = &meter{}
+	}
 	w.instances = append(w.instances, i)
 	w.byPeer[i.peer], w.byReply[i.replyTo] = i, i
 	return i.start()
@@ -125,6 +130,16 @@
 		})
 		cfg.Sync.Peers = append(cfg.Sync.Peers, name)
 	}
+	if w.opt.Cores > 0 && i.index >= w.opt.Cores {
+		return newMemberCore(w, cfg, rng), nil
+	}
+	if w.opt.WriterStagger > 0 {
+		cfg.WriterStagger, cfg.Lease.WriterStagger = w.opt.WriterStagger, w.opt.WriterStagger
+	}
+	if i.meter != nil {
+		cfg.Meter = i.meter.turn
+		return meteredCore{Node: node.New(cfg, rng), meter: i.meter}, nil
+	}
 	return node.New(cfg, rng), nil
 }
 
--- /dev/null
+++ b/internal/measure/slopes_fit.go
@@ -0,0 +1,122 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// series is one quantity over the sizes.
+type series struct{ kind, subject, quantity string }
+
+type point struct{ x, y float64 }
+
+// fit is a least-squares line y = intercept + slope x.
+type fit struct {
+	intercept, slope float64
+	// slopeError is the standard error of the slope; it needs three points.
+	slopeError float64
+	// residual is the root mean square of the residuals.
+	residual float64
+}
+
+// fitLine fits a line to at least two points with different x.
+func fitLine(points []point) (fit, bool) {
+	n := float64(len(points))
+	var sx, sy float64
+	for _, p := range points {
+		sx += p.x
+		sy += p.y
+	}
+	var sxx, sxy float64
+	for _, p := range points {
+		sxx += (p.x - sx/n) * (p.x - sx/n)
+		sxy += (p.x - sx/n) * (p.y - sy/n)
+	}
+	if len(points) < 2 || sxx == 0 {
+		return fit{}, false
+	}
+	f := fit{slope: sxy / sxx}
+	f.intercept = sy/n - f.slope*sx/n
+	squares := 0.0
+	for _, p := range points {
+		r := p.y - f.at(p.x)
+		squares += r * r
+	}
+	f.residual = math.Sqrt(squares / n)
+	if n > 2 {
+		f.slopeError = math.Sqrt(squares / (n - 2) / sxx)
+	}
+	return f, true
+}
+
+func (f fit) at(x float64) float64 { return f.intercept + f.slope*x }
+
+// fitPower fits log y = intercept + slope log x, so that slope is the power
+// with which y grows. It needs positive values.
+func fitPower(points []point) (fit, bool) {
+	logs := make([]point, len(points))
+	for i, p := range points {
+		if p.x <= 0 || p.y <= 0 {
+			return fit{}, false
+		}
+		logs[i] = point{math.Log(p.x), math.Log(p.y)}
+	}
+	return fitLine(logs)
+}
+
+// add notes a value for the fits.
+func (s *Slopes) add(kind, subject string, size Size, values map[string]float64) {
+	for quantity, y := range values {
+		key := series{kind, subject, quantity}
+		s.points[key] = append(s.points[key], point{float64(size.Instances), y})
+	}
+}
+
+// print prints values as one line and notes them for the fits.
+func (s *Slopes) print(kind, subject string, size Size, values map[string]float64) {
+	s.add(kind, subject, size, values)
+	fields := []string{"kind=" + kind, size.String(), "subject=" + subject}
+	for _, quantity := range sortedNames(values) {
+		fields = append(fields, fmt.Sprintf("%s=%.4g", quantity, values[quantity]))
+	}
+	fmt.Fprintln(s.Out, strings.Join(fields, " "))
+}
+
+func sortedNames(values map[string]float64) []string {
+	names := make([]string, 0, len(values))
+	for name := range values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// printFits prints a line per quantity that was measured at three sizes or
+// more and is not zero at all of them. x is the number of instances.
+func (s *Slopes) printFits() {
+	keys := make([]series, 0, len(s.points))
+	for key := range s.points {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b series) int {
+		return cmp.Or(strings.Compare(a.kind, b.kind), strings.Compare(a.subject, b.subject), strings.Compare(a.quantity, b.quantity))
+	})
+	for _, key := range keys {
+		points := s.points[key]
+		zero := !slices.ContainsFunc(points, func(p point) bool { return p.y != 0 })
+		line, ok := fitLine(points)
+		if len(points) < 3 || zero || !ok {
+			continue
+		}
+		text := fmt.Sprintf("kind=fit of=%s subject=%s quantity=%s points=%d intercept=%.4g slope_per_instance=%.4g slope_error=%.4g residual=%.4g at_500=%.4g",
+			key.kind, key.subject, key.quantity, len(points), line.intercept, line.slope, line.slopeError, line.residual, line.at(500))
+		if power, ok := fitPower(points); ok {
+			text += fmt.Sprintf(" power=%.3f power_error=%.3f power_at_500=%.4g",
+				power.slope, power.slopeError, math.Exp(power.at(math.Log(500))))
+		}
+		fmt.Fprintln(s.Out, text)
+	}
+}
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -53,6 +53,15 @@
 	ServiceTime time.Duration
 	// Duplicate, Reorder and Drop are shares of the packets from callers.
 	Duplicate, Reorder, Drop float64
+	// DiscardHistory: the run is not checked, and its history not kept.
+	DiscardHistory bool
+	// Measured: the costs of the duties of each instance are measured.
+	Measured bool
+	// Cores is the number of instances that run a decision core; the others
+	// only take part in the membership. 0 for all.
+	Cores int
+	// WriterStagger is the wait per rank before a write; 0 for the default.
+	WriterStagger time.Duration
 }
 
 // World is one run in virtual time. It is not safe for concurrent use.
@@ -180,7 +189,7 @@
 	name := team.Name + "/" + s.Name + "/" + u.Name
 	machine, err := upstream.New(upstream.Config{
 		Name: name, Service: s.Address.String(), Cold: w.opt.Cold, StartWarm: w.opt.Cold.Ramp < 0,
-		ServiceTime: w.opt.ServiceTime, MaxConnections: maxConnections, Recorder: w.recorder,
+		ServiceTime: w.opt.ServiceTime, MaxConnections: maxConnections, Recorder: w.historyRecorder(),
 	}, rand.New(rand.NewPCG(w.opt.Seed, uint64(len(w.servers))+100)), w.now)
 	if err != nil {
 		return err
@@ -191,6 +200,13 @@
 	return nil
 }
 
+func (w *World) historyRecorder() history.Recorder {
+	if w.opt.DiscardHistory {
+		return history.Discard{}
+	}
+	return w.recorder
+}
+
 // maxConnections lets 18 upstreams hold 100,000 flows at once.
 const maxConnections = 20_000
 
@@ -203,7 +219,7 @@
 	w.every(time.Second, w.sampleControl)
 	load := w.opt.Load
 	load.Address = "127.0.0.1:4000"
-	load.Recorder = w.recorder
+	load.Recorder = w.historyRecorder()
 	machine, err := caller.New(load, rand.New(rand.NewPCG(w.opt.Seed, 2)), w.now)
 	if err != nil {
 		panic(fmt.Sprintf("load of the scenario is not usable: %v", err))
@@ -214,12 +230,13 @@
 
 // Run runs until the load is over.
 func (w *World) Run() {
-	end := epoch.Add(w.opt.Settle + w.opt.Load.Duration + 6*time.Second)
-	for len(w.queue) > 0 {
+	w.runUntil(epoch.Add(w.opt.Settle + w.opt.Load.Duration + 6*time.Second))
+}
+
+// runUntil runs the events up to a time.
+func (w *World) runUntil(end time.Time) {
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
 		e := heap.Pop(&w.queue).(event)
-		if e.at.After(end) {
-			return
-		}
 		w.now = e.at
 		e.run()
 	}
@@ -242,7 +259,11 @@
 	if w.opt.Drop > 0 && w.rng.Float64() < w.opt.Drop {
 		return
 	}
-	i := w.instances[w.rng.IntN(len(w.instances))]
+	receivers := len(w.instances)
+	if w.opt.Cores > 0 {
+		receivers = w.opt.Cores
+	}
+	i := w.instances[w.rng.IntN(receivers)]
 	delay := callerDelay
 	if w.opt.Reorder > 0 && w.rng.Float64() < w.opt.Reorder {
 		delay += time.Duration(w.rng.Int64N(int64(20 * time.Millisecond)))
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -58,6 +58,7 @@
 	if len(changed) == 0 {
 		return
 	}
+	defer n.turn(n.turn(DutyConfiguration))
 	teams := false
 	for _, o := range changed {
 		switch {
--- /dev/null
+++ b/internal/node/health.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"time"
+
+	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/health"
+)
+
+// HandleProbe takes the result of a probe.
+func (n *Node) HandleProbe(now time.Time, result action.ProbeResult) []action.Action {
+	n.turn(DutyHealth)
+	n.advance(now)
+	n.health.HandleProbe(now, result)
+	if result.Err == nil {
+		n.observeBoot(now, result.Name, result.BootID)
+	}
+	n.dirty = true
+	return nil
+}
+
+func (n *Node) handleGrant(now time.Time, grant *pb.CreditGrant) {
+	n.credits.HandleGrant(now, grant)
+	if n.credits.Warm(grant.GetUpstream()) {
+		n.health.MarkWarm(now, grant.GetUpstream(), grant.GetBootId())
+		n.dirty = true
+	}
+}
+
+// noteWarm tells health of the upstreams that this instance itself granted
+// the last credits of their ramp.
+func (n *Node) noteWarm(now time.Time) {
+	for name := range n.knownUpstreams {
+		if n.credits.Warm(name) && n.health.State(name) == health.Cold {
+			n.health.MarkWarm(now, name, n.health.BootID(name))
+			n.dirty = true
+		}
+	}
+}
+
+// observeBoot treats a new boot id as a cold start.
+func (n *Node) observeBoot(now time.Time, name string, bootID uint64) {
+	if n.credits.ObserveBoot(name, bootID) {
+		n.health.Observe(now, name, health.SignalReset)
+		n.dirty = true
+	}
+}
+
+// refreshReports takes this second's health reports for the heartbeats.
+func (n *Node) refreshReports(now time.Time) {
+	if now.Before(n.nextReport) {
+		return
+	}
+	n.nextReport = now.Add(time.Second)
+	n.reports = n.health.Report(now)
+}
+
+// withReports adds the health reports to the heartbeats.
+func (n *Node) withReports(actions []action.Action) []action.Action {
+	for _, a := range actions {
+		send, ok := a.(action.SendPeer)
+		if !ok {
+			continue
+		}
+		if hb := send.Message.GetHeartbeat(); hb != nil {
+			hb.Upstreams = n.reports
+		}
+	}
+	return actions
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,8 @@
 	Domain     domain.Config
 
 	Observer Observer
+	// Meter, when set, is told which duty the following work belongs to.
+	Meter func(Duty)
 }
 
 // Defaults of Config.
@@ -111,6 +113,7 @@
 	reports    []*pb.UpstreamHealth
 	leaving    bool
 	writes     uint64
+	duty       Duty
 }
 
 // New returns the node of one instance without any state.
@@ -148,10 +151,12 @@
 
 // advance notes the time of an event and refreshes the view.
 func (n *Node) advance(now time.Time) {
+	before := n.turn(DutyMembership)
 	n.now = now
 	n.members.SetLocal(n.sync.Revision(), n.sync.ConfirmedAt(), n.Ready(), n.leaving)
 	n.view = n.members.View(now)
 	n.viewAt = now
+	n.turn(before)
 }
 
 // advancePacket is advance for packets, which change nothing that the view
@@ -176,19 +181,29 @@
 
 func (n *Node) tick(now time.Time) []action.Action {
 	n.advance(now)
+	n.turn(DutyHealth)
 	n.refreshReports(now)
+	n.turn(DutyConfiguration)
 	out := n.sync.Tick(now, n.view)
+	n.turn(DutyMembership)
 	out = append(out, n.withReports(n.members.Tick(now))...)
+	n.turn(DutyLease)
 	out = append(out, n.leases.Tick(now, n.view, n.members)...)
+	n.turn(DutyHealth)
 	out = append(out, n.health.Tick(now, n.view)...)
+	n.turn(DutyCredits)
 	out = append(out, n.credits.Tick(now, slotsView{n})...)
 	n.noteWarm(now)
+	n.turn(DutyTracking)
 	actions, releases := n.tracker.Tick(now, n.view)
 	out = append(out, actions...)
 	out = append(out, n.release(releases)...)
 	out = append(out, n.retryBehind(now)...)
+	n.turn(DutyCredits)
 	out = append(out, n.retryOpens()...)
+	n.turn(DutyRequests)
 	out = append(out, n.route(n.engine.Tick(now))...)
+	n.turn(DutyTables)
 	return append(out, n.writeTables(now)...)
 }
 
@@ -208,6 +223,7 @@
 }
 
 func (n *Node) handlePlatform(now time.Time, event action.PlatformEvent) []action.Action {
+	n.turn(DutyPlatform)
 	n.advance(now)
 	var changed []*pb.Object
 	var out []action.Action
@@ -239,6 +255,7 @@
 }
 
 func (n *Node) handlePeer(now time.Time, m *pb.PeerMessage) []action.Action {
+	n.turn(DutyOf(m))
 	n.advance(now)
 	switch body := m.GetBody().(type) {
 	case *pb.PeerMessage_Heartbeat:
@@ -301,6 +318,7 @@
 
 func (n *Node) handleHeartbeat(now time.Time, m *pb.PeerMessage, hb *pb.Heartbeat) []action.Action {
 	out := n.members.HandleHeartbeat(now, m.GetFrom(), m.GetIncarnation(), hb)
+	n.turn(DutyHealth)
 	for _, report := range hb.GetUpstreams() {
 		n.observeBoot(now, report.GetUpstream(), report.GetBootId())
 	}
@@ -308,67 +326,6 @@
 	return out
 }
 
-// HandleProbe takes the result of a probe.
-func (n *Node) HandleProbe(now time.Time, result action.ProbeResult) []action.Action {
-	n.advance(now)
-	n.health.HandleProbe(now, result)
-	if result.Err == nil {
-		n.observeBoot(now, result.Name, result.BootID)
-	}
-	n.dirty = true
-	return nil
-}
-
-func (n *Node) handleGrant(now time.Time, grant *pb.CreditGrant) {
-	n.credits.HandleGrant(now, grant)
-	if n.credits.Warm(grant.GetUpstream()) {
-		n.health.MarkWarm(now, grant.GetUpstream(), grant.GetBootId())
-		n.dirty = true
-	}
-}
-
-// noteWarm tells health of the upstreams that this instance itself granted
-// the last credits of their ramp.
-func (n *Node) noteWarm(now time.Time) {
-	for name := range n.knownUpstreams {
-		if n.credits.Warm(name) && n.health.State(name) == health.Cold {
-			n.health.MarkWarm(now, name, n.health.BootID(name))
-			n.dirty = true
-		}
-	}
-}
-
-// observeBoot treats a new boot id as a cold start.
-func (n *Node) observeBoot(now time.Time, name string, bootID uint64) {
-	if n.credits.ObserveBoot(name, bootID) {
-		n.health.Observe(now, name, health.SignalReset)
-		n.dirty = true
-	}
-}
-
-// refreshReports takes this second's health reports for the heartbeats.
-func (n *Node) refreshReports(now time.Time) {
-	if now.Before(n.nextReport) {
-		return
-	}
-	n.nextReport = now.Add(time.Second)
-	n.reports = n.health.Report(now)
-}
-
-// withReports adds the health reports to the heartbeats.
-func (n *Node) withReports(actions []action.Action) []action.Action {
-	for _, a := range actions {
-		send, ok := a.(action.SendPeer)
-		if !ok {
-			continue
-		}
-		if hb := send.Message.GetHeartbeat(); hb != nil {
-			hb.Upstreams = n.reports
-		}
-	}
-	return actions
-}
-
 func (n *Node) upstreamStatus(serviceName, name string) placement.UpstreamStatus {
 	s := n.services[serviceName]
 	if s == nil {
--- a/internal/node/packet.go
+++ b/internal/node/packet.go
@@ -46,6 +46,7 @@
 
 // HandlePacket takes a packet of a caller from the fabric.
 func (n *Node) HandlePacket(now time.Time, p *pb.Packet) []action.Action {
+	n.turn(dutyOfPacket(p))
 	n.advancePacket(now)
 	return n.stamp(n.handleCaller(p, 0, 0))
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -104,6 +104,7 @@
 }
 
 func (n *Node) handleUpstream(now time.Time, p *pb.Packet, source netip.AddrPort) []action.Action {
+	n.turn(dutyOfPacket(p))
 	n.advancePacket(now)
 	u := n.byUpstream[source]
 	if u == nil {
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -13,6 +13,7 @@
 // read the time from clock. It is rebuilt at every tick, because the right to
 // decide by it expires.
 func (n *Node) Snapshot(clock func() time.Time) *route.Snapshot {
+	n.turn(DutySnapshot)
 	snapshot := &route.Snapshot{Services: make(map[netip.AddrPort]route.Service, len(n.byAddress)), Now: clock}
 	if n.tracker.Ready(n.now, n.view) {
 		snapshot.ValidUntil = n.now.Add(placement.FreezeLimit)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,6 +9,7 @@
 	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/health"
 	"github.com/chivemast/chivemast/internal/membership"
+	"github.com/chivemast/chivemast/internal/placement"
 )
 
 // Status describes the instance for operators.
@@ -126,3 +127,10 @@
 
 // Revision returns the configuration revision in force.
 func (n *Node) Revision() uint64 { return n.sync.Revision() }
+
+// TrackerStats returns the counters of the tracker.
+func (n *Node) TrackerStats() placement.Stats { return n.tracker.Stats() }
+
+// LowestRevision returns the lowest revision that a member is known to have
+// in force.
+func (n *Node) LowestRevision() uint64 { return n.view.MinRevision() }
