Look at tables and routes only when something changed

Every probe result and peer message built the view of all members, whose cost grows with the square of the fleet.

A flag that marks the routes as outdated was ruled out: health, credits and the freshness rule change without the node being told of it.

--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -31,7 +31,11 @@
 	slopeWarmUp     = 20 * time.Second
 	steadyWindow    = 15 * time.Second
 	allocatedWindow = 2 * time.Second
-	slopeDuration   = 10 * time.Minute
+	// One core among stand-ins has no others to wait for; at the target size,
+	// a second of virtual time takes several seconds.
+	coreWarmUp    = 6 * time.Second
+	coreWindow    = 4 * time.Second
+	slopeDuration = 10 * time.Minute
 )
 
 // Size is the size of a fleet.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -47,7 +48,9 @@
 	tableValue   *pb.ServiceTable
 	tableVersion uint64
 	upstreams    map[string]*upstream
-	plan         planState
+	// order holds the names of the upstreams, sorted.
+	order []string
+	plan  planState
 }
 
 func (s *service) upstreamName(name string) string { return s.name + "/" + name }
@@ -160,6 +163,11 @@
 			n.tracker.Remove(name)
 		}
 	}
+	n.order = n.order[:0]
+	for _, s := range n.services {
+		n.order = append(n.order, s)
+	}
+	slices.SortFunc(n.order, func(a, b *service) int { return strings.Compare(a.name, b.name) })
 	n.setLimits()
 }
 
@@ -206,6 +214,7 @@
 		return
 	}
 	s.upstreams = map[string]*upstream{}
+	defer func() { s.order = slices.Sorted(maps.Keys(s.upstreams)) }()
 	for _, u := range s.declared.Upstreams {
 		s.upstreams[u.Name] = &upstream{
 			name: s.upstreamName(u.Name), address: u.Address, domain: u.FailureDomain,
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -11,7 +11,7 @@
 // HandleProbe takes the result of a probe.
 func (n *Node) HandleProbe(now time.Time, result action.ProbeResult) []action.Action {
 	n.turn(DutyHealth)
-	n.advance(now)
+	n.advancePacket(now)
 	n.health.HandleProbe(now, result)
 	if result.Err == nil {
 		n.observeBoot(now, result.Name, result.BootID)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/chivemast/chivemast/internal/membership"
 	"github.com/chivemast/chivemast/internal/placement"
 	"github.com/chivemast/chivemast/internal/request"
+	"github.com/chivemast/chivemast/internal/route"
 )
 
 // TickInterval is how often Tick is due.
@@ -94,7 +95,10 @@
 	// dirty: the routing snapshot has to be rebuilt.
 	dirty bool
 
-	services       map[string]*service
+	services map[string]*service
+	// order holds the services by name.
+	order          []*service
+	targetBuffer   []placement.Target
 	byAddress      map[netip.AddrPort]*service
 	byUpstream     map[netip.AddrPort]*upstream
 	knownUpstreams map[string]bool
@@ -114,6 +118,9 @@
 	leaving    bool
 	writes     uint64
 	duty       Duty
+	// routes are those of the last snapshot, shared with traffic goroutines.
+	routes      map[netip.AddrPort]route.Service
+	routeBuffer []route.Upstream
 }
 
 // New returns the node of one instance without any state.
@@ -159,8 +166,8 @@
 	n.turn(before)
 }
 
-// advancePacket is advance for packets, which change nothing that the view
-// shows; a view that is a little old serves them.
+// advancePacket is advance for packets, probes and messages of peers; a view
+// that is a little old serves them.
 func (n *Node) advancePacket(now time.Time) {
 	if n.view == nil || now.Sub(n.viewAt) >= viewAge {
 		n.advance(now)
@@ -169,7 +176,7 @@
 	n.now = now
 }
 
-// viewAge bounds the age of the view by which packets are decided. Building it
+// viewAge bounds the age of the view by which they are decided. Building it
 // for each packet would cost more than the decision.
 const viewAge = 20 * time.Millisecond
 
@@ -256,7 +263,7 @@
 
 func (n *Node) handlePeer(now time.Time, m *pb.PeerMessage) []action.Action {
 	n.turn(DutyOf(m))
-	n.advance(now)
+	n.advancePacket(now)
 	switch body := m.GetBody().(type) {
 	case *pb.PeerMessage_Heartbeat:
 		return n.handleHeartbeat(now, m, body.Heartbeat)
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -16,7 +16,7 @@
 // planState is what an instance remembers between looks at a table.
 type planState struct {
 	// inputs are those of the last look.
-	inputs string
+	inputs planInputs
 	// nextLook is when the table is planned again with the same inputs.
 	nextLook time.Time
 	// dueSince is when the current change was first found missing; zero when
@@ -30,6 +30,16 @@
 	deadSince map[string]time.Time
 }
 
+// planInputs are what a plan depends on, besides the passing of time.
+type planInputs struct {
+	revision, tableVersion uint64
+	targets                []placement.Target
+}
+
+func (p planInputs) equal(o planInputs) bool {
+	return p.revision == o.revision && p.tableVersion == o.tableVersion && slices.Equal(p.targets, o.targets)
+}
+
 const (
 	// deadLimit is how long an upstream has to be dead before its buckets
 	// move; a restart that is quicker moves none.
@@ -49,16 +59,12 @@
 	if !n.Ready() {
 		return nil
 	}
-	names := make([]string, 0, len(n.services))
-	for name, s := range n.services {
-		if !s.conflicting {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
 	var out []action.Action
-	for _, name := range names {
-		if write, ok := n.writeTable(now, n.services[name]); ok {
+	for _, s := range n.order {
+		if s.conflicting {
+			continue
+		}
+		if write, ok := n.writeTable(now, s); ok {
 			out = append(out, write)
 		}
 	}
@@ -69,14 +75,16 @@
 // and writes it after a wait of WriterStagger per rank.
 func (n *Node) writeTable(now time.Time, s *service) (action.WriteObject, bool) {
 	targets := n.targets(now, s)
-	inputs := inputsOf(s, targets)
+	inputs := planInputs{revision: s.revision, tableVersion: s.tableVersion, targets: targets}
 	if now.Before(s.plan.waitUntil) {
 		return action.WriteObject{}, false
 	}
-	if inputs == s.plan.inputs && s.plan.dueSince.IsZero() && now.Before(s.plan.nextLook) {
+	same := inputs.equal(s.plan.inputs)
+	if same && s.plan.dueSince.IsZero() && now.Before(s.plan.nextLook) {
 		return action.WriteObject{}, false
 	}
-	if inputs != s.plan.inputs {
+	if !same {
+		inputs.targets = slices.Clone(targets)
 		s.plan.inputs, s.plan.dueSince = inputs, time.Time{}
 	}
 	s.plan.nextLook = now.Add(n.cfg.StepInterval)
@@ -146,17 +154,20 @@
 	}
 }
 
-// targets returns the declared upstreams of a service with their states.
+// targets returns the declared upstreams of a service with their states, by
+// name. The result is valid until the next call.
 func (n *Node) targets(now time.Time, s *service) []placement.Target {
 	if s.plan.deadSince == nil {
 		s.plan.deadSince = map[string]time.Time{}
 	}
-	out := make([]placement.Target, 0, len(s.upstreams))
-	for name, u := range s.upstreams {
-		out = append(out, placement.Target{Upstream: name, Weight: u.weight, State: n.targetState(now, s, name, u)})
+	n.targetBuffer = n.targetBuffer[:0]
+	for _, name := range s.order {
+		u := s.upstreams[name]
+		n.targetBuffer = append(n.targetBuffer, placement.Target{
+			Upstream: name, Weight: u.weight, State: n.targetState(now, s, name, u),
+		})
 	}
-	slices.SortFunc(out, func(a, b placement.Target) int { return strings.Compare(a.Upstream, b.Upstream) })
-	return out
+	return n.targetBuffer
 }
 
 func (n *Node) targetState(now time.Time, s *service, name string, u *upstream) placement.TargetState {
@@ -176,8 +187,3 @@
 	}
 	return placement.TargetServing
 }
-
-// inputsOf summarizes what a plan depends on, besides the passing of time.
-func inputsOf(s *service, targets []placement.Target) string {
-	return fmt.Sprint(s.revision, s.tableVersion, targets)
-}
