Count processor time of the thread and spread the start of instances

Wall time inside the core counted the times in which the machine did other work: the same health duty of a core at 50 instances showed 38 ms per second in one run and 92 ms in another. The meters now read the processor time of the thread.

Instances that start together rotate their heartbeats in step, so that one core at 200 instances received 1.5 messages per second instead of 8, and nearly all of them within one second of the rotation. The instances of a run now start over one rotation. Stand-ins answer pulls, since a late core is no watcher and otherwise never got the tables.

--- a/internal/measure/instance.go
+++ b/internal/measure/instance.go
@@ -102,6 +102,13 @@
 	life := i.life
 	// Instances do not tick in step.
 	offset := time.Duration(w.rng.Int64N(int64(node.TickInterval)))
+	switch {
+	case i.life > 1 || w.opt.StartSpread == 0:
+	case w.opt.Cores > 0 && i.index < w.opt.Cores:
+		offset = w.opt.StartSpread
+	default:
+		offset = time.Duration(w.rng.Int64N(int64(w.opt.StartSpread)))
+	}
 	w.after(offset, func() { i.tick(life) })
 	return nil
 }
--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/membership"
 	"github.com/chivemast/chivemast/internal/node"
 	"github.com/chivemast/chivemast/internal/standin/caller"
 	"github.com/chivemast/chivemast/internal/standin/upstream"
@@ -89,6 +91,9 @@
 
 // Run prints one line per duty and size, and then the fits.
 func (s *Slopes) Run() error {
+	// The meters read the processor time of the thread.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	s.points = map[series][]point{}
 	for _, size := range s.Cores {
 		if err := s.runCore(size); err != nil {
@@ -100,6 +105,7 @@
 			return err
 		}
 	}
+	s.printEntries()
 	s.printFits()
 	return nil
 }
@@ -114,7 +120,7 @@
 	}
 	return Options{
 		Policy: PolicyChivemast, Seed: seed, Instances: size.Instances, Domains: slopeDomains, Teams: teams,
-		Settle: slopeSettle, ServiceTime: 2 * time.Millisecond, Cold: upstream.ColdStart{Ramp: -1}, Measured: true,
+		Settle: startSpread(size) + slopeSettle, StartSpread: startSpread(size), ServiceTime: 2 * time.Millisecond, Cold: upstream.ColdStart{Ramp: -1}, Measured: true,
 		DiscardHistory: true,
 		Load: caller.Config{
 			Services: services, Duration: slopeDuration, OpensPerSecond: float64(opensPerInstance * size.Instances),
@@ -124,6 +130,11 @@
 	}
 }
 
+// startSpread is one rotation of the heartbeats.
+func startSpread(size Size) time.Duration {
+	return time.Duration(size.Instances) * time.Second / membership.DefaultFanout
+}
+
 // slopeTeams declares the services and upstreams of a size.
 func slopeTeams(size Size) []*declare.Team {
 	var teams []*declare.Team
--- a/internal/measure/slopes_member.go
+++ b/internal/measure/slopes_member.go
@@ -16,8 +16,8 @@
 )
 
 // memberCore is an instance that only takes part in the membership: it sends
-// heartbeats and grants, and reports the platform's revision as in force. It
-// lets one decision core run at a size whose fleet would take too long.
+// heartbeats and grants, answers pulls, and reports the platform's revision as
+// in force. It lets one decision core run at a size whose fleet would take too long.
 type memberCore struct {
 	world       *World
 	name        string
@@ -67,21 +67,36 @@
 	if r := m.GetCreditRequest(); r != nil {
 		return c.grant(m.GetFrom(), r)
 	}
+	if r := m.GetObjectPull(); r != nil {
+		return c.push(m.GetFrom(), r)
+	}
 	return nil
 }
 
 // grant says that an upstream is warm, so that the decision core does not
 // wait for a slot holder that decides nothing.
 func (c *memberCore) grant(to string, r *pb.CreditRequest) []action.Action {
+	return c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_CreditGrant{CreditGrant: &pb.CreditGrant{
+		Upstream: r.GetUpstream(), Credits: r.GetCredits(), BootId: r.GetBootId(), Sequence: r.GetSequence(), Warm: true,
+	}}})
+}
+
+// push answers a pull with what the platform has.
+func (c *memberCore) push(to string, r *pb.ObjectPull) []action.Action {
+	objects, revision, err := c.world.store.List("", r.GetSince())
+	if err != nil {
+		return nil
+	}
+	return c.send(to, &pb.PeerMessage{Body: &pb.PeerMessage_ObjectPush{ObjectPush: &pb.ObjectPush{
+		Since: r.GetSince(), Revision: revision, Objects: objects,
+	}}})
+}
+
+func (c *memberCore) send(to string, m *pb.PeerMessage) []action.Action {
+	m.From, m.Incarnation = c.name, c.incarnation
 	for _, i := range c.world.instances {
 		if i.name == to {
-			return []action.Action{action.SendPeer{Instance: to, Address: i.peer, Message: &pb.PeerMessage{
-				From: c.name, Incarnation: c.incarnation,
-				Body: &pb.PeerMessage_CreditGrant{CreditGrant: &pb.CreditGrant{
-					Upstream: r.GetUpstream(), Credits: r.GetCredits(), BootId: r.GetBootId(),
-					Sequence: r.GetSequence(), Warm: true,
-				}},
-			}}}
+			return []action.Action{action.SendPeer{Instance: to, Address: i.peer, Message: m}}
 		}
 	}
 	return nil
--- a/internal/measure/slopes_meter.go
+++ b/internal/measure/slopes_meter.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
@@ -74,7 +75,7 @@
 	costs
 	running  bool
 	duty     node.Duty
-	markedAt time.Time
+	markedAt time.Duration
 	// allocating: allocations are counted instead of the time, because
 	// reading the counters stops the program for longer than most duties take.
 	allocating bool
@@ -107,7 +108,7 @@
 		m.allocated = m.memory.TotalAlloc
 		return
 	}
-	m.markedAt = time.Now()
+	m.markedAt = threadTime()
 }
 
 func (m *meter) charge() {
@@ -116,7 +117,17 @@
 		m.costs[m.duty].allocated += m.memory.TotalAlloc - m.allocated
 		return
 	}
-	m.costs[m.duty].processor += time.Since(m.markedAt)
+	m.costs[m.duty].processor += threadTime() - m.markedAt
+}
+
+// threadTime is the processor time of this thread. The wall time would count
+// the times in which the machine does other work: the same duty took between
+// 38 and 92 ms per second. The collector's own threads do not count.
+func threadTime() time.Duration {
+	var t unix.Timespec
+	// The clock exists on every kernel that Go supports.
+	_ = unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t)
+	return time.Duration(t.Nano())
 }
 
 // sent counts the actions of a core.
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -60,6 +60,10 @@
 	// Cores is the number of instances that run a decision core; the others
 	// only take part in the membership. 0 for all.
 	Cores int
+	// StartSpread is the time over which the instances start. Members above
+	// the full mesh get heartbeats in rotation; instances that start together
+	// rotate in step, and all send to the same few members.
+	StartSpread time.Duration
 	// WriterStagger is the wait per rank before a write; 0 for the default.
 	WriterStagger time.Duration
 }
