Run random fault schedules over whole nodes

Cause of the violations found first: upstreams run a request once per packet, and a duplicate of a redirected, decided request between two instances ran twice. The node now handles one copy per hop of an attempt. Links to upstreams carry no duplicates, since nobody before the upstream could undo them.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -25,7 +25,8 @@
 			&cli.IntFlag{Name: "parallel", Value: 4, Usage: "runs at a time"},
 			&cli.BoolFlag{Name: "violations", Usage: "print the violations found"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{schedulesCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -42,7 +42,7 @@
 	i := w.instances[index]
 	i.leaving = true
 	w.publishInstances()
-	i.execute(i.core.Shutdown(w.now))
+	i.execute(i.core.Shutdown(i.now()))
 	deadline := w.now.Add(shutdownTime)
 	var wait func()
 	wait = func() {
--- a/internal/measure/platform.go
+++ b/internal/measure/platform.go
@@ -18,7 +18,7 @@
 	w := i.world
 	life := i.life
 	w.control.platformCalls++
-	w.after(platformDelay, func() {
+	w.after(platformDelay+w.store.Delay(), func() {
 		if w.cut[[2]string{i.domain, platformName}] {
 			i.failPlatform(life, a, &platform.UnavailableError{Reason: "cut off"})
 			return
@@ -41,7 +41,9 @@
 		case action.WatchObjects:
 			i.startWatch(life, a)
 		case action.StopWatch:
-			i.stopWatch()
+			if life == i.life {
+				i.stopWatch()
+			}
 		case action.WriteObject:
 			i.write(life, a)
 		}
@@ -62,12 +64,19 @@
 
 func (i *instance) platformEvent(life int, event action.PlatformEvent) {
 	w := i.world
-	w.after(platformDelay, func() {
-		i.do(life, func() { i.execute(i.core.HandlePlatform(w.now, event)) })
+	delay := platformDelay
+	if w.cut[[2]string{platformName, i.domain}] {
+		delay, event = platformTimeout, lostAnswer(event)
+	}
+	w.after(delay, func() {
+		i.do(life, func() { i.execute(i.core.HandlePlatform(i.now(), event)) })
 	})
 }
 
 func (i *instance) startWatch(life int, a action.WatchObjects) {
+	if life != i.life {
+		return
+	}
 	i.stopWatch()
 	watch, err := i.world.store.Watch("", a.Since)
 	if err != nil {
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -16,6 +16,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/node"
 	"github.com/chivemast/chivemast/internal/standin/caller"
 	"github.com/chivemast/chivemast/internal/standin/history"
 	"github.com/chivemast/chivemast/internal/standin/platform"
@@ -53,6 +54,14 @@
 	ServiceTime time.Duration
 	// Duplicate, Reorder and Drop are shares of the packets from callers.
 	Duplicate, Reorder, Drop float64
+	// Links has the faults of the links between instances and to upstreams.
+	Links LinkFaults
+	// Skew is the offset of each instance's clock; zero where missing.
+	Skew []time.Duration
+	// InstanceLag is the age of the platform's instance list.
+	InstanceLag time.Duration
+	// Configure changes the settings of every node.
+	Configure func(*node.Config)
 }
 
 // World is one run in virtual time. It is not safe for concurrent use.
@@ -145,7 +154,7 @@
 		upstreams: map[netip.AddrPort]*server{}, recorder: &history.Memory{},
 		cut: map[[2]string]bool{}, accepted: map[uint64]time.Time{},
 	}
-	w.store = platform.NewStore(platform.Options{Clock: func() time.Time { return w.now }})
+	w.store = platform.NewStore(platform.Options{Clock: func() time.Time { return w.now }, InstanceLag: opt.InstanceLag})
 	for _, team := range opt.Teams {
 		if err := w.addTeam(team); err != nil {
 			return nil, err
@@ -245,7 +254,7 @@
 	i := w.instances[w.rng.IntN(len(w.instances))]
 	delay := callerDelay
 	if w.opt.Reorder > 0 && w.rng.Float64() < w.opt.Reorder {
-		delay += time.Duration(w.rng.Int64N(int64(20 * time.Millisecond)))
+		delay += time.Duration(w.rng.Int64N(int64(max(20*time.Millisecond, w.opt.Links.ReorderBy))))
 	}
 	copied := proto.Clone(p).(*pb.Packet)
 	w.after(delay, func() { i.fromCaller(copied) })
@@ -265,10 +274,14 @@
 	if s == nil || w.cut[[2]string{from.domain, s.domain}] {
 		return
 	}
+	if from.stalled {
+		from.outbox = append(from.outbox, func() { w.toUpstream(from, address, p) })
+		return
+	}
 	copied := proto.Clone(p).(*pb.Packet)
-	w.after(peerDelay, func() {
+	w.linkOnce(func() {
 		if !s.down {
-			w.fromUpstream(s, s.machine.HandlePacket(w.now, copied))
+			w.fromUpstream(s, s.machine.HandlePacket(w.now, proto.Clone(copied).(*pb.Packet)))
 			w.arm(s)
 		}
 	})
@@ -280,7 +293,7 @@
 		if i == nil || w.cut[[2]string{s.domain, i.domain}] {
 			continue
 		}
-		w.after(peerDelay, func() { i.fromUpstream(r.Packet, s.address) })
+		w.link(func() { i.fromUpstream(proto.Clone(r.Packet).(*pb.Packet), s.address) })
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,18 +25,6 @@
 // TickInterval is how often Tick is due.
 const TickInterval = 100 * time.Millisecond
 
-// Observer is told what a node does. Methods are called on the control
-// goroutine.
-type Observer interface {
-	// InvalidObject reports an object that cannot be put in force.
-	InvalidObject(err error)
-	// Dropped counts a packet that was dropped, by reason.
-	Dropped(reason string)
-	// Refused counts a refusal sent to a caller by the node itself; those of
-	// the request engine are counted by its own observer.
-	Refused(reason pb.RefusalReason)
-}
-
 // Config sets up a node. Zero values of the parts take their defaults.
 type Config struct {
 	Self membership.Member
@@ -107,6 +95,7 @@
 	retryingOpens, stillCold bool
 	// behind holds redirected packets whose sender has a newer revision.
 	behind     []behindPacket
+	seen       attemptsSeen
 	nextReport time.Time
 	reports    []*pb.UpstreamHealth
 	leaving    bool
--- a/internal/node/packet.go
+++ b/internal/node/packet.go
@@ -21,6 +21,7 @@
 	DropBehind         = "revision_behind"
 	DropTooManyHops    = "too_many_hops"
 	DropNotAnswerable  = "refused_without_answer"
+	DropDuplicate      = "duplicate_attempt"
 )
 
 const (
@@ -196,6 +197,10 @@
 		n.observer.Dropped(DropTooManyHops)
 		return nil
 	}
+	if !n.seen.first(now, r) {
+		n.observer.Dropped(DropDuplicate)
+		return nil
+	}
 	if r.GetRevision() > n.sync.Revision() {
 		if len(n.behind) >= maxBehind {
 			n.observer.Dropped(DropBehind)
