--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -26,7 +26,7 @@
 			&cli.BoolFlag{Name: "violations", Usage: "print the violations found"},
 		},
 		Action:   run,
-		Commands: []*cli.Command{slopesCommand()},
+		Commands: []*cli.Command{slopesCommand(), schedulesCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
