--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -156,3 +156,16 @@
 	w.run(2 * time.Second)
 	require.True(t, n.sync.Ready())
 }
+
+// Guards against a watch message that waited in a buffer, while this instance
+// did not run for less than the pause limit, passing for a fresh confirmation.
+func TestShortPauseConfirmsNothing(t *testing.T) {
+	w := newNet(2, 1)
+	w.put("teams/a", false)
+	w.run(5 * time.Second)
+	s := w.nodes[0].sync
+	require.True(t, w.nodes[0].watching)
+	before := s.ConfirmedAt()
+	s.HandleWatch(w.now.Add(2500*time.Millisecond), nil, w.revision)
+	require.Equal(t, before, s.ConfirmedAt())
+}
