Wait for old credits to arrive before the first grant

The old granter's last credit was spent 100 ms after its request, the new granter's first one 1 s after its tenure began, so they lay 900 ms apart. The margin of the lease (300 ms) hides this; the schedules run without it on purpose.

A new granter now waits as long as the window in which it counts credits (1.15 s) instead of CreditLifetime (1 s). Relying on the margin was ruled out: the bound should not depend on another package's constant.

--- a/internal/admission/credits.go
+++ b/internal/admission/credits.go
@@ -12,9 +12,7 @@
 
 // Constants of cold-start credits.
 const (
-	// CreditLifetime is the longest time for which a credit may be valid. A
-	// new granter waits that long, because it does not know the credits of
-	// the previous one.
+	// CreditLifetime is the longest time for which a credit may be valid.
 	CreditLifetime = time.Second
 	// CreditUse is how long after its request a credit may be spent. It is
 	// shorter than CreditLifetime, because every credit granted in
@@ -27,6 +25,11 @@
 	// grantWindow is the time in which the granter hands out at most the
 	// credits that the upstream sustains in one second.
 	grantWindow = time.Second + CreditUse + transitLimit
+	// takeoverWait is how long a new granter waits, because it does not know
+	// the credits of the previous one. With CreditLifetime alone, the last
+	// opens on old credits and the first on new ones may lie only 900 ms
+	// apart and exceed the load of one second.
+	takeoverWait = max(CreditLifetime, grantWindow)
 
 	// askInterval is the time between two requests for credits, and
 	// askBackoff the time after a request that got none.
--- a/internal/admission/credits_test.go
+++ b/internal/admission/credits_test.go
@@ -197,3 +197,10 @@
 	require.Equal(t, RefusedNoCredit, c.Open(now, name, 1), "claim of warmth")
 	require.Equal(t, RefusedUnknown, c.Open(now, "t/s/other", 1))
 }
+
+// Guards against a new granter that waits only CreditLifetime: an open on an
+// old credit and one on a new credit arrived within one second.
+func TestNewGranterWaitsForOldCreditsToArrive(t *testing.T) {
+	c := schedule{seed: 0, sustainable: 1, steps: []int{0, 0, 0, 5, 5, 6, 0, 0, 0, 2}}.run(policy{})
+	require.LessOrEqual(t, c.busiest(), 1)
+}
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -154,7 +154,7 @@
 		// The requester has an old boot id and learns the new one.
 		return answer
 	}
-	if now.Sub(tenure.Start) < CreditLifetime {
+	if now.Sub(tenure.Start) < takeoverWait {
 		answer.Warm = u.warm
 		return answer
 	}
