--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/membership"
 )
 
@@ -170,3 +171,52 @@
 	}
 	require.False(t, MayUseAddress(at, Removal{}, nil))
 }
+
+// Guards against replication that does not fit into the control traffic of
+// 4 KB/s during a change: 214 births per second at one tracker.
+func TestReplicationTraffic(t *testing.T) {
+	tr, tbl, view := trackedPair(t)
+	peer := membership.Member{Name: "i1", FailureDomain: "d1", State: membership.Alive, Revision: 2, Ready: true}
+	now := time.Unix(1000, 0)
+	total, released := 0, 0
+	count := func(actions []action.Action) {
+		for _, a := range actions {
+			m := a.(action.SendPeer).Message
+			m.From, m.Incarnation = "i0", 1
+			total += proto.Size(m)
+			if birth := m.GetBirth(); birth != nil {
+				ack := &pb.PeerMessage{From: "i1", Incarnation: 1, Body: &pb.PeerMessage_BirthAck{BirthAck: &pb.BirthAck{Sequence: birth.Sequence}}}
+				total += proto.Size(ack)
+				released += len(tr.HandleBirthAck(now, "i1", ack.GetBirthAck()))
+			}
+		}
+	}
+	peer.LastHeard = now.Add(time.Second)
+	view.Members = append(view.Members, peer)
+	tr.Adopt(now, tbl, view)
+	births := 0
+	for ms := range 20_000 {
+		now = now.Add(time.Millisecond)
+		if at, ok := tr.NextDeadline(); ms%100 == 0 || (ok && !now.Before(at)) {
+			actions, _ := tr.Tick(now, view)
+			count(actions)
+			for _, b := range tr.services[tbl.Service()].buckets { // the only peer has nothing to merge
+				b.merged = b.peers
+			}
+		}
+		if ms == 10_000 {
+			total, released, births = 0, 0, 0
+		}
+		for id := uint64(ms) << 20; ms%14 < 3 && ms >= 5000; id++ {
+			p := Packet{Key: flow.Key{ID: id}, Kind: pb.PacketKind_PACKET_KIND_OPEN}
+			if b := tr.services[tbl.Service()].buckets[flow.Bucket(p.Key.Hash())]; b != nil && b.mine {
+				count(tr.HandlePacket(now, p, tbl, view).Actions)
+				births++
+				break
+			}
+		}
+	}
+	t.Logf("%d births in 10 s, %d bytes with acknowledgements", births, total)
+	require.InDelta(t, births, released, 20)
+	require.Less(t, total/10, 4096)
+}
