Tell health and admission of upstreams only when they change

Adopting one table rebuilt the list of all upstreams for health and admission, so that a returning failure domain paid for 3,700 upstreams per table of 300 services. Only a team object, or a table that brings or drops an upstream, changes that list; otherwise the index by address of that one service is replaced.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -50,7 +50,9 @@
 	upstreams    map[string]*upstream
 	// order holds the names of the upstreams, sorted.
 	order []string
-	plan  planState
+	// indexed is the number of upstreams that declareUpstreams knows.
+	indexed int
+	plan    planState
 }
 
 func (s *service) upstreamName(name string) string { return s.name + "/" + name }
@@ -78,15 +80,39 @@
 	if teams {
 		n.rebuildServices()
 	}
+	names := teams
 	for _, o := range changed {
-		if name, ok := strings.CutPrefix(o.GetKey(), tablePrefix); ok {
-			n.adoptTable(n.services[name], o)
+		if name, ok := strings.CutPrefix(o.GetKey(), tablePrefix); ok && n.services[name] != nil {
+			s := n.services[name]
+			n.adoptTable(s, o)
+			names = !n.indexUpstreams(s) || names
 		}
 	}
-	n.declareUpstreams()
+	if names {
+		n.declareUpstreams()
+	}
 	n.dirty = true
 }
 
+// indexUpstreams replaces the upstreams of a service whose table changed. It
+// returns false when upstreams or addresses were added or removed, which
+// health and admission have to be told of.
+func (n *Node) indexUpstreams(s *service) bool {
+	if s.conflicting {
+		return true
+	}
+	if len(s.order) != s.indexed {
+		return false
+	}
+	for _, u := range s.upstreams {
+		if before := n.byUpstream[u.address]; before == nil || before.name != u.name {
+			return false
+		}
+		n.byUpstream[u.address] = u
+	}
+	return true
+}
+
 func (n *Node) adoptDomain(o *pb.Object) {
 	name := strings.TrimPrefix(o.GetKey(), domainPrefix)
 	if o.GetDeleted() {
@@ -265,6 +291,7 @@
 		if s.conflicting {
 			continue
 		}
+		s.indexed = len(s.order)
 		for _, u := range s.upstreams {
 			known[u.name] = true
 			n.byUpstream[u.address] = u
