--- a/internal/measure/slopes_fit.go
+++ b/internal/measure/slopes_fit.go
@@ -1,10 +1,13 @@
 package measure
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
+	"io"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -120,3 +123,41 @@
 		fmt.Fprintln(s.Out, text)
 	}
 }
+
+// Read takes over the values of lines that earlier runs printed, so that the
+// sizes of several runs can be fitted together. It fails with *LineError.
+func (s *Slopes) Read(r io.Reader) error {
+	s.points = map[series][]point{}
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		fields := map[string]string{}
+		values := map[string]float64{}
+		for _, field := range strings.Fields(scanner.Text()) {
+			name, text, _ := strings.Cut(field, "=")
+			fields[name] = text
+			if y, err := strconv.ParseFloat(text, 64); err == nil {
+				values[name] = y
+			}
+		}
+		if fields["kind"] == "fit" || fields["instances"] == "" {
+			continue
+		}
+		x, ok := values["instances"]
+		if !ok || fields["subject"] == "" {
+			return &LineError{Line: scanner.Text()}
+		}
+		for _, name := range []string{"instances", "upstreams", "services"} {
+			delete(values, name)
+		}
+		s.add(fields["kind"], fields["subject"], Size{Instances: int(x)}, values)
+	}
+	return scanner.Err()
+}
+
+// LineError says that a line is not one of a slope run.
+type LineError struct{ Line string }
+
+func (e *LineError) Error() string { return fmt.Sprintf("not a line of a slope run: %q", e.Line) }
+
+// Fit prints the fits of the values read.
+func (s *Slopes) Fit() { s.printFits() }
--- a/internal/measure/slopes_test.go
+++ b/internal/measure/slopes_test.go
@@ -53,4 +53,7 @@
 	require.Positive(t, value("core", "tables", "processor_us_per_second"))
 	require.Positive(t, value("core", "all", "allocated_bytes_per_second"))
 	require.Positive(t, value("memory", "retained", "core_bytes"))
+	again := Slopes{}
+	require.NoError(t, again.Read(&out))
+	require.InEpsilon(t, value("memory", "retained", "core_bytes"), again.points[series{"memory", "retained", "core_bytes"}][0].y, 0.001)
 }
