Add the decided requests to the handovers of lease slots

Cause of the double runs in fault schedules: the leases announce a handover at every release and every rebalancing and expect the node to add the records. The node passed the announcement on without any, and the new holder took it for a complete list and ran copies of decided requests again. A shutdown sent a second message with the records, which came too late when it was reordered.

The node now completes each announcement with the requests that count, and lists only slots whose last tenure is of the slot's present epoch.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,8 @@
 	knownUpstreams map[string]bool
 	forgotten      map[string]bool
 	slots          *pb.SlotTable
+	// tenures holds the last tenure for each lease slot.
+	tenures map[uint32]lease.Tenure
 
 	// held maps the tracker's tickets to the packets that wait.
 	held map[uint64]heldPacket
@@ -122,6 +124,7 @@
 		byAddress:  map[netip.AddrPort]*service{},
 		byUpstream: map[netip.AddrPort]*upstream{},
 		held:       map[uint64]heldPacket{},
+		tenures:    map[uint32]lease.Tenure{},
 		awaiting:   map[flow.Key]awaitingOpen{},
 	}
 	cfg.Domain.OwnDomain = cfg.Self.FailureDomain
@@ -168,7 +171,8 @@
 	n.refreshReports(now)
 	out := n.sync.Tick(now, n.view)
 	out = append(out, n.withReports(n.members.Tick(now))...)
-	out = append(out, n.leases.Tick(now, n.view, n.members)...)
+	n.noteTenures(now)
+	out = append(out, n.withRecords(now, n.leases.Tick(now, n.view, n.members))...)
 	out = append(out, n.health.Tick(now, n.view)...)
 	out = append(out, n.credits.Tick(now, slotsView{n})...)
 	n.noteWarm(now)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -1,13 +1,12 @@
 package node
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/flow"
+	"github.com/chivemast/chivemast/internal/lease"
 	"github.com/chivemast/chivemast/internal/request"
 )
 
@@ -18,40 +17,51 @@
 	n.leaving = true
 	n.advance(now)
 	n.engine.Drain()
-	var out []action.Action
-	bySuccessor := n.tenuresBySuccessor(now)
-	for _, successor := range slices.Sorted(maps.Keys(bySuccessor)) {
-		tenures := bySuccessor[successor]
-		member, ok := n.view.Member(successor)
-		if !ok {
-			continue
-		}
-		out = append(out, action.SendPeer{
-			Instance: successor, Address: member.Address,
-			Message: &pb.PeerMessage{
-				From: n.self.Name, Incarnation: n.self.Incarnation,
-				Body: &pb.PeerMessage_SlotHandover{SlotHandover: n.engine.Handover(now, tenures)},
-			},
-		})
-	}
-	return n.stamp(append(out, n.leases.Release(now)...))
+	n.noteTenures(now)
+	return n.stamp(n.withRecords(now, n.leases.Release(now)))
 }
 
 // Done tells whether a graceful shutdown has nothing left to wait for.
 func (n *Node) Done() bool { return n.leaving && n.engine.InFlight() == 0 && n.leases.Held() == 0 }
 
-func (n *Node) tenuresBySuccessor(now time.Time) map[string]map[uint32]request.Tenure {
-	out := map[string]map[uint32]request.Tenure{}
+// noteTenures remembers the tenures of this instance. A slot that is being
+// handed over has no tenure any more when it is announced.
+func (n *Node) noteTenures(now time.Time) {
 	for slot := range flow.LeaseSlots {
-		tenure, ok := n.leases.Tenure(slot, now)
-		if !ok || slot >= len(n.slots.GetSlots()) {
+		if tenure, ok := n.leases.Tenure(slot, now); ok {
+			n.tenures[uint32(slot)] = tenure
+		}
+	}
+}
+
+// withRecords completes the handovers that the leases announce: it adds the
+// requests that count and removes the slots whose history this instance does
+// not know. Without the requests, the new holder would take the announcement
+// for a complete list and run copies of them again.
+func (n *Node) withRecords(now time.Time, actions []action.Action) []action.Action {
+	for _, a := range actions {
+		send, ok := a.(action.SendPeer)
+		if !ok || send.Message.GetSlotHandover() == nil {
 			continue
 		}
-		successor := n.slots.GetSlots()[slot].GetSuccessor()
-		if out[successor] == nil {
-			out[successor] = map[uint32]request.Tenure{}
+		tenures := map[uint32]request.Tenure{}
+		for _, slot := range send.Message.GetSlotHandover().GetSlots() {
+			if tenure, ok := n.lastTenure(slot); ok {
+				tenures[slot] = request.Tenure{Start: tenure.Start, Until: tenure.Until, Clean: tenure.Clean}
+			}
 		}
-		out[successor][uint32(slot)] = request.Tenure{Start: tenure.Start, Until: tenure.Until, Clean: tenure.Clean}
+		send.Message.Body = &pb.PeerMessage_SlotHandover{SlotHandover: n.engine.Handover(now, tenures)}
+	}
+	return actions
+}
+
+// lastTenure returns the last tenure for a slot if it is of the slot's present
+// epoch; of any other, an instance in between may have decided requests.
+func (n *Node) lastTenure(slot uint32) (lease.Tenure, bool) {
+	tenure, ok := n.tenures[slot]
+	if !ok || int(slot) >= len(n.slots.GetSlots()) {
+		return lease.Tenure{}, false
 	}
-	return out
+	entry := n.slots.GetSlots()[slot]
+	return tenure, entry.GetHolder() == n.self.Name && entry.GetEpoch() == tenure.Epoch
 }
