--- a/internal/measure/request_faults.go
+++ b/internal/measure/request_faults.go
@@ -7,7 +7,6 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
-	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/lease"
 	"github.com/chivemast/chivemast/internal/node"
 	"github.com/chivemast/chivemast/internal/request"
@@ -131,30 +130,53 @@
 }
 
 // unfenced is a node that takes every change of a lease slot for a complete
-// handover, so that it applies no fence.
-type unfenced struct{ *node.Node }
+// handover by the previous holder, so that it applies no fence.
+type unfenced struct {
+	*node.Node
+	table *pb.SlotTable
+}
 
+// Tick makes the present holder of each slot seem to hand it over.
 func (u *unfenced) Tick(now time.Time) []action.Action {
-	handover := &pb.SlotHandover{}
-	for slot := range uint32(flow.LeaseSlots) {
-		handover.Slots = append(handover.Slots, slot)
+	type run struct {
+		name        string
+		incarnation uint64
+	}
+	handovers := map[run]*pb.SlotHandover{}
+	for slot, entry := range u.table.GetSlots() {
+		holder := run{entry.GetHolder(), entry.GetHolderIncarnation()}
+		if handovers[holder] == nil {
+			handovers[holder] = &pb.SlotHandover{}
+		}
+		handovers[holder].Slots = append(handovers[holder].Slots, uint32(slot))
+	}
+	for holder, handover := range handovers {
+		u.Node.HandlePeer(now, &pb.PeerMessage{
+			From: holder.name, Incarnation: holder.incarnation, Body: &pb.PeerMessage_SlotHandover{SlotHandover: handover},
+		})
 	}
-	u.HandlePeer(now, &pb.PeerMessage{From: "policy", Body: &pb.PeerMessage_SlotHandover{SlotHandover: handover}})
 	return u.Node.Tick(now)
 }
 
+// HandlePlatform marks the slots that are read as handed over.
 func (u *unfenced) HandlePlatform(now time.Time, event action.PlatformEvent) []action.Action {
 	switch e := event.(type) {
 	case action.ObjectsRead:
-		markClean(e.Objects)
+		u.markClean(e.Objects)
 	case action.WriteResult:
-		markClean([]*pb.Object{e.Object})
+		u.markClean([]*pb.Object{e.Object})
 	}
 	return u.Node.HandlePlatform(now, event)
 }
 
+// HandlePeer marks the slots that a peer pushes as handed over.
+func (u *unfenced) HandlePeer(now time.Time, m *pb.PeerMessage) []action.Action {
+	u.markClean(m.GetObjectPush().GetObjects())
+	return u.Node.HandlePeer(now, m)
+}
+
 // markClean marks every slot as handed over completely.
-func markClean(objects []*pb.Object) {
+func (u *unfenced) markClean(objects []*pb.Object) {
 	for _, o := range objects {
 		table := &pb.SlotTable{}
 		if o.GetKey() != lease.Key || proto.Unmarshal(o.GetValue(), table) != nil {
@@ -163,6 +185,7 @@
 		for _, slot := range table.Slots {
 			slot.Clean = true
 		}
+		u.table = table
 		if value, err := proto.Marshal(table); err == nil {
 			o.Value = value
 		}
--- a/internal/measure/schedule.go
+++ b/internal/measure/schedule.go
@@ -58,6 +58,7 @@
 	domains := 2 + rng.IntN(3)
 	team := Team(4, 2, domains)
 	for n := range team.Services {
+		team.Services[n].MaxRequestTimeoutMS = 5000
 		team.Services[n].ColdStart = declare.ColdStart{SustainableOpensPerSecond: 50, RampSeconds: 3}
 	}
 	opt := Options{
@@ -73,8 +74,8 @@
 		Load: caller.Config{
 			Services: []string{serviceAddress(0).String(), serviceAddress(1).String()},
 			Duration: scheduleLoad, OpensPerSecond: 6, LongFlows: 8, FlowLifetime: 3 * time.Second,
-			RequestsPerSecond: 1.5, DataPerSecond: -1, NonIdempotent: 0.7, Cancel: 0.05, LateCopies: 0.3,
-			RequestTimeout: 1600 * time.Millisecond, Retransmit: 100 * time.Millisecond,
+			RequestsPerSecond: 1.5, DataPerSecond: -1, NonIdempotent: 0.7, Cancel: 0.05, LateCopies: 0.5,
+			RequestTimeout: []time.Duration{1500 * time.Millisecond, 4500 * time.Millisecond}[rng.IntN(2)], Retransmit: 100 * time.Millisecond,
 		},
 	}
 	base := time.Duration(rng.Int64N(int64(skewLimit)))
--- a/internal/measure/schedule_faults.go
+++ b/internal/measure/schedule_faults.go
@@ -24,8 +24,8 @@
 // faultKinds lists the kinds; those that move leases and requests in flight
 // occur more often.
 var faultKinds = []fault{
-	killFault, killFault, killFault, freezeFault, freezeFault, stallFault, stallFault, stallFault, restartFault, restartFault,
-	gracefulFault, cutFault, cutFault, platformCutFault, isolateFault, downFault, slowFault, loseFault, watchFault, listFault,
+	killFault, killFault, freezeFault, freezeFault, stallFault, stallFault, stallFault, restartFault, restartFault,
+	gracefulFault, gracefulFault, cutFault, cutFault, cutFault, cutFault, platformCutFault, isolateFault, downFault, slowFault, loseFault, watchFault, listFault,
 	upstreamFault, coldFault, drainFault, takeOutFault,
 }
 
@@ -108,11 +108,10 @@
 }
 
 func cutFault(f *faultSchedule, d time.Duration) (string, func()) {
-	a, b, both := f.domain(), f.domain(), f.rng.IntN(2) == 0
+	n := f.rng.IntN(f.world.opt.Domains)
+	other := (n + 1 + f.rng.IntN(f.world.opt.Domains-1)) % f.world.opt.Domains
+	a, b, both := f.world.domainName(n), f.world.domainName(other), f.rng.IntN(2) == 0
 	return fmt.Sprintf("cut %s to %s for %v, both ways %v", a, b, d, both), func() {
-		if a == b {
-			return
-		}
 		f.cutFor(a, b, d)
 		if both {
 			f.cutFor(b, a, d)
--- a/internal/measure/schedule_test.go
+++ b/internal/measure/schedule_test.go
@@ -44,3 +44,12 @@
 	totals := runSchedules(t, PolicyModulo, 1, 10)
 	require.NotEmpty(t, totals.Bad, totals.Line())
 }
+
+// Guards against schedules in which the fence of a new lease holder makes no
+// difference. The seeds are ones in which it does.
+func TestFaultSchedulesFailWithoutFence(t *testing.T) {
+	for _, seed := range []uint64{36, 51, 117} {
+		totals := runSchedules(t, PolicyNoFence, seed, 1)
+		require.Len(t, totals.Bad, 1, totals.Line())
+	}
+}
