--- a/internal/node/adopt_test.go
+++ b/internal/node/adopt_test.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/membership"
 	"github.com/chivemast/chivemast/internal/placement"
@@ -45,7 +46,7 @@
 		}
 		team.Services = append(team.Services, s)
 		table, _ := placement.Plan(nil, targets, placement.PlanOptions{Service: "team/" + s.Name, ConfigRevision: 1})
-		value, err := encodeTable(table)
+		value, err := codec.Encode(table)
 		require.NoError(tb, err)
 		objects = append(objects, a.object(tablePrefix+"team/"+s.Name, value))
 	}
@@ -75,7 +76,7 @@
 		panic(err)
 	}
 	change(table)
-	value, err := encodeTable(table)
+	value, err := codec.Encode(table)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// observeSignal passes a signal of the data path on. An upstream that health
+// finds cold by it, after a run of shed answers, needs credits again.
+func (n *Node) observeSignal(now time.Time, name string, signal health.Signal) {
+	before := n.health.State(name)
+	n.health.Observe(now, name, signal)
+	if before != health.Cold && n.health.State(name) == health.Cold {
+		n.credits.MarkCold(now, name)
+		n.dirty = true
+	}
+}
+
 // refreshReports takes this second's health reports for the heartbeats.
 func (n *Node) refreshReports(now time.Time) {
 	if now.Before(n.nextReport) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,8 @@
 	// predecessors holds the previous holder of slots that this instance
 	// took, where it saw the change.
 	predecessors map[int]string
+	// tenures holds the last tenure for each lease slot.
+	tenures map[uint32]lease.Tenure
 
 	// held maps the tracker's tickets to the packets that wait.
 	held  map[uint64]heldPacket
@@ -132,6 +134,7 @@
 		byAddress:  map[netip.AddrPort]*service{},
 		byUpstream: map[netip.AddrPort]*upstream{},
 		held:       map[uint64]heldPacket{},
+		tenures:    map[uint32]lease.Tenure{},
 
 		predecessors: map[int]string{},
 		opens:        openQueue{entries: map[flow.Key]waitingOpen{}},
@@ -186,7 +189,8 @@
 	n.turn(DutyMembership)
 	out = append(out, n.withReports(n.members.Tick(now))...)
 	n.turn(DutyLease)
-	out = append(out, n.leases.Tick(now, n.view, n.members)...)
+	n.noteTenures(now)
+	out = append(out, n.withRecords(now, n.leases.Tick(now, n.view, n.members))...)
 	n.turn(DutyHealth)
 	out = append(out, n.health.Tick(now, n.view)...)
 	n.turn(DutyCredits)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -119,7 +119,7 @@
 		return nil
 	}
 	n.observeBoot(now, u.name, p.GetBootId())
-	n.health.Observe(now, u.name, signalOf(p))
+	n.observeSignal(now, u.name, signalOf(p))
 	n.credits.Answered(u.name, key.Hash())
 	if p.GetRequestId() != 0 && p.GetAttempt() != 0 {
 		return n.route(n.engine.HandleAnswer(now, p))
