--- a/internal/node/adopt_test.go
+++ b/internal/node/adopt_test.go
@@ -71,8 +71,8 @@
 
 // adoptTable puts a new version of the first table in force.
 func (a *adopter) adoptTable(change func(*pb.ServiceTable)) {
-	table, err := decodeTable(a.table.GetValue())
-	if err != nil {
+	table := &pb.ServiceTable{}
+	if err := codec.Decode(a.table.GetValue(), table); err != nil {
 		panic(err)
 	}
 	change(table)
