Report sent control bytes apart

Cause: the target for control traffic does not say whether both directions count. Conclusion: both are reported.

--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -22,8 +22,11 @@
 	// of the mean instance, both after the first ten seconds of load, in
 	// which the upstreams get warm.
 	ControlMean, ControlMax, ControlSteady, ControlPeak float64
-	ByKind                                              map[string]float64
-	PlatformCallsPerSecond                              float64
+	// SentSteady and SentPeak are the sent part of ControlSteady and
+	// ControlPeak.
+	SentSteady, SentPeak   float64
+	ByKind                 map[string]float64
+	PlatformCallsPerSecond float64
 	// InForceP99 is the time from acceptance until a change is in force, over
 	// all instances and changes.
 	InForceP99 time.Duration
@@ -36,7 +39,8 @@
 func (w *World) result(scenario string) *Result {
 	r := &Result{Scenario: scenario, Policy: w.opt.Policy, Seed: w.opt.Seed, Report: w.Report(), ByKind: map[string]float64{}}
 	elapsed := w.now.Sub(w.started).Seconds()
-	r.ControlSteady, r.ControlPeak = w.controlRates()
+	r.ControlSteady, r.ControlPeak = rates(w.samples)
+	r.SentSteady, r.SentPeak = rates(w.sentSamples)
 	for _, i := range w.instances {
 		rate := float64(i.counted.sent+i.counted.received) / elapsed
 		r.ControlMean += rate / float64(len(w.instances))
@@ -64,21 +68,24 @@
 
 // sampleControl notes the control bytes since the last second.
 func (w *World) sampleControl() {
-	total := 0.0
+	total, sent := 0.0, 0.0
 	for _, i := range w.instances {
 		total += float64(i.counted.sent + i.counted.received)
+		sent += float64(i.counted.sent)
 	}
 	w.samples = append(w.samples, total/float64(len(w.instances)))
+	w.sentSamples = append(w.sentSamples, sent/float64(len(w.instances)))
 }
 
-// controlRates returns the median second and the busiest ten seconds.
-func (w *World) controlRates() (steady, peak float64) {
+// rates returns the median second and the busiest ten seconds of a series of
+// totals, in bytes per second.
+func rates(samples []float64) (steady, peak float64) {
 	const warmUp, window = 10, 10
 	var seconds []float64
-	for n := warmUp + 1; n < len(w.samples); n++ {
-		seconds = append(seconds, w.samples[n]-w.samples[n-1])
+	for n := warmUp + 1; n < len(samples); n++ {
+		seconds = append(seconds, samples[n]-samples[n-1])
 		if n >= warmUp+window {
-			peak = max(peak, (w.samples[n]-w.samples[n-window])/window)
+			peak = max(peak, (samples[n]-samples[n-window])/window)
 		}
 	}
 	if len(seconds) == 0 {
@@ -104,6 +111,7 @@
 		fmt.Sprintf("imbalance=%.3f", r.Report.OpenImbalance),
 		fmt.Sprintf("control_bytes_per_second=%.0f", r.ControlMean), fmt.Sprintf("control_bytes_max=%.0f", r.ControlMax),
 		fmt.Sprintf("control_steady=%.0f", r.ControlSteady), fmt.Sprintf("control_peak_10s=%.0f", r.ControlPeak),
+		fmt.Sprintf("sent_steady=%.0f", r.SentSteady), fmt.Sprintf("sent_peak_10s=%.0f", r.SentPeak),
 		fmt.Sprintf("served_ratio=%.5f", r.Report.Served), fmt.Sprintf("served_min_second=%.4f", r.MinServed),
 		fmt.Sprintf("opens_refused=%d", refused), fmt.Sprintf("open_timeouts=%d", r.Report.OpenTimeouts),
 		fmt.Sprintf("last_after_takeout_ms=%d", r.Report.LastAfterTakeOut.Milliseconds()),
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -102,9 +102,11 @@
 	control controlCount
 	// samples holds, per second, the control bytes of the mean instance so
 	// far.
-	samples  []float64
-	inForce  []time.Duration
-	accepted map[uint64]time.Time
+	samples []float64
+	// sentSamples is the sent part of samples.
+	sentSamples []float64
+	inForce     []time.Duration
+	accepted    map[uint64]time.Time
 }
 
 // server is one upstream.
