Send closed flows to the backup tracker apart from births

Cause: at 27,000 new flows/s the births of an instance go out in 25 messages a second, and the closes that shared them repeated the service name and the change number in each.

Ruled out: leaving closes out; the backup would keep ended flows until it is promoted, and cannot tell them from silent ones. Fewer, larger birth messages would exceed the 50 ms for which an OPEN waits.

--- a/internal/placement/replicate.go
+++ b/internal/placement/replicate.go
@@ -11,8 +11,8 @@
 	"github.com/chivemast/chivemast/internal/membership"
 )
 
-// closeDelay is how long closed flows wait for births to share a message
-// with; nothing waits for them.
+// closeDelay is how long closed flows are collected; nothing waits for them.
+// In the messages of the births, 25 per second, each would repeat the service.
 const closeDelay = time.Second
 
 // Sizes of an entry of a FlowGroup.
@@ -46,6 +46,9 @@
 	backup   membership.Member
 	pending  []replicaItem
 	flushAt  time.Time
+	// closes are sent apart from births, at closesAt.
+	closes   []replicaItem
+	closesAt time.Time
 	sequence uint64
 	inFlight map[uint64]*batch
 }
@@ -60,6 +63,9 @@
 // due returns when flush has something to send.
 func (r *replica) due() (time.Time, bool) {
 	next, ok := r.flushAt, len(r.pending) > 0
+	if len(r.closes) > 0 && (!ok || r.closesAt.Before(next)) {
+		next, ok = r.closesAt, true
+	}
 	for _, b := range r.inFlight {
 		if !ok || b.next.Before(next) {
 			next, ok = b.next, true
@@ -73,12 +79,19 @@
 func (t *Tracker) queueBirth(now time.Time, tbl *Table, fp uint64, upstream string, ticket uint64) {
 	item := replicaItem{service: tbl.service, change: tbl.change, fp: fp, upstream: upstream, ticket: ticket}
 	t.replica.add(item, now.Add(BatchDelay))
+	// A close that waits is older than this birth and must not follow it.
+	t.replica.closes = slices.DeleteFunc(t.replica.closes, func(c replicaItem) bool {
+		return c.fp == fp && c.service == tbl.service
+	})
 }
 
 func (t *Tracker) queueClose(tbl *Table, b *bucketState, fp uint64, upstream string) {
 	if upstream != b.previous && t.canReplicate() {
-		item := replicaItem{service: tbl.service, change: tbl.change, fp: fp, upstream: upstream, closed: true}
-		t.replica.add(item, t.contact.lastCall.Add(closeDelay))
+		if len(t.replica.closes) == 0 {
+			t.replica.closesAt = t.contact.lastCall.Add(closeDelay)
+		}
+		t.replica.closes = append(t.replica.closes,
+			replicaItem{service: tbl.service, change: tbl.change, fp: fp, upstream: upstream, closed: true})
 	}
 }
 
@@ -120,14 +133,13 @@
 	t.retarget(now)
 	var out []action.Action
 	if len(r.pending) > 0 && (!now.Before(r.flushAt) || len(r.pending) >= maxBatchEntries) {
-		for items := range slices.Chunk(r.pending, maxBatchEntries) {
-			r.sequence++
-			b := &batch{to: idOf(r.backup), items: slices.Clone(items), next: now.Add(firstBirthRetry), wait: firstBirthRetry}
-			r.inFlight[r.sequence] = b
-			out = append(out, t.sendBirth(r.sequence, b, false))
-		}
+		out = append(out, t.sendItems(now, r.pending)...)
 		r.pending = nil
 	}
+	if len(r.closes) > 0 && !now.Before(r.closesAt) {
+		out = append(out, t.sendItems(now, r.closes)...)
+		r.closes = nil
+	}
 	for _, seq := range sortedKeys(r.inFlight) {
 		if b := r.inFlight[seq]; !now.Before(b.next) {
 			b.wait = min(2*b.wait, retryInterval)
@@ -138,6 +150,19 @@
 	return out
 }
 
+// sendItems sends items in as many messages as they need.
+func (t *Tracker) sendItems(now time.Time, items []replicaItem) []action.Action {
+	r := &t.replica
+	var out []action.Action
+	for chunk := range slices.Chunk(items, maxBatchEntries) {
+		r.sequence++
+		b := &batch{to: idOf(r.backup), items: slices.Clone(chunk), next: now.Add(firstBirthRetry), wait: firstBirthRetry}
+		r.inFlight[r.sequence] = b
+		out = append(out, t.sendBirth(r.sequence, b, false))
+	}
+	return out
+}
+
 // retarget moves unacknowledged items to a new backup tracker.
 func (t *Tracker) retarget(now time.Time) {
 	r := &t.replica
@@ -150,7 +175,7 @@
 		}
 	}
 	if !t.canReplicate() {
-		r.pending = nil
+		r.pending, r.closes = nil, nil
 	}
 }
 
