--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -40,6 +40,12 @@
 	result   *measure.Result
 }
 
+type studyJob struct {
+	study   measure.Study
+	policy  string
+	figures *measure.Figures
+}
+
 func run(_ context.Context, cmd *cli.Command) error {
 	var jobs []*job
 	for _, s := range measure.Scenarios() {
@@ -49,6 +55,14 @@
 			}
 		}
 	}
+	var studies []*studyJob
+	for _, s := range measure.Studies() {
+		for _, p := range s.Policies {
+			if strings.Contains(s.Name, cmd.String("scenario")) && (cmd.String("policy") == "" || cmd.String("policy") == p) {
+				studies = append(studies, &studyJob{study: s, policy: p})
+			}
+		}
+	}
 	var group errgroup.Group
 	group.SetLimit(cmd.Int("parallel"))
 	for _, j := range jobs {
@@ -58,6 +72,12 @@
 			return err
 		})
 	}
+	for _, j := range studies {
+		group.Go(func() (err error) {
+			j.figures, err = measure.RunStudy(j.study, j.policy, cmd.Uint64("seed"))
+			return err
+		})
+	}
 	if err := group.Wait(); err != nil {
 		return err
 	}
@@ -69,5 +89,8 @@
 			}
 		}
 	}
+	for _, j := range studies {
+		fmt.Println(j.figures.Line())
+	}
 	return nil
 }
--- a/internal/measure/instance.go
+++ b/internal/measure/instance.go
@@ -109,6 +109,10 @@
 func (i *instance) newCore() (core, error) {
 	w := i.world
 	rng := rand.New(rand.NewPCG(w.opt.Seed, uint64(i.index)+uint64(i.life)*1000))
+	if w.opt.Policy == PolicyStaticShare {
+		b, err := newBaseline(PolicyRendezvous, i.replyTo)
+		return &staticShare{baseline: b, world: w, upstreams: map[netip.AddrPort]*share{}}, err
+	}
 	if !usesNode(w.opt.Policy) {
 		return newBaseline(w.opt.Policy, i.replyTo)
 	}
