--- a/internal/declare/conflict.go
+++ b/internal/declare/conflict.go
@@ -39,7 +39,7 @@
 // add records a use. An IPv4 address and its IPv6-mapped form are the same
 // address.
 func (b *addressBook) add(address netip.AddrPort, use Use) *ConflictError {
-	address = netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+	address = Unmap(address)
 	if first, ok := b.uses[address]; ok {
 		return &ConflictError{Address: address, First: first, Second: use}
 	}
--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -52,7 +52,11 @@
 
 // ParseFiles is Parse for a team whose services are spread over several
 // files. Every file names the team.
-func ParseFiles(files []File) (*Team, error) {
+func ParseFiles(files []File) (*Team, error) { return parse(files, false) }
+
+// parse decodes a stored object or operators' files, which must not contain
+// what only the command line fills in.
+func parse(files []File, stored bool) (*Team, error) {
 	merged := &Team{}
 	check := &checker{services: map[string]string{}, addresses: newAddressBook()}
 	for _, file := range files {
@@ -65,12 +69,16 @@
 		if err := check.team(team); err != nil {
 			return nil, err
 		}
+		if !stored && team.Released != nil {
+			return nil, doc.Errorf("released", document.UnknownKey, "", "apply keeps the released addresses; files must not contain them")
+		}
 		if merged.Name != "" && merged.Name != team.Name {
 			return nil, doc.Errorf("name", document.Duplicate, "team "+merged.Name,
 				"file declares team %q, an earlier one team %q", team.Name, merged.Name)
 		}
 		merged.Name = team.Name
 		merged.Services = append(merged.Services, team.Services...)
+		merged.Released = team.Released
 	}
 	merged.Normalize()
 	if _, err := Encode(merged); err != nil {
@@ -81,7 +89,9 @@
 
 // Decode decodes and validates the value of a team object. Decode fails with
 // *Error.
-func Decode(key string, value []byte) (*Team, error) { return Parse(key, value) }
+func Decode(key string, value []byte) (*Team, error) {
+	return parse([]File{{Name: key, Data: value}}, true)
+}
 
 // Normalize sorts services and upstreams by name and replaces zero values by
 // defaults, so that equal declarations have equal encodings.
@@ -133,6 +143,7 @@
 func (t *Team) Clone() *Team {
 	c := *t
 	c.Services = slices.Clone(t.Services)
+	c.Released = slices.Clone(t.Released)
 	for i := range c.Services {
 		c.Services[i].Upstreams = slices.Clone(c.Services[i].Upstreams)
 	}
--- a/internal/declare/types.go
+++ b/internal/declare/types.go
@@ -11,6 +11,9 @@
 type Team struct {
 	Name     string    `json:"name"`
 	Services []Service `json:"services"`
+	// Released lists addresses that the team gave up in the last 24 h. Only
+	// stored objects contain it; see Released.
+	Released []Release `json:"released,omitempty"`
 }
 
 // Service is a service address and the upstreams behind it.
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 
 	"github.com/chivemast/chivemast/internal/document"
@@ -39,9 +40,36 @@
 			return err
 		}
 	}
+	for i := range t.Released {
+		if err := c.release(document.Index("released", i), &t.Released[i]); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// release checks an entry by itself: its address may be in use again.
+func (c *checker) release(path string, r *Release) error {
+	if err := c.doc.CheckAddress(path+".address", r.Address, false); err != nil {
+		return err
+	}
+	if err := c.doc.CheckName(path+".service", r.Service); err != nil {
+		return err
+	}
+	if r.Upstream != "" {
+		if err := c.doc.CheckName(path+".upstream", r.Upstream); err != nil {
+			return err
+		}
+	}
+	if err := c.doc.CheckRange(path+".released_at_ms", r.ReleasedAtMS, 1, math.MaxInt64); err != nil {
+		return err
+	}
+	if err := c.doc.CheckRange(path+".revision", r.Revision, 0, math.MaxInt64); err != nil {
+		return err
+	}
+	return c.doc.CheckRange(path+".idle_timeout_seconds", int64(r.IdleTimeoutSeconds), 1, 86_400)
+}
+
 func (c *checker) service(path, team string, s *Service) error {
 	if err := c.doc.CheckName(path+".name", s.Name); err != nil {
 		return err
