Refuse the reuse of an address that other instances may still use

Cause: an instance that has not adopted the removal of an address goes on sending packets of the old service to it, also when the address already belongs to another service.

A move within one apply is refused as invalid.

Conclusion: the checks hold against the in-process fake.

--- a/cmd/chivemast/apply.go
+++ b/cmd/chivemast/apply.go
@@ -23,6 +23,9 @@
 	Unchanged bool             `json:"unchanged,omitempty"`
 	Changes   []declare.Change `json:"changes,omitempty"`
 	Confirmed []string         `json:"confirmed,omitempty"`
+	// releasesLost says that the platform stored a tombstone without the
+	// addresses that the team released.
+	releasesLost bool
 }
 
 func (r *changed) text(w io.Writer) {
@@ -75,22 +78,26 @@
 	if err != nil {
 		return err
 	}
-	stored, err := readTeams(ctx, c, client)
+	// Both waits of --wait share one time limit.
+	deadline, cancel := context.WithTimeout(ctx, c.Duration("wait-timeout"))
+	defer cancel()
+	stored, expected, err := readAdmissible(ctx, deadline, c, client, mine)
 	if err != nil {
 		return err
 	}
-	if conflicts := stored.conflicts(mine); len(conflicts) > 0 {
-		return &addressConflictError{Conflicts: conflicts}
-	}
-	result, err := writeTeam(ctx, client, stored, mine, c.Int64("expect-version"), c.Bool("delete"))
+	result, err := writeTeam(ctx, client, stored, mine, expected, c.Bool("delete"))
 	if err != nil {
 		return err
 	}
+	if result.releasesLost {
+		fmt.Fprintf(c.Root().ErrWriter, "chivemast: warning: the platform did not keep the released addresses with the tombstone of %s; "+
+			"reuse them only when all instances have revision %d in force and the idle timeouts have passed\n", result.Key, result.Revision)
+	}
 	var lateErr error
 	if !result.Unchanged {
 		lateErr = checkLateConflicts(ctx, c, client, mine)
 	}
-	if err := finish(ctx, c, client, result); lateErr == nil {
+	if err := finish(deadline, c, client, result); lateErr == nil {
 		return err
 	}
 	return lateErr
@@ -138,19 +145,19 @@
 		result.Unchanged = true
 		return result, nil
 	}
-	write := platform.Write{Key: result.Key, Expected: object.GetVersion(), Delete: remove, ChangeID: newChangeID()}
-	if !remove {
-		value, err := declare.Encode(mine)
-		if err != nil {
-			return nil, err
-		}
-		write.Value = value
+	mine.Released = declare.Released(stored.previous(mine.Name), object.GetRevision(), mine, time.Now())
+	value, err := declare.Encode(mine)
+	if err != nil {
+		return nil, err
 	}
+	// A tombstone carries the value as well, for its released addresses.
+	write := platform.Write{Key: result.Key, Value: value, Expected: object.GetVersion(), Delete: remove, ChangeID: newChangeID()}
 	accepted, err := client.Put(ctx, write)
 	if err != nil {
 		return nil, bothSides(err, before, result)
 	}
 	result.setObject(accepted)
+	result.releasesLost = remove && len(mine.Released) > 0 && len(accepted.GetValue()) == 0
 	return result, nil
 }
 
--- a/cmd/chivemast/common.go
+++ b/cmd/chivemast/common.go
@@ -135,6 +135,18 @@
 	// decoded lacks deleted teams and those in invalid.
 	decoded map[string]*declare.Team
 	invalid map[string]error
+	// tombstones holds the values of deleted teams, of platforms that keep
+	// them. They declare no services but list released addresses.
+	tombstones map[string]*declare.Team
+}
+
+// previous returns the stored version of a team or the value of its
+// tombstone, nil for none.
+func (t *teams) previous(name string) *declare.Team {
+	if team := t.decoded[name]; team != nil {
+		return team
+	}
+	return t.tombstones[name]
 }
 
 func readTeams(ctx context.Context, c *cli.Command, client *platform.Client) (*teams, error) {
@@ -144,11 +156,12 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &teams{objects: map[string]*pb.Object{}, decoded: map[string]*declare.Team{}, invalid: map[string]error{}}
+	t := &teams{objects: map[string]*pb.Object{}, decoded: map[string]*declare.Team{}, invalid: map[string]error{},
+		tombstones: map[string]*declare.Team{}}
 	for _, object := range objects {
 		name := strings.TrimPrefix(object.GetKey(), declare.KeyPrefix)
 		t.objects[name] = object
-		if object.GetDeleted() {
+		if object.GetDeleted() && len(object.GetValue()) == 0 {
 			continue
 		}
 		team, err := declare.Decode(object.GetKey(), object.GetValue())
@@ -156,7 +169,14 @@
 			// Instances reject it as well. It must not keep other teams from
 			// changing theirs, nor its own team from replacing it.
 			fmt.Fprintf(c.Root().ErrWriter, "chivemast: warning: the stored declaration is not valid and is left out: %v\n", err)
-			t.invalid[name] = err
+			if !object.GetDeleted() {
+				t.invalid[name] = err
+			}
+			continue
+		}
+		if object.GetDeleted() {
+			team.Services = nil
+			t.tombstones[name] = team
 			continue
 		}
 		t.decoded[name] = team
--- a/cmd/chivemast/exit.go
+++ b/cmd/chivemast/exit.go
@@ -29,7 +29,8 @@
 	exitUnknown code = 6
 	// exitUnconfirmed: a change was accepted, but instances did not answer or
 	// do not have it in force, or a check after it failed. Also a status with
-	// such instances.
+	// such instances, and a refusal to reuse an address that may still be in
+	// use; nothing was changed then.
 	exitUnconfirmed code = 7
 	// exitDifferent: diff --exit-code found differences.
 	exitDifferent code = 8
@@ -143,11 +144,11 @@
 		return exitOK
 	case is[*usageError](err):
 		return exitUsage
-	case is[*unconfirmedError](err), is[*uncheckedError](err):
+	case is[*unconfirmedError](err), is[*uncheckedError](err), is[*reuseBlockedError](err):
 		return exitUnconfirmed
 	case is[*differentError](err):
 		return exitDifferent
-	case is[*document.Error](err), is[*invalidError](err):
+	case is[*document.Error](err), is[*invalidError](err), is[*addressMoveError](err):
 		return exitInvalid
 	case is[*changeConflictError](err), is[*addressConflictError](err), is[*platform.ConflictError](err):
 		return exitConflict
--- a/cmd/chivemast/fake_test.go
+++ b/cmd/chivemast/fake_test.go
@@ -31,6 +31,8 @@
 	beforePut func(f *fakePlatform, r *pb.PutRequest)
 	// losePut carries the next write out and loses its answer.
 	losePut bool
+	// dropTombstoneValues makes tombstones lose the value of their write.
+	dropTombstoneValues bool
 }
 
 func newFake(t *testing.T) *fakePlatform {
@@ -46,11 +48,15 @@
 // addInstance starts the AdminService of an instance; lag is how many
 // revisions it is behind.
 func (f *fakePlatform) addInstance(t *testing.T, name string, lag uint64) *pb.InstanceInfo {
+	return f.serveInstance(t, &fakeInstance{platform: f, name: name, lag: lag})
+}
+
+func (f *fakePlatform) serveInstance(t *testing.T, instance *fakeInstance) *pb.InstanceInfo {
 	mux := http.NewServeMux()
-	mux.Handle(chivemastv1connect.NewAdminServiceHandler(&fakeInstance{platform: f, name: name, lag: lag}))
+	mux.Handle(chivemastv1connect.NewAdminServiceHandler(instance))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	return f.list(name, strings.TrimPrefix(server.URL, "http://"))
+	return f.list(instance.name, strings.TrimPrefix(server.URL, "http://"))
 }
 
 // list adds an instance to the platform's list.
@@ -100,6 +106,9 @@
 	f.revision++
 	object := &pb.Object{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetExpectedVersion() + 1,
 		Revision: f.revision, Deleted: r.GetDelete(), ChangeId: r.GetChangeId()}
+	if f.dropTombstoneValues && r.GetDelete() {
+		object.Value = nil
+	}
 	f.objects[r.GetKey()] = object
 	return &pb.PutResponse{Object: object}, nil
 }
@@ -112,12 +121,19 @@
 	platform *fakePlatform
 	name     string
 	lag      uint64
+	// members is what the instance has heard of others.
+	members []*pb.MemberDigest
+	// onStatus runs before each answer.
+	onStatus func(i *fakeInstance)
 }
 
 func (i *fakeInstance) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
 	i.platform.mu.Lock()
 	defer i.platform.mu.Unlock()
-	status := &pb.StatusResponse{Instance: i.name, FailureDomain: "a", Revision: i.platform.revision - i.lag, Ready: true, SlotsHeld: 32,
+	if i.onStatus != nil {
+		i.onStatus(i)
+	}
+	status := &pb.StatusResponse{Instance: i.name, Members: i.members, FailureDomain: "a", Revision: i.platform.revision - i.lag, Ready: true, SlotsHeld: 32,
 		Domains:   []*pb.DomainStatus{{Name: "a", Reachable: i.lag == 0}},
 		Upstreams: []*pb.UpstreamHealth{{Upstream: "t/s/u", State: pb.UpstreamHealth_STATE_WARM, Load: 3, AgeMs: 100 + uint32(i.lag)}}}
 	for key, object := range i.platform.objects {
--- a/cmd/chivemast/status.go
+++ b/cmd/chivemast/status.go
@@ -85,6 +85,9 @@
 	instances []*pb.InstanceInfo
 	// gone holds the instances that an operator has stated to be gone.
 	gone map[string]bool
+	// listErr says why the platform's list could not be read when addresses
+	// given by --admin stand in for it.
+	listErr error
 }
 
 // listFleet reads the platform's list of instances, without those that an
@@ -106,7 +109,7 @@
 	if err != nil && len(extra) == 0 {
 		return nil, err
 	}
-	f := &fleet{gone: map[string]bool{}}
+	f := &fleet{gone: map[string]bool{}, listErr: err}
 	for _, object := range forgotten {
 		f.gone[strings.TrimPrefix(object.GetKey(), forgottenPrefix)] = !object.GetDeleted()
 	}
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -196,3 +197,35 @@
 		require.Empty(t, Conflicts(team))
 	})
 }
+
+// Guards against a list of released addresses that loses an entry, keeps it
+// for ever or raises the revision at which it was released, and against files
+// that contain it.
+func TestReleased(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	stored, err := Parse("t", []byte(teamWith(`"upstreams": [`+upstream("u", "127.0.0.2:1", "")+`]`)))
+	require.NoError(t, err)
+	after := stored.Clone()
+	after.Services[0].Upstreams = nil
+	after.Released = Released(stored, 7, after, now)
+	want := Release{Address: netip.MustParseAddrPort("127.0.0.2:1"), Service: "s", Upstream: "u",
+		ReleasedAtMS: now.UnixMilli(), IdleTimeoutSeconds: 300}
+	require.Equal(t, []Release{want}, after.Released)
+
+	data, err := Encode(after)
+	require.NoError(t, err)
+	decoded, err := Decode("t", data)
+	require.NoError(t, err)
+	require.Equal(t, after.Released, decoded.Released)
+	_, err = Parse("file", data)
+	require.ErrorContains(t, err, "released")
+
+	want.Revision = 8
+	next := Released(decoded, 8, decoded, now.Add(ReleaseRetention))
+	require.Equal(t, []Release{want}, next)
+	decoded.Released = next
+	require.Equal(t, next, Released(decoded, 9, decoded, now), "the revision stays")
+	require.Empty(t, Released(decoded, 9, decoded, now.Add(ReleaseRetention+time.Millisecond)), "expired")
+	require.Empty(t, Released(decoded, 9, stored, now), "in use again")
+	require.Len(t, Released(decoded, 9, &Team{Name: "t"}, now), 2, "deleted")
+}
--- a/internal/declare/release.go
+++ b/internal/declare/release.go
@@ -110,9 +110,9 @@
 		return nil
 	}
 	type key struct {
-		address          netip.AddrPort
-		service          string
-		isService        bool
+		address   netip.AddrPort
+		service   string
+		isService bool
 	}
 	used := map[key]bool{}
 	for _, use := range after.Uses() {
