--- a/cmd/chivemast/fake_test.go
+++ b/cmd/chivemast/fake_test.go
@@ -33,6 +33,8 @@
 	losePut bool
 	// dropTombstoneValues makes tombstones lose the value of their write.
 	dropTombstoneValues bool
+	// rejectList rejects reads of the list of instances.
+	rejectList bool
 }
 
 func newFake(t *testing.T) *fakePlatform {
@@ -114,6 +116,9 @@
 }
 
 func (f *fakePlatform) ListInstances(context.Context, *pb.ListInstancesRequest) (*pb.ListInstancesResponse, error) {
+	if f.rejectList {
+		return nil, connect.NewError(connect.CodeInvalidArgument, nil)
+	}
 	return &pb.ListInstancesResponse{Instances: f.instances}, nil
 }
 
--- a/cmd/chivemast/reuse_test.go
+++ b/cmd/chivemast/reuse_test.go
@@ -70,6 +70,7 @@
 		}, exitUnconfirmed, "[i2]"},
 		{"forgotten instance", upstreamB, func(t *testing.T, f *fakePlatform) {
 			f.list("i1", "127.0.0.1:1")
+			f.serveInstance(t, &fakeInstance{platform: f, name: "i2", members: []*pb.MemberDigest{{Name: "i1", Revision: 1}}})
 			f.ok(t, "instance", "forget", "i1")
 		}, exitOK, ""},
 		{"table of another service", upstreamB, func(t *testing.T, f *fakePlatform) { f.storeTable(t, "t/a", "", "10.0.1.1:1") },
@@ -103,10 +104,15 @@
 				if test.setup != nil {
 					test.setup(t, f)
 				}
-				got, _, errOut := f.chivemast(t, "apply", "--team", "other", "-f", declaration(t, "other", test.services))
+				file := declaration(t, "other", test.services)
+				got, _, errOut := f.chivemast(t, "apply", "--team", "other", "-f", file)
 				require.Equal(t, int(test.want), got, errOut)
 				require.Contains(t, errOut, test.text)
 				require.Equal(t, test.want == exitOK, f.objects["teams/other"] != nil, "refused before writing")
+				if test.want == exitOK {
+					f.list("late", "127.0.0.1:1")
+					f.ok(t, "apply", "--team", "other", "-f", file)
+				}
 			})
 		}
 	}
@@ -126,8 +132,13 @@
 
 	f.list("silent", "127.0.0.1:1")
 	f.ok(t, "apply", "--team", "t", "-f", declaration(t, "t", fmt.Sprintf(serviceA, "")))
-	code, _, errOut = f.chivemast(t, "apply", "--team", "t", "-f", declaration(t, "t", moved))
+	code, _, errOut = f.chivemast(t, "apply", "--team", "t", "--admin", "127.0.0.1:2", "-f", declaration(t, "t", moved))
 	require.Equal(t, int(exitUnconfirmed), code, errOut)
+	require.Contains(t, errOut, "[127.0.0.1:2 silent]")
+	f.rejectList = true
+	admin := f.addInstance(t, "i1", 0).GetAdminAddress()
+	code, _, _ = f.chivemast(t, "apply", "--team", "t", "--admin", admin, "-f", declaration(t, "t", moved))
+	require.Equal(t, int(exitFailure), code, "--admin does not stand for the list")
 	f.ok(t, "apply", "--team", "t", "-f", declaration(t, "t", withUpstream))
 }
 
