Write the process ids of the demo to files

Replacing or killing one instance under make up needs its process id, which the demo kept to itself. A search by command name was ruled out, because it can hit processes of another run. The directory demo-out now has NAME.pid next to NAME.log, and the last line of make up names both.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -30,12 +30,14 @@
 trap stop_all EXIT
 
 # start NAME COMMAND...: runs a command in the background, its output in a
-# log file.
+# log file and its process id in a file next to it, so that single processes
+# can be stopped while make up runs.
 start() {
   local name=$1
   shift
   "$@" >"$out/$name.log" 2>&1 &
   pids+=($!)
+  echo $! >"$out/$name.pid"
 }
 
 instance_address() { echo "127.10.$((11 + ($1 - 1) % 4)).$1"; }
@@ -95,7 +97,7 @@
 sleep "${DEMO_SETTLE:-4}"
 
 if [ "${DEMO_KEEP:-0}" = 1 ]; then
-  echo "platform=$CHIVEMAST_PLATFORM instances=9 fabric=127.10.0.9:7100; interrupt to stop"
+  echo "platform=$CHIVEMAST_PLATFORM instances=9 fabric=127.10.0.9:7100 logs=$out/NAME.log process_ids=$out/NAME.pid; interrupt to stop"
   wait
 fi
 
