Use the heartbeat and freshness limits of the settings

nodeConfig did not pass heartbeat_interval_ms, heartbeat_peers, suspect_timeout_ms and freshness_limit_ms to the decision core, so the core used its constants whatever the settings said. The defaults are equal, so nothing changes without these keys. activation_limit_ms, replication_timeout_ms, credit_lifetime_ms and max_datagram_bytes have no field in the configuration of the packages concerned and are still constants.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,6 +131,10 @@
 		})
 		cfg.Sync.Peers = append(cfg.Sync.Peers, p.Name)
 	}
+	cfg.Membership.HeartbeatInterval = l.HeartbeatIntervalMS.Duration()
+	cfg.Membership.SuspectAfter = l.SuspectTimeoutMS.Duration()
+	cfg.Membership.FullMesh, cfg.Membership.Fanout = l.HeartbeatPeers+1, l.HeartbeatPeers
+	cfg.Domain.FreshnessLimit = l.FreshnessLimitMS.Duration()
 	cfg.Membership.LeaseDuration, cfg.Membership.LeaseMargin = l.LeaseDurationMS.Duration(), l.LeaseMarginMS.Duration()
 	cfg.Lease.LeaseDuration, cfg.Lease.LeaseMargin = l.LeaseDurationMS.Duration(), l.LeaseMarginMS.Duration()
 	cfg.Lease.WriterStagger = l.WriterStaggerMS.Duration()
