--- /dev/null
+++ b/internal/telemetry/operations_test.go
@@ -0,0 +1,41 @@
+package telemetry
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a reason on the metrics page that the operators' page does
+// not explain. Equal labels of different counters need a row each.
+func TestOperatorsPageExplainsEveryReason(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	for heading, labels := range map[string][]string{
+		"### Refusals":        refusalLabels(),
+		"### Retries":         retryLabels(),
+		"### Dropped packets": allDropLabels(),
+	} {
+		_, section, found := strings.Cut(string(page), heading+"\n")
+		require.True(t, found, heading)
+		section, _, _ = strings.Cut(section, "\n#")
+		var rows []string
+		for line := range strings.Lines(section) {
+			if cells := strings.Split(line, "|"); len(cells) == 5 {
+				rows = append(rows, strings.Trim(cells[1], " `"))
+				require.NotEmpty(t, strings.TrimSpace(cells[2]), line)
+				require.NotEmpty(t, strings.TrimSpace(cells[3]), line)
+			}
+		}
+		for i, label := range labels {
+			if label == "" { // the gap between the two lists of drop reasons
+				require.Equal(t, int(firstRequestDrop), i)
+				continue
+			}
+			require.True(t, slices.Contains(rows, label), "%s: no row for %s", heading, label)
+		}
+	}
+}
