Log changes of readiness and outages of the platform

In an outage of 15 s under make up the logs of the nine instances had no line about it, and no line said when an instance became ready: the only events were started, revision_adopted and those of the shutdown. A line per failed call was ruled out, because watches are retried every 2 s at most for as long as the outage lasts. Only the first failure and the first success after it are logged. The test checks that; the package passes with the race detector.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,6 +19,8 @@
 	ready     atomic.Bool
 	revision  uint64
 	doneSince time.Time
+	// platformLost tells whether the last call to the platform failed.
+	platformLost bool
 }
 
 func (r *readiness) set(ready bool) { r.ready.Store(ready) }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -35,6 +35,7 @@
 		case m := <-d.messages:
 			actions = d.node.HandlePeer(time.Now(), m)
 		case e := <-d.platform.Events():
+			d.logPlatform(e)
 			actions = d.node.HandlePlatform(time.Now(), e)
 		case r := <-d.results:
 			actions = d.node.HandleProbe(time.Now(), r)
@@ -95,6 +96,9 @@
 func (d *Daemon) publish() {
 	d.traffic.SetRouter(d.node.Snapshot(time.Now))
 	status := d.node.Summary()
+	if status.Ready != d.ready.ready.Load() {
+		d.log.WithFields(logrus.Fields{"event": "readiness_changed", "ready": status.Ready}).Info("readiness changed")
+	}
 	d.ready.set(status.Ready)
 	d.metrics.SetRevision(status.Revision)
 	d.metrics.SetInFlight(status.InFlight)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/settings"
 	"github.com/chivemast/chivemast/internal/standin/platform"
 )
@@ -111,3 +113,22 @@
 	require.Equal(t, 6, cfg.Membership.FullMesh)
 	require.Equal(t, 1503*time.Millisecond, cfg.Domain.FreshnessLimit)
 }
+
+// Guards against an outage of the platform that the log does not show, and
+// against one line per failed call.
+func TestLogShowsPlatformOutageOnce(t *testing.T) {
+	logger, hook := logrustest.NewNullLogger()
+	d := &Daemon{log: logrus.NewEntry(logger)}
+	for _, e := range []action.PlatformEvent{
+		action.ObjectsRead{},
+		action.WatchLost{Err: io.EOF}, action.ReadFailed{Err: io.EOF}, action.WriteResult{},
+		action.InstancesRead{}, action.ObjectsRead{},
+	} {
+		d.logPlatform(e)
+	}
+	var events []any
+	for _, entry := range hook.AllEntries() {
+		events = append(events, entry.Data["event"])
+	}
+	require.Equal(t, []any{"platform_lost", "platform_back"}, events)
+}
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/telemetry"
 )
 
@@ -29,3 +30,28 @@
 	o.daemon.metrics.InvalidObject()
 	o.daemon.log.WithFields(logrus.Fields{"event": "object_invalid", "error": err}).Warn("object not put in force")
 }
+
+// logPlatform logs the first failed call to the platform, and the first that
+// succeeds again.
+func (d *Daemon) logPlatform(event action.PlatformEvent) {
+	var err error
+	switch e := event.(type) {
+	case action.ReadFailed:
+		err = e.Err
+	case action.WatchLost:
+		err = e.Err
+	case action.ObjectsRead, action.InstancesRead:
+	default:
+		return
+	}
+	lost := err != nil
+	if lost == d.ready.platformLost {
+		return
+	}
+	d.ready.platformLost = lost
+	if lost {
+		d.log.WithFields(logrus.Fields{"event": "platform_lost", "error": err}).Warn("platform does not answer")
+		return
+	}
+	d.log.WithField("event", "platform_back").Info("platform answers again")
+}
