Give each failure domain of the demo its own platform address

make up had one platform listener and a fabric without /control, so a failure domain could not be cut off from the platform or the callers. Freezing its processes was ruled out, because that is another fault. The stand-ins now serve these cuts; links between instances still cannot be cut.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,11 +41,17 @@
 }
 
 instance_address() { echo "127.10.$((11 + ($1 - 1) % 4)).$1"; }
+# Each failure domain reaches the platform at an address of its own, so that
+# /control can cut off one of them.
+platform_address() { echo "127.10.$((11 + ($1 - 1) % 4)).250:7000"; }
 instance_domain() { echo "${domains[$((($1 - 1) % 4))]}"; }
 
 peers=""
 fabric_flags=()
-platform_flags=()
+platform_flags=(--listen default=127.10.0.9:7000)
+for i in $(seq 4); do
+  platform_flags+=(--listen "${domains[$((i - 1))]}=$(platform_address "$i")")
+done
 for i in $(seq 9); do
   ip=$(instance_address "$i")
   d=$(instance_domain "$i")
@@ -63,13 +69,13 @@
   "traffic_address": "$ip:7200",
   "peer_address": "$ip:7201",
   "admin_address": "$ip:7202",
-  "platform_url": "$CHIVEMAST_PLATFORM",
+  "platform_url": "http://$(platform_address "$i")",
   "peers": [$peers],
 }
 EOF
 done
 
-start platform bin/standin platform --listen default=127.10.0.9:7000 "${platform_flags[@]}" --instance-lag 5s
+start platform bin/standin platform "${platform_flags[@]}" --instance-lag 5s
 for i in $(seq 9); do
   bin/chivemastd --check --config "$out/instance-$i.jsonc" >/dev/null
   start "instance-$i" bin/chivemastd --config "$out/instance-$i.jsonc"
@@ -86,7 +92,7 @@
 for i in $(seq 4); do
   upstream photo-evidence 127.10.0.2:7102 "photo-evidence-0$i" "127.10.$i.51:7102" 5
 done
-start fabric bin/standin fabric --listen 127.10.0.9:7100 "${fabric_flags[@]}" --drop 0.001 --duplicate 0.01 --reorder 0.01
+start fabric bin/standin fabric --listen 127.10.0.9:7100 --control 127.10.0.9:7101 "${fabric_flags[@]}" --drop 0.001 --duplicate 0.01 --reorder 0.01
 
 for team in barrierline trentside; do
   bin/chivemast validate -f "examples/$team.jsonc"
