Show taken-out failure domains without a reachability fault

status listed all instances under UNREACHABLE FROM for a failure domain that operators had taken out, which reads like a network fault. It now lists instances only for failure domains in service.

--- a/cmd/chivemast/report.go
+++ b/cmd/chivemast/report.go
@@ -140,7 +140,8 @@
 			if state.Out != domain.GetOut() {
 				state.Disagreeing = append(state.Disagreeing, answer.GetInstance())
 			}
-			if !domain.GetReachable() {
+			// A failure domain that was taken out gets no packets by intent.
+			if !domain.GetReachable() && !domain.GetOut() {
 				state.UnreachableFrom = append(state.UnreachableFrom, answer.GetInstance())
 			}
 		}
--- a/cmd/chivemast/status.go
+++ b/cmd/chivemast/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -104,7 +105,7 @@
 		forgotten, _, err = client.RetryList(ctx, forgottenPrefix, 0)
 	}
 	if err != nil && len(extra) == 0 {
-		return nil, err
+		return nil, fmt.Errorf("%w; --admin ADDRESS asks an instance without the platform", err)
 	}
 	f := &fleet{gone: map[string]bool{}}
 	for _, object := range forgotten {
