--- a/internal/admission/credits.go
+++ b/internal/admission/credits.go
@@ -230,6 +230,17 @@
 	return u != nil && u.observe(bootID)
 }
 
+// MarkWarm notes that another instance has found an upstream warm under a boot
+// id. An instance that started during an outage of the platform, when no
+// instance may hold the upstream's lease slot, would otherwise take every
+// upstream for cold.
+func (c *Credits) MarkWarm(now time.Time, name string, bootID uint64) {
+	u := c.upstreams[name]
+	if u != nil && bootID != 0 && bootID == u.bootID && !now.Before(u.distrust) {
+		u.warm = true
+	}
+}
+
 // MarkCold notes that an upstream has turned cold without a new boot id, after
 // a reset or a run of shed answers.
 func (c *Credits) MarkCold(now time.Time, name string) {
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -75,6 +75,7 @@
 	r.nextAsk = now.Add(askBackoff)
 	return &pb.CreditRequest{
 		Upstream: name, Credits: uint32(r.asked), BootId: u.bootID, Sequence: r.sequence,
+		FoundCold: now.Before(u.distrust),
 	}
 }
 
@@ -111,6 +112,9 @@
 type granter struct {
 	tenure    time.Time
 	rampStart time.Time
+	// foundCold is when an instance last reported the upstream as cold under
+	// its present boot id.
+	foundCold time.Time
 	// counts holds the credits granted per bin; base is the number of the
 	// newest bin since the Unix epoch.
 	counts [bins]uint32
@@ -123,10 +127,10 @@
 	slots Slots,
 ) []action.Action {
 	tenure, ok := slots.Tenure(request.GetUpstream(), now)
-	if !ok {
-		return nil
+	grant := c.confirmWarm(request)
+	if ok {
+		grant = c.grant(now, request, tenure)
 	}
-	grant := c.grant(now, request, tenure)
 	if grant == nil {
 		return nil
 	}
@@ -135,6 +139,19 @@
 	}}}
 }
 
+// confirmWarm answers a request without a tenure: an instance that may not
+// grant credits can still say that an upstream is warm. It returns nil when
+// the upstream is not warm here under the same boot id.
+func (c *Credits) confirmWarm(request *pb.CreditRequest) *pb.CreditGrant {
+	u := c.upstreams[request.GetUpstream()]
+	if u == nil || !u.warm || request.GetFoundCold() || request.GetBootId() != 0 && request.GetBootId() != u.bootID {
+		return nil
+	}
+	return &pb.CreditGrant{
+		Upstream: request.GetUpstream(), BootId: u.bootID, Sequence: request.GetSequence(), Warm: true,
+	}
+}
+
 // grant decides a request. The result is nil when this instance knows nothing
 // of the upstream or its tenure does not cover now.
 func (c *Credits) grant(now time.Time, request *pb.CreditRequest, tenure Tenure) *pb.CreditGrant {
@@ -150,6 +167,12 @@
 	answer := &pb.CreditGrant{
 		Upstream: request.GetUpstream(), BootId: u.bootID, Sequence: request.GetSequence(),
 	}
+	if request.GetFoundCold() && request.GetBootId() == u.bootID && now.Sub(g.foundCold) > coldHold {
+		// The ramp starts again. Every instance reports the same cold start
+		// within coldHold, so it counts once.
+		g.foundCold = now
+		u.chill()
+	}
 	if request.GetBootId() != 0 && request.GetBootId() != u.bootID {
 		// The requester has an old boot id and learns the new one.
 		return answer
--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -101,7 +101,9 @@
 
 func (l *Leases) balanceHolders(now time.Time, t *pb.SlotTable) {
 	count := holderCounts(t)
-	to, found := l.least(count, func(m membership.Member) bool { return m.Ready && m.Name != l.self.Name })
+	to, found := l.least(count, func(m membership.Member) bool {
+		return m.Ready && m.Name != l.self.Name && l.settled(now, m)
+	})
 	if !found {
 		return
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -72,6 +72,7 @@
 	nextBalance time.Time
 	releasing   bool
 	view        *membership.View
+	lives       map[string]life
 	grants      Grants
 	err         error
 	stats       Stats
@@ -244,6 +245,7 @@
 		l.resumedAt = now
 	}
 	l.lastTick, l.view, l.grants = now, view, grants
+	l.noteLives(now)
 	l.resumeGrants()
 	var actions []action.Action
 	switch {
@@ -256,6 +258,33 @@
 	return actions
 }
 
+// life is when this instance first saw an incarnation of a member.
+type life struct {
+	incarnation uint64
+	since       time.Time
+}
+
+func (l *Leases) noteLives(now time.Time) {
+	if l.lives == nil {
+		l.lives = map[string]life{}
+	}
+	for _, m := range l.view.Members {
+		if l.lives[m.Name].incarnation != m.Incarnation {
+			l.lives[m.Name] = life{incarnation: m.Incarnation, since: now}
+		}
+	}
+}
+
+// settled tells whether a member has run for so long that nobody withholds
+// grants from it because of its previous run. A slot given to a member that
+// has just restarted had no holder with a grant for up to 6.3 s.
+func (l *Leases) settled(now time.Time, m membership.Member) bool {
+	const heartbeats = 2 * time.Second
+	seen, ok := l.lives[m.Name]
+	return ok && seen.incarnation == m.Incarnation &&
+		now.Sub(seen.since) > l.cfg.LeaseDuration+l.cfg.LeaseMargin+heartbeats
+}
+
 // Release hands all slots to their successors. Tenures end at once; Tick goes
 // on writing until the table shows the change.
 func (l *Leases) Release(now time.Time) []action.Action {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -40,6 +40,16 @@
 	return actions
 }
 
+// Announce sends a heartbeat to every member at once, for a change that the
+// others must not learn an interval later.
+func (m *Membership) Announce(now time.Time) []action.Action {
+	for _, p := range m.peers {
+		p.nextSend = now
+	}
+	m.nextRound = now
+	return m.Tick(now)
+}
+
 // due returns the peers that get a heartbeat now.
 func (m *Membership) due(now time.Time) []*peer {
 	if m.size <= m.cfg.FullMesh {
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -28,14 +28,28 @@
 	}
 }
 
-// noteWarm tells health of the upstreams that this instance itself granted
-// the last credits of their ramp.
+// noteWarm carries the proof that an upstream is warm between admission, which
+// finds it by the credits, and health, which hears of it from other instances.
 func (n *Node) noteWarm(now time.Time) {
 	for name := range n.knownUpstreams {
-		if n.credits.Warm(name) && n.health.State(name) == health.Cold {
+		state, warm := n.health.State(name), n.credits.Warm(name)
+		switch {
+		case warm && state == health.Cold && n.wasWarm[name]:
+			// Another instance or the upstream itself says that it has turned
+			// cold again.
+			n.credits.MarkCold(now, name)
+			n.wasWarm[name] = false
+		case warm && state == health.Cold:
 			n.health.MarkWarm(now, name, n.health.BootID(name))
-			n.dirty = true
+		case !warm && state == health.Warm:
+			n.credits.MarkWarm(now, name, n.health.BootID(name))
+		case state == health.Warm:
+			n.wasWarm[name] = true
+			continue
+		default:
+			continue
 		}
+		n.dirty = true
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,8 +90,11 @@
 	byAddress      map[netip.AddrPort]*service
 	byUpstream     map[netip.AddrPort]*upstream
 	knownUpstreams map[string]bool
-	forgotten      map[string]bool
-	slots          *pb.SlotTable
+	// wasWarm tells which upstreams health and admission last agreed to be
+	// warm.
+	wasWarm   map[string]bool
+	forgotten map[string]bool
+	slots     *pb.SlotTable
 	// predecessors holds the previous holder of slots that this instance
 	// took, where it saw the change.
 	predecessors map[int]string
@@ -137,6 +140,7 @@
 		tenures:    map[uint32]lease.Tenure{},
 
 		predecessors: map[int]string{},
+		wasWarm:      map[string]bool{},
 		opens:        openQueue{entries: map[flow.Key]waitingOpen{}},
 	}
 	cfg.Domain.OwnDomain = cfg.Self.FailureDomain
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -9,6 +9,7 @@
 	"github.com/chivemast/chivemast/internal/admission"
 	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/health"
+	"github.com/chivemast/chivemast/internal/membership"
 	"github.com/chivemast/chivemast/internal/placement"
 	"github.com/chivemast/chivemast/internal/request"
 )
@@ -153,14 +154,21 @@
 
 func upstreamSlot(name string) int { return int(flow.NameHash(name) % flow.LeaseSlots) }
 
-// Holder implements admission.Slots.
+// Holder implements admission.Slots. Without a live holder it names an
+// instance that may know whether the upstream is warm.
 func (v slotsView) Holder(upstream string) (string, netip.AddrPort) {
 	holder := v.n.leases.Holder(upstreamSlot(upstream))
-	member, ok := v.n.view.Member(holder)
-	if !ok {
-		return "", netip.AddrPort{}
+	if member, ok := v.n.view.Member(holder); ok && member.State == membership.Alive {
+		return holder, member.Address
 	}
-	return holder, member.Address
+	// Nobody may grant credits; another instance may know the upstream as
+	// warm.
+	for _, m := range v.n.view.Rank(flow.NameHash(upstream)) {
+		if m.Name != v.n.self.Name && m.Ready {
+			return m.Name, m.Address
+		}
+	}
+	return "", netip.AddrPort{}
 }
 
 // Tenure implements admission.Slots.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -18,7 +18,10 @@
 	n.advance(now)
 	n.engine.Drain()
 	n.noteTenures(now)
-	return n.stamp(n.withRecords(now, n.leases.Release(now)))
+	// Members that learn of the shutdown a heartbeat later may still give
+	// slots to this instance, which could not hand them on as clean.
+	out := n.members.Announce(now)
+	return n.stamp(append(out, n.withRecords(now, n.leases.Release(now))...))
 }
 
 // Done tells whether a graceful shutdown has nothing left to wait for.
--- a/internal/telemetry/kinds.go
+++ b/internal/telemetry/kinds.go
@@ -52,6 +52,8 @@
 	DropNotActive
 	// DropDomainOut: the flow's failure domain was taken out.
 	DropDomainOut
+	// DropDuplicateAttempt: a decided request was redirected twice.
+	DropDuplicateAttempt
 	// DropPeerMalformed: a peer message could not be decoded.
 	DropPeerMalformed
 	// DropPeerQueueFull: a queue of peer messages was full.
@@ -95,43 +97,15 @@
 	directions
 )
 
-// CallKind is the kind of a call to the platform.
-type CallKind int
-
-// Kinds of platform calls.
-const (
-	CallGet CallKind = iota
-	CallList
-	CallPut
-	CallWatch
-	CallListInstances
-	callKinds
-)
-
-// CallOutcome tells how a platform call ended.
-type CallOutcome int
-
-// Outcomes of platform calls.
-const (
-	CallOK CallOutcome = iota
-	CallConflict
-	CallTimeout
-	CallUnavailable
-	CallFailed
-	callOutcomes
-)
-
 var (
 	dropLabels = [...]string{"other", "malformed", "oversized", "unknown_service", "unknown_flow", "stale",
 		"not_synchronized", "too_many_hops", "queue_full", "no_upstream", "socket", "revision_behind",
 		"unknown_upstream_address", "refused_without_answer", "hold_full", "tracker_full", "duplicate_open",
-		"not_active", "domain_out", "peer_malformed", "peer_queue_full", "peer_send_failed"}
+		"not_active", "domain_out", "duplicate_attempt", "peer_malformed", "peer_queue_full", "peer_send_failed"}
 	messageLabels = [messageKinds]string{"other", "heartbeat", "redirect", "birth", "birth_ack",
 		"tracker_sync_request", "tracker_sync", "credit_request", "credit_grant", "object_push", "object_pull",
 		"slot_handover", "platform", "probe"}
 	directionLabels = [directions]string{"received", "sent"}
-	callLabels      = [callKinds]string{"get", "list", "put", "watch", "list_instances"}
-	outcomeLabels   = [callOutcomes]string{"ok", "conflict", "timeout", "unavailable", "failed"}
 )
 
 // DropReasonOf returns the drop reason with a label, zero for "other" if there
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -45,7 +45,6 @@
 	retries  *family
 	drops    *family
 	messages *family
-	calls    *family
 
 	forwarded           atomic.Int64
 	invalidObjects      atomic.Int64
@@ -74,7 +73,6 @@
 		retries:  newFamily("reason", retryLabels()),
 		drops:    newFamily("reason", allDropLabels()),
 		messages: newFamily2("kind", messageLabels[:], "direction", directionLabels[:]),
-		calls:    newFamily2("kind", callLabels[:], "outcome", outcomeLabels[:]),
 	}
 	if err := m.register(m.provider.Meter(scope)); err != nil {
 		return nil, &SetupError{Step: "instruments", Err: err}
@@ -104,11 +102,6 @@
 	m.messages.add(int(kind)*int(directions)+int(direction), int64(bytes))
 }
 
-// PlatformCall counts a finished call to the platform.
-func (m *Metrics) PlatformCall(kind CallKind, outcome CallOutcome) {
-	m.calls.add(int(kind)*int(callOutcomes)+int(outcome), 1)
-}
-
 // Meter returns the meter for packages that count by themselves.
 func (m *Metrics) Meter() metric.Meter { return m.provider.Meter(scope) }
 
@@ -144,11 +137,6 @@
 	return m.messages.get(int(kind)*int(directions) + int(direction))
 }
 
-// PlatformCalls returns the number of calls of a kind with an outcome.
-func (m *Metrics) PlatformCalls(kind CallKind, outcome CallOutcome) int64 {
-	return m.calls.get(int(kind)*int(callOutcomes) + int(outcome))
-}
-
 // RequestObserver counts what a request engine reports.
 type RequestObserver struct{ Metrics *Metrics }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -37,13 +37,11 @@
 	m.Refused(pb.RefusalReason(1000)) // of a newer peer
 	m.Dropped(DropSocket)
 	m.ControlBytes(KindOf(&pb.PeerMessage{Body: &pb.PeerMessage_ObjectPush{}}), Sent, 300)
-	m.PlatformCall(CallPut, CallConflict)
 	m.SetInFlight(3)
 	m.SetExceptions(4)
 	m.SetBucketsInTransition(5)
 	m.SetRevision(6)
 	require.Equal(t, int64(300), m.Bytes(MessageObjectPush, Sent))
-	require.Equal(t, int64(1), m.PlatformCalls(CallPut, CallConflict))
 	require.Zero(t, testing.AllocsPerRun(100, func() { m.Dropped(DropMalformed); m.ControlBytes(MessageBirth, Received, 6) }))
 
 	w := httptest.NewRecorder()
@@ -55,7 +53,6 @@
 		`chivemast_dropped_packets_total{reason="socket"} 1`,
 		`chivemast_dropped_packets_total{reason="request_duplicate_part"} 1`,
 		`chivemast_control_bytes_total{direction="sent",kind="object_push"} 300`,
-		`chivemast_platform_calls_total{kind="put",outcome="conflict"} 1`,
 		`chivemast_requests_in_flight 3`,
 		`chivemast_exceptions 4`,
 		`chivemast_buckets_in_transition 5`,
@@ -63,7 +60,7 @@
 	} {
 		require.Contains(t, strings.Split(w.Body.String(), "\n"), line)
 	}
-	for _, f := range []*family{m.refusals, m.retries, m.drops, m.messages, m.calls} {
+	for _, f := range []*family{m.refusals, m.retries, m.drops, m.messages} {
 		require.Len(t, f.options, len(f.counts))
 	}
 	require.NotContains(t, w.Body.String(), `reason=""`)
