Report the platform's fault in an outage instead of the read budget

In an outage, chivemast status ended with "call budget used up" when its repeated reads met the budget of an instance (1 call per second, burst 5), which says nothing about the platform. The commands now have the budget that single objects have; the growing waits between reads still bound the rate.

--- a/cmd/chivemast/common.go
+++ b/cmd/chivemast/common.go
@@ -36,7 +36,15 @@
 	if url == "" {
 		return nil, usagef("set --platform or CHIVEMAST_PLATFORM to the URL of the platform")
 	}
-	return platform.New(platform.Config{URL: url, WriteTimeout: c.Duration("timeout")})
+	return platform.New(platform.Config{URL: url, WriteTimeout: c.Duration("timeout"), Budgets: readBudgets})
+}
+
+// readBudgets admit the repeated reads of one command. With the budgets of an
+// instance, an outage ends in an error about the budget instead of one about
+// the platform. The growing waits between the reads bound their rate as well.
+var readBudgets = map[platform.Call]platform.Budget{
+	platform.CallList:      {PerSecond: 10, Burst: 20},
+	platform.CallInstances: {PerSecond: 10, Burst: 20},
 }
 
 // withClient runs a command that calls the platform. The context bounds every
