Log a graceful shutdown that is aborted

After a second SIGTERM the log of an instance ended with shutdown_started, like that of a crash. The nine instances of make up, stopped together, showed this: without anyone to take the slots they wait for the shutdown timeout, and the second signal ended them without a line. The new line has the number of requests in flight.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -24,6 +24,10 @@
 		var actions []action.Action
 		select {
 		case <-stop.Done():
+			if !deadline.IsZero() {
+				d.log.WithFields(logrus.Fields{"event": "shutdown_aborted", "in_flight": d.node.Summary().InFlight}).
+					Warn("graceful shutdown aborted")
+			}
 			return nil
 		case <-shutdown:
 			shutdown = nil
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -132,3 +132,30 @@
 	}
 	require.Equal(t, []any{"platform_lost", "platform_back"}, events)
 }
+
+// Guards against an aborted shutdown that looks like a crash in the log.
+func TestAbortedShutdownIsLogged(t *testing.T) {
+	logger, hook := logrustest.NewNullLogger()
+	d, err := New(testSettings("http://127.0.0.1:1"), logger.WithField("instance", "instance-1"))
+	require.NoError(t, err)
+	abort, kill := context.WithTimeout(context.Background(), waitLimit)
+	defer kill()
+	shutdown, stop := context.WithCancel(abort)
+	result := make(chan error, 1)
+	go func() { result <- d.Run(shutdown, abort) }()
+	logged := func(event string) func() bool {
+		return func() bool {
+			for _, entry := range hook.AllEntries() {
+				if entry.Data["event"] == event {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	stop()
+	require.Eventually(t, logged("shutdown_started"), waitLimit, time.Millisecond)
+	kill()
+	require.NoError(t, <-result)
+	require.True(t, logged("shutdown_aborted")())
+}
