Refuse to start the demo while another run answers

A second run of the demo, from another directory, failed to open its addresses but still changed the declarations of the first and sent its load there; the figures of both were worthless. The script now ends with code 1 and names the address. Tried with make up running.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,11 +9,18 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+export CHIVEMAST_PLATFORM=http://127.10.0.9:7000
+# All runs use the same addresses: a second one would change the declarations
+# of the first and send its load there.
+if curl -s -m 2 -o /dev/null "$CHIVEMAST_PLATFORM/control"; then
+  echo "demo: another run answers at $CHIVEMAST_PLATFORM; stop it first" >&2
+  exit 1
+fi
+
 out=demo-out
 rm -rf "$out"
 mkdir -p "$out"
 domains=(barrierline-a barrierline-b barrierline-c barrierline-d)
-export CHIVEMAST_PLATFORM=http://127.10.0.9:7000
 load_seconds=${DEMO_SECONDS:-42}
 
 pids=()
