Exit after a second signal even if a part does not end

Ruled out: finding every part that may block; the operator's second signal has to win over all of them.

--- a/cmd/chivemastd/main.go
+++ b/cmd/chivemastd/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -20,8 +21,13 @@
 const (
 	exitFailure  = 1
 	exitSettings = 2
+	// exitAborted follows a second signal.
+	exitAborted = 130
 )
 
+// abortGrace is the time between a second signal and the exit.
+const abortGrace = 300 * time.Millisecond
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "chivemastd",
@@ -77,6 +83,10 @@
 		stop()
 		<-received
 		kill()
+		// A part that does not end at once must not hold up the operator; the
+		// pause lets the last log line out.
+		time.Sleep(abortGrace)
+		os.Exit(exitAborted)
 	}()
 	return shutdown, abort, func() { signal.Stop(received); stop(); kill() }
 }
