Count shed OPENs during a ramp and start the ramp after the last of them

Cause: an upstream that turned cold during its ramp, without a new boot id, was in the cold state already, so a run of shed answers changed nothing; the granter's ramp went on from where it was. After the restart of the ramp it ran ahead of the upstream, which still shed everything for 2 s.

Conclusion: the first overload remains: between the change and the first shed answers nothing tells that the upstream is cold.

--- a/internal/admission/credits.go
+++ b/internal/admission/credits.go
@@ -35,6 +35,9 @@
 	// askBackoff the time after a request that got none.
 	askInterval = CreditUse
 	askBackoff  = 200 * time.Millisecond
+	// shedRun is the number of OPENs in a row that an upstream sheds before it
+	// counts as cold; a warm one sheds single OPENs at its connection limit.
+	shedRun = 3
 	// coldHold is how long a requester disbelieves a granter that calls an
 	// upstream warm which this instance has found cold; by then the granter
 	// has heard of it through heartbeats.
@@ -136,6 +139,8 @@
 	bootID  uint64
 	retired []uint64
 	warm    bool
+	// shed counts the OPENs in a row that the upstream shed.
+	shed int
 	// distrust is until when a granter's claim of warmth is ignored.
 	distrust time.Time
 	// unanswered maps the hash of a flow to the time of its last OPEN.
@@ -223,6 +228,26 @@
 	}
 }
 
+// Shed notes that an upstream shed an OPEN. After shedRun of them in a row it
+// counts as cold, also during a ramp, when it needs credits already.
+func (c *Credits) Shed(now time.Time, name string) {
+	u := c.upstreams[name]
+	if u == nil {
+		return
+	}
+	u.shed++
+	if u.shed >= shedRun {
+		c.MarkCold(now, name)
+	}
+}
+
+// Opened notes that an upstream accepted an OPEN.
+func (c *Credits) Opened(name string) {
+	if u := c.upstreams[name]; u != nil {
+		u.shed = 0
+	}
+}
+
 // ObserveBoot notes a boot id seen in a packet, a probe or a report of a peer.
 // A new one makes the upstream cold; it returns true in this case.
 func (c *Credits) ObserveBoot(name string, bootID uint64) bool {
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -112,9 +112,6 @@
 type granter struct {
 	tenure    time.Time
 	rampStart time.Time
-	// foundCold is when an instance last reported the upstream as cold under
-	// its present boot id.
-	foundCold time.Time
 	// counts holds the credits granted per bin; base is the number of the
 	// newest bin since the Unix epoch.
 	counts [bins]uint32
@@ -167,10 +164,10 @@
 	answer := &pb.CreditGrant{
 		Upstream: request.GetUpstream(), BootId: u.bootID, Sequence: request.GetSequence(),
 	}
-	if request.GetFoundCold() && request.GetBootId() == u.bootID && now.Sub(g.foundCold) > coldHold {
-		// The ramp starts again. Every instance reports the same cold start
-		// within coldHold, so it counts once.
-		g.foundCold = now
+	if request.GetFoundCold() && request.GetBootId() == u.bootID {
+		// The ramp starts when the last instance has not seen the upstream
+		// shed for coldHold. Started earlier, it ran ahead of an upstream that
+		// still shed everything, and made it fall over again.
 		u.chill()
 	}
 	if request.GetBootId() != 0 && request.GetBootId() != u.bootID {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -122,6 +122,7 @@
 	n.observeBoot(now, u.name, p.GetBootId())
 	n.observeSignal(now, u.name, signalOf(p))
 	n.credits.Answered(u.name, key.Hash())
+	n.noteOpen(now, u.name, p)
 	if p.GetRequestId() != 0 && p.GetAttempt() != 0 {
 		return n.route(n.engine.HandleAnswer(now, p))
 	}
@@ -132,6 +133,16 @@
 	return []action.Action{action.SendCaller{Packet: p}}
 }
 
+// noteOpen tells admission how an upstream answered an OPEN.
+func (n *Node) noteOpen(now time.Time, name string, p *pb.Packet) {
+	switch {
+	case p.GetKind() == pb.PacketKind_PACKET_KIND_OPENED:
+		n.credits.Opened(name)
+	case p.GetRequestId() == 0 && signalOf(p) == health.SignalShed:
+		n.credits.Shed(now, name)
+	}
+}
+
 func signalOf(p *pb.Packet) health.Signal {
 	if p.GetKind() == pb.PacketKind_PACKET_KIND_REFUSAL && p.GetRefusal() == pb.RefusalReason_REFUSAL_REASON_UPSTREAM_SHED {
 		return health.SignalShed
