Remove settings that had no effect

Ruled out: wiring them; they are parts of agreements between instances whose bounds depend on each other, and a wrong value breaks promises. Conclusion: unknown keys are errors, so a file that still has them is reported with its line.

--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -39,12 +39,6 @@
 	// object that another one should have written, in ms. Default 300, range
 	// 10 to 10,000. Fleet-wide.
 	WriterStaggerMS Milliseconds `json:"writer_stagger_ms" default:"300" min:"10" max:"10000"`
-	// ReplicationTimeoutMS is the longest wait for the backup tracker before
-	// an open is forwarded, in ms. Default 50, range 1 to 1,000.
-	ReplicationTimeoutMS Milliseconds `json:"replication_timeout_ms" default:"50" min:"1" max:"1000"`
-	// ActivationLimitMS is the longest wait for members that have not adopted
-	// a table, in ms. Default 3,000, range 500 to 60,000. Fleet-wide.
-	ActivationLimitMS Milliseconds `json:"activation_limit_ms" default:"3000" min:"500" max:"60000"`
 	// LeaseDurationMS is the time for which a grant lets the holder of a slot
 	// act, in ms. Default 6,000, range 1,000 to 60,000; at least twice
 	// heartbeat_interval_ms. Fleet-wide.
@@ -55,9 +49,6 @@
 	// ClockSkewLimitMS is the largest expected difference between the clocks
 	// of two hosts, in ms. Default 250, range 1 to 5,000. Fleet-wide.
 	ClockSkewLimitMS Milliseconds `json:"clock_skew_limit_ms" default:"250" min:"1" max:"5000"`
-	// CreditLifetimeMS is the time after which a credit for a cold upstream
-	// expires, in ms. Default 1,000, range 100 to 10,000. Fleet-wide.
-	CreditLifetimeMS Milliseconds `json:"credit_lifetime_ms" default:"1000" min:"100" max:"10000"`
 	// RetryBudgetPercent is the number of retries per 100 requests of a
 	// service. Default 10, range 0 to 100.
 	RetryBudgetPercent int `json:"retry_budget_percent" default:"10" min:"0" max:"100"`
@@ -82,9 +73,6 @@
 	// MaxRequests is the number of requests in flight per instance. Default
 	// 65,536, range 16 to 1,048,576.
 	MaxRequests int `json:"max_requests" default:"65536" min:"16" max:"1048576"`
-	// MaxDatagramBytes is the largest payload of a datagram, in bytes.
-	// Default 1,400, range 512 to 8,900. Fleet-wide.
-	MaxDatagramBytes int `json:"max_datagram_bytes" default:"1400" min:"512" max:"8900"`
 	// PlatformCallTimeoutMS is the time after which a platform call has
 	// failed, in ms. Default 2,000, range 50 to 60,000.
 	PlatformCallTimeoutMS Milliseconds `json:"platform_call_timeout_ms" default:"2000" min:"50" max:"60000"`
