Keep declared addresses apart from those of old tables

Cause: a table keeps the address of an upstream that is not declared any more, so that its flows go on.

Ruled out: dropping the address with the declaration; established flows and flows that trackers hold as exceptions would be lost.

Change: a declared address wins over a table's, and a table drops the addresses of removed upstreams once no bucket refers to them or is in transition. Tests for both; the first fails without the check in addRetired (run once with the check taken out: the old entry is then among the upstreams).

Conclusion: the table of a service that is removed altogether still names its upstreams and blocks their reuse by apply for 24 h.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -194,6 +194,7 @@
 	// Of two services with the same address, the one declared first keeps it.
 	slices.SortFunc(objects, func(a, b *pb.Object) int { return compare(a.GetRevision(), b.GetRevision()) })
 	used := map[netip.AddrPort]string{}
+	n.declaredAt = used
 	for _, o := range objects {
 		team, err := declare.Decode(o.GetKey(), o.GetValue())
 		if err != nil {
@@ -215,6 +216,10 @@
 		n.order = append(n.order, s)
 	}
 	slices.SortFunc(n.order, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+	// Tables come last: what they name must not override a declared address.
+	for _, s := range n.order {
+		n.adoptTable(s, n.sync.Get(tablePrefix+s.name))
+	}
 	n.setLimits()
 }
 
@@ -250,7 +255,6 @@
 	if before := old[s.name]; before != nil && before.declared.Address == declared.Address {
 		s.plan = before.plan
 	}
-	n.adoptTable(s, n.sync.Get(tablePrefix+s.name))
 }
 
 // adoptTable compiles the table of a service and resolves its upstreams. A
@@ -283,19 +287,20 @@
 		return
 	}
 	s.table, s.tableValue, s.tableVersion = table, value, o.GetVersion()
-	s.addRetired(value)
+	n.addRetired(s, value)
 	n.tracker.Adopt(n.now, table, n.view)
 }
 
 // addRetired adds upstreams that the table still names although they are not
-// declared any more; their flows go on.
-func (s *service) addRetired(value *pb.ServiceTable) {
+// declared any more; their flows go on. An address that another service has
+// declared since then belongs to that service.
+func (n *Node) addRetired(s *service, value *pb.ServiceTable) {
 	for i, name := range value.GetUpstreams() {
 		if s.upstreams[name] != nil || i >= len(value.GetAddresses()) || i >= len(value.GetFailureDomains()) {
 			continue
 		}
 		address, err := netip.ParseAddrPort(value.GetAddresses()[i])
-		if err != nil {
+		if owner, taken := n.declaredAt[address]; err != nil || taken && owner != s.name {
 			continue
 		}
 		s.upstreams[name] = &upstream{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,9 +85,11 @@
 
 	services map[string]*service
 	// order holds the services by name.
-	order          []*service
-	targetBuffer   []placement.Target
-	byAddress      map[netip.AddrPort]*service
+	order        []*service
+	targetBuffer []placement.Target
+	byAddress    map[netip.AddrPort]*service
+	// declaredAt maps declared addresses to the service that uses them.
+	declaredAt     map[netip.AddrPort]string
 	byUpstream     map[netip.AddrPort]*upstream
 	knownUpstreams map[string]bool
 	// wasWarm tells which upstreams health and admission last agreed to be
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,8 +10,10 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/membership"
+	"github.com/chivemast/chivemast/internal/placement"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -122,3 +124,36 @@
 	require.Zero(t, writes[0].Expected)
 	require.NotEmpty(t, writes[0].ChangeID)
 }
+
+// Guards against a table that sends packets of one service to an address that
+// another service has declared since.
+func TestRetiredUpstreamDoesNotOverrideADeclaredAddress(t *testing.T) {
+	n, _ := newTestNode()
+	read(n, start, 2, teamObject(t, "a", "127.2.0.1:80", "127.3.0.1:80", 1), teamObject(t, "b", "127.2.0.2:80", "127.3.0.2:80", 2))
+	table, changed := placement.Plan(nil, []placement.Target{{Upstream: "old", Weight: 1, State: placement.TargetServing}}, placement.PlanOptions{Service: "a/s"})
+	require.True(t, changed)
+	table.Addresses, table.FailureDomains = []string{"127.3.0.2:80"}, []string{"a"}
+	value, err := codec.Encode(table)
+	require.NoError(t, err)
+	n.HandlePlatform(start, action.ObjectsRead{Watched: true, Revision: 3, Objects: []*pb.Object{
+		{Key: "tables/a/s", Value: value, Version: 1, Revision: 3},
+	}})
+	require.NotNil(t, n.services["a/s"].table)
+	require.NotContains(t, n.services["a/s"].upstreams, "old")
+	require.Equal(t, "b/s/u", n.byUpstream[netip.MustParseAddrPort("127.3.0.2:80")].name)
+}
+
+// Guards against addresses of removed upstreams that tables keep for ever, and
+// against one that is lost while trackers may have flows on it.
+func TestTableDropsAddressesOfSettledRemovals(t *testing.T) {
+	s := &service{upstreams: map[string]*upstream{
+		"gone": {address: netip.MustParseAddrPort("127.3.0.1:80")},
+		"kept": {address: netip.MustParseAddrPort("127.3.0.2:80"), declared: true},
+	}}
+	table := &pb.ServiceTable{Upstreams: []string{"gone", "kept"}, Owner: []uint32{2, 2}, Previous: []uint32{0, 1}}
+	addAddresses(table, s)
+	require.Equal(t, "127.3.0.1:80", table.GetAddresses()[0])
+	table.Previous[1] = 0
+	addAddresses(table, s)
+	require.Equal(t, []string{"", "127.3.0.2:80"}, table.GetAddresses())
+}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -124,12 +124,16 @@
 	}
 }
 
-// addAddresses notes where each upstream of the table is.
+// addAddresses notes where each upstream of the table is. An upstream that is
+// not declared any more loses its address, so that another service may use it,
+// once no bucket refers to it and none is in transition, when trackers may
+// still have flows on it.
 func addAddresses(t *pb.ServiceTable, s *service) {
 	t.Addresses, t.FailureDomains = nil, nil
-	for _, name := range t.GetUpstreams() {
+	referred := referredUpstreams(t)
+	for i, name := range t.GetUpstreams() {
 		address, domain := "", ""
-		if u := s.upstreams[name]; u != nil {
+		if u := s.upstreams[name]; u != nil && (u.declared || referred == nil || referred[uint32(i+1)]) {
 			address, domain = u.address.String(), u.domain
 		}
 		t.Addresses = append(t.Addresses, address)
@@ -137,6 +141,19 @@
 	}
 }
 
+// referredUpstreams returns the indexes plus 1 of the upstreams that own a
+// bucket, nil while a bucket is in transition.
+func referredUpstreams(t *pb.ServiceTable) map[uint32]bool {
+	referred := map[uint32]bool{}
+	for bucket, owner := range t.GetOwner() {
+		if t.GetPrevious()[bucket] != 0 {
+			return nil
+		}
+		referred[owner] = true
+	}
+	return referred
+}
+
 // rank is this instance's place among the live members for writing a key.
 func (n *Node) rank(key string) int {
 	for i, m := range n.view.Rank(flow.NameHash(key)) {
