--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -152,26 +151,6 @@
 	})
 }
 
-// Guards against early use of an address that belonged to another service.
-func TestMayUseAddress(t *testing.T) {
-	at := time.Unix(1000, 0)
-	view := func(revision uint64) *membership.View {
-		return &membership.View{Self: membership.Member{Revision: 9}, Members: []membership.Member{{Revision: 9}, {Revision: revision}}}
-	}
-	for _, tc := range []struct {
-		idle, after time.Duration
-		lowest      uint64
-		want        bool
-	}{
-		{0, 0, 5, true}, {0, time.Hour, 4, false},
-		{time.Minute, 59 * time.Second, 9, false}, {time.Minute, time.Minute, 9, true}, {time.Minute, time.Hour, 0, false},
-	} {
-		got := MayUseAddress(at.Add(tc.after), Removal{Revision: 5, At: at, IdleTimeout: tc.idle}, view(tc.lowest))
-		require.Equal(t, tc.want, got, fmt.Sprintf("%+v", tc))
-	}
-	require.False(t, MayUseAddress(at, Removal{}, nil))
-}
-
 // Guards against replication that does not fit into the control traffic of
 // 4 KB/s during a change: 214 births per second at one tracker.
 func TestReplicationTraffic(t *testing.T) {
