--- a/internal/measure/request_scenarios.go
+++ b/internal/measure/request_scenarios.go
@@ -102,7 +102,9 @@
 		}
 		f.add("in_flight_when_killed", "%d", inFlight)
 		f.add("successors_must_refuse", "%d", mustRefuse)
-		f.add("takeover_ms", "%d", taken.Sub(killed).Milliseconds())
+		if !taken.IsZero() {
+			f.add("takeover_ms", "%d", taken.Sub(killed).Milliseconds())
+		}
 		f.add("outcome_unknown_ratio", "%.5f", float64(unknown)/float64(max(1, requests)))
 		f.target("outcome_unknown", unknown <= inFlight+mustRefuse)
 	})
