--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,165 @@
+package catalog
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+// Snapshot is an immutable view for the traffic goroutines.
+type Snapshot struct {
+	Version        uint64
+	ConfigRevision uint64
+	// Upstreams is the store's revision up to which upstreams are known.
+	UpstreamRevision uint64
+	// Confirmed is when the store last confirmed each kind.
+	Confirmed [kinds]time.Time
+	// Settled is when the view of the upstreams was last complete again; a
+	// missing upstream proves nothing before returnGrace has passed.
+	Settled time.Time
+
+	routes   map[netip.AddrPort]*Route
+	dropped  map[netip.AddrPort]bool
+	byCookie map[flowcookie.Cookie]*Entry
+	services map[string]*ServiceView
+}
+
+// ServiceView is a service with the upstreams that may get new flows.
+type ServiceView struct {
+	Service
+	// Entries are the listed upstreams that do not drain and whose failure
+	// domain is not evacuated, by id.
+	Entries []*Entry
+	// Lapsed are upstreams whose entries went missing a moment ago; they may
+	// live, and serve only when no listed upstream is left.
+	Lapsed []*Entry
+	// Domains is the number of failure domains that have upstreams of the
+	// service, evacuated or not.
+	Domains int
+	// Total is the number of listed upstreams, evacuated or not.
+	Total int
+}
+
+// Route returns the route of a service address, or nil.
+func (s *Snapshot) Route(address netip.AddrPort) *Route { return s.routes[address] }
+
+// Dropped tells whether this instance saw a route with the address removed.
+func (s *Snapshot) Dropped(address netip.AddrPort) bool { return s.dropped[address] }
+
+// Resolve returns the upstream that a cookie names, or nil.
+func (s *Snapshot) Resolve(cookie flowcookie.Cookie) *Entry { return s.byCookie[cookie] }
+
+// Service returns a service, or nil.
+func (s *Snapshot) Service(name string) *ServiceView { return s.services[name] }
+
+// Known returns the number of upstream incarnations that cookies resolve to.
+func (s *Snapshot) Known() int { return len(s.byCookie) }
+
+// Complete tells whether a cookie that does not resolve names an upstream that
+// has ended.
+func (s *Snapshot) Complete(now time.Time) bool {
+	return !s.Settled.IsZero() && now.Sub(s.Settled) >= returnGrace
+}
+
+// Snapshot returns the present view, and false when it is the same as the last
+// one.
+func (c *Catalog) Snapshot(now time.Time) (*Snapshot, bool) {
+	if !c.dirty {
+		return nil, false
+	}
+	c.dirty = false
+	s := &Snapshot{
+		UpstreamRevision: c.contact[KindUpstreams].revision,
+		routes:           map[netip.AddrPort]*Route{},
+		dropped:          make(map[netip.AddrPort]bool, len(c.dropped)),
+		byCookie:         make(map[flowcookie.Cookie]*Entry, len(c.entries)),
+		services:         map[string]*ServiceView{},
+	}
+	for kind := range c.contact {
+		s.Confirmed[kind] = c.contact[kind].confirmed
+	}
+	if contact := c.contact[KindUpstreams]; contact.known && !contact.unavailable {
+		s.Settled = contact.returned
+	}
+	for address := range c.dropped {
+		s.dropped[address] = true
+	}
+	if c.config != nil {
+		s.Version, s.ConfigRevision = c.config.Version, c.config.Revision
+		for i := range c.config.Routes {
+			s.routes[c.config.Routes[i].Address] = &c.config.Routes[i]
+		}
+		for _, service := range c.config.Services {
+			s.services[service.Name] = &ServiceView{Service: service}
+		}
+	}
+	c.fill(now, s)
+	return s, true
+}
+
+func (c *Catalog) fill(now time.Time, s *Snapshot) {
+	domains := map[[2]string]bool{}
+	for cookie, entry := range c.entries {
+		if until := c.coldDomain[entry.FailureDomain]; until.After(entry.ColdUntil) && now.Before(until) {
+			cold := *entry
+			cold.ColdUntil = until
+			entry = &cold
+		}
+		s.byCookie[cookie] = entry
+		service := s.services[entry.Service]
+		if service == nil || entry.Replaced {
+			continue
+		}
+		if entry.Listed() {
+			service.Total++
+			if key := [2]string{entry.Service, entry.FailureDomain}; !domains[key] {
+				domains[key] = true
+				service.Domains++
+			}
+		}
+		if entry.Draining || entry.Invalid || c.evacuated[entry.FailureDomain] {
+			continue
+		}
+		if entry.Listed() {
+			service.Entries = append(service.Entries, entry)
+		} else if !entry.Gone(now) {
+			service.Lapsed = append(service.Lapsed, entry)
+		}
+	}
+	for _, service := range s.services {
+		slices.SortFunc(service.Entries, byID)
+		slices.SortFunc(service.Lapsed, byID)
+	}
+}
+
+func byID(a, b *Entry) int { return strings.Compare(a.ID, b.ID) }
+
+// All returns every upstream incarnation that a cookie resolves to, by id.
+func (s *Snapshot) All() []*Entry {
+	all := make([]*Entry, 0, len(s.byCookie))
+	for _, entry := range s.byCookie {
+		all = append(all, entry)
+	}
+	slices.SortFunc(all, byID)
+	return all
+}
+
+// State returns a word for the state of the upstream.
+func (e *Entry) State(now time.Time) string {
+	switch {
+	case e.Gone(now):
+		return "gone"
+	case e.Invalid:
+		return "invalid"
+	case !e.RemovedAt.IsZero():
+		return "missing"
+	case e.Draining:
+		return "draining"
+	case e.Cold(now):
+		return "cold"
+	}
+	return "ready"
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -248,6 +248,8 @@
 	switch t.Kind() {
 	case reflect.String:
 		return "a string"
+	case reflect.Float64:
+		return "a number"
 	case reflect.Bool:
 		return "true or false"
 	default:
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,282 @@
+// Package edge runs one instance that forwards flows by their cookie: the
+// packet socket with its traffic goroutine, the control goroutine that owns the
+// catalog, the readiness probe, metrics, shutdown and reload.
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/eventlog"
+	"github.com/chivemast/chivemast/internal/forward"
+)
+
+const (
+	// eventQueue is the number of events of the source that may wait.
+	eventQueue = 64
+	// tickInterval is the time between two passes of the control goroutine
+	// without events: short against the grace of a removed entry (2 s).
+	tickInterval = 250 * time.Millisecond
+	// headerTimeout bounds how long an HTTP client may take for its request.
+	headerTimeout = 2 * time.Second
+)
+
+// Source emits what the platform's store says, until ctx ends.
+type Source interface {
+	Run(ctx context.Context, events chan<- catalog.Event) error
+}
+
+// Instance is one running instance.
+type Instance struct {
+	settings *Settings
+	source   Source
+	log      *eventlog.Log
+	metrics  *Metrics
+	traffic  *traffic
+	view     atomic.Pointer[catalog.Snapshot]
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	servers  []httpServer
+}
+
+type httpServer struct {
+	listener net.Listener
+	handler  http.Handler
+}
+
+// New opens the sockets of an instance. It fails with *ListenError, or with an
+// error of the metrics library.
+func New(s *Settings, codec Codec, source Source, log *eventlog.Log) (*Instance, error) {
+	metrics, err := NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := listenTraffic(s.TrafficAddress)
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{settings: s, source: source, log: log, metrics: metrics}
+	i.traffic = &traffic{
+		conn: conn, codec: codec, view: &i.view, log: flowLog{log}, metrics: metrics,
+		engine: forward.New(forward.Config{
+			FailureDomain: s.FailureDomain, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, MaxFlows: int(s.MaxFlows),
+		}),
+	}
+	if err := i.listenHTTP(); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return i, nil
+}
+
+// listenHTTP opens the readiness and the metrics address.
+func (i *Instance) listenHTTP() error {
+	readiness := http.NewServeMux()
+	readiness.HandleFunc(i.settings.ReadinessPath, i.serveReady)
+	operations := http.NewServeMux()
+	operations.Handle("/metrics", i.metrics.handler())
+	operations.HandleFunc("/status", i.serveStatus)
+	for _, server := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{{i.settings.ReadinessAddress, readiness}, {i.settings.MetricsAddress, operations}} {
+		listener, err := net.Listen("tcp4", server.address.String())
+		if err != nil {
+			for _, open := range i.servers {
+				err = errors.Join(err, open.listener.Close())
+			}
+			return &ListenError{Network: "tcp", Address: server.address, Err: err}
+		}
+		i.servers = append(i.servers, httpServer{listener: listener, handler: server.handler})
+	}
+	return nil
+}
+
+// Run serves until ctx ends and the instance has left the fabric's rotation, or
+// until abort ends. A value on reload makes it read the settings again.
+func (i *Instance) Run(ctx, abort context.Context, reload <-chan os.Signal, load func() (*Settings, error)) error {
+	stop, cancel := context.WithCancel(abort)
+	defer cancel()
+	group, stop := errgroup.WithContext(stop)
+	events := make(chan catalog.Event, eventQueue)
+	group.Go(func() error { return i.traffic.run(stop) })
+	group.Go(func() error { return i.source.Run(stop, events) })
+	for _, server := range i.servers {
+		group.Go(func() error { return serveHTTP(stop, server) })
+	}
+	group.Go(func() error { i.control(stop, events, reload, load); return nil })
+	group.Go(func() error {
+		defer cancel()
+		i.leave(ctx, stop)
+		return nil
+	})
+	return errors.Join(group.Wait(), i.metrics.provider.Shutdown(context.WithoutCancel(abort)))
+}
+
+// leave waits for the end of ctx, takes the instance out of the rotation, and
+// goes on forwarding until the routers have noticed.
+func (i *Instance) leave(ctx, stop context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-stop.Done():
+		return
+	}
+	i.leaving.Store(true)
+	i.ready.Store(false)
+	i.log.Event(logrus.InfoLevel, "shutdown_started", logrus.Fields{"forwards_for_ms": i.settings.ShutdownMS})
+	timer := time.NewTimer(i.settings.shutdown())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-stop.Done():
+	}
+	i.log.Event(logrus.InfoLevel, "shutdown_finished", logrus.Fields{"flows_remembered": i.metrics.flows.Load()})
+}
+
+// control is the control goroutine: it owns the catalog.
+func (i *Instance) control(ctx context.Context, events <-chan catalog.Event, reload <-chan os.Signal, load func() (*Settings, error)) {
+	c := catalog.New()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-events:
+			i.logChanges(c.Apply(time.Now(), event))
+		case <-reload:
+			i.reload(load)
+			continue
+		case now := <-ticker.C:
+			c.Forget(now)
+		}
+		i.publish(c)
+	}
+}
+
+// publish hands a changed view to the traffic goroutine.
+func (i *Instance) publish(c *catalog.Catalog) {
+	view, changed := c.Snapshot(time.Now())
+	if !changed || !c.Known() {
+		return
+	}
+	i.view.Store(view)
+	i.metrics.adopted(view)
+	if !i.leaving.Load() && !i.ready.Swap(true) {
+		i.log.Event(logrus.InfoLevel, "ready", logrus.Fields{
+			"config_version": view.Version, "upstreams": view.Known(), "upstreams_revision": view.UpstreamRevision,
+		})
+	}
+}
+
+func (i *Instance) logChanges(changes []catalog.Change) {
+	for _, change := range changes {
+		i.metrics.changed(change.Event)
+		level := logrus.InfoLevel
+		fields := logrus.Fields{"kind": change.Kind.String(), "revision": change.Revision}
+		if change.Subject != "" {
+			fields["subject"] = change.Subject
+		}
+		if change.Detail != "" {
+			fields["detail"] = change.Detail
+		}
+		if change.Err != nil {
+			level = logrus.WarnLevel
+			fields["error"] = change.Err
+		}
+		i.log.Event(level, change.Event, fields)
+	}
+}
+
+// reload applies the log level of changed settings; other keys need a restart.
+func (i *Instance) reload(load func() (*Settings, error)) {
+	next, err := load()
+	if err != nil {
+		i.log.Event(logrus.ErrorLevel, "reload_failed", logrus.Fields{"error": err})
+		return
+	}
+	i.log.SetLevel(next.Level())
+	applied := *i.settings
+	applied.LogLevel = next.LogLevel
+	i.log.Event(logrus.InfoLevel, "reloaded", logrus.Fields{
+		"log_level": next.LogLevel, "restart_needed": !applied.equal(next),
+	})
+}
+
+func serveHTTP(ctx context.Context, s httpServer) error {
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !i.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n")) // The prober sees a failed write itself.
+}
+
+// Status is what /status shows.
+type Status struct {
+	Instance         string           `json:"instance"`
+	FailureDomain    string           `json:"failure_domain"`
+	Ready            bool             `json:"ready"`
+	Leaving          bool             `json:"leaving"`
+	ConfigVersion    uint64           `json:"config_version"`
+	UpstreamRevision uint64           `json:"upstreams_revision"`
+	AgeMS            map[string]int64 `json:"age_ms"`
+	Upstreams        []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is one upstream in Status.
+type UpstreamStatus struct {
+	ID            string `json:"id"`
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`
+	State         string `json:"state"`
+}
+
+func (i *Instance) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(i.status(time.Now())); err != nil {
+		i.log.Event(logrus.WarnLevel, "status_not_sent", logrus.Fields{"error": err})
+	}
+}
+
+func (i *Instance) status(now time.Time) Status {
+	s := Status{
+		Instance: i.settings.Instance, FailureDomain: i.settings.FailureDomain,
+		Ready: i.ready.Load(), Leaving: i.leaving.Load(), AgeMS: map[string]int64{},
+	}
+	view := i.view.Load()
+	if view == nil {
+		return s
+	}
+	s.ConfigVersion, s.UpstreamRevision = view.Version, view.UpstreamRevision
+	for kind, confirmed := range view.Confirmed {
+		s.AgeMS[catalog.Kind(kind).String()] = now.Sub(confirmed).Milliseconds()
+	}
+	for _, entry := range view.All() {
+		s.Upstreams = append(s.Upstreams, UpstreamStatus{
+			ID: entry.ID, Service: entry.Service, FailureDomain: entry.FailureDomain,
+			Address: entry.Address.String(), State: entry.State(now),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,147 @@
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chivemast/chivemast/internal/document"
+)
+
+// Settings is the settings file of an instance: JSON with comments.
+type Settings struct {
+	// Instance is the name of this instance, unique over the fleet. Required.
+	Instance string `json:"instance"`
+	// FailureDomain is the failure domain of this instance. Required.
+	FailureDomain string `json:"failure_domain"`
+	// TrafficAddress receives packets of callers (UDP). Required.
+	TrafficAddress netip.AddrPort `json:"traffic_address"`
+	// ReadinessAddress answers the fabric's readiness probes (HTTP). Required.
+	ReadinessAddress netip.AddrPort `json:"readiness_address"`
+	// ReadinessPath is the path of the readiness probe. Default /readyz.
+	ReadinessPath string `json:"readiness_path"`
+	// MetricsAddress serves /metrics and /status (HTTP). Required.
+	MetricsAddress netip.AddrPort `json:"metrics_address"`
+	// StoreAddress is the platform's store. Required.
+	StoreAddress netip.AddrPort `json:"store_address"`
+	// PeerAddress answers instances that start while the store is away (HTTP).
+	// Required.
+	PeerAddress netip.AddrPort `json:"peer_address"`
+	// Peers are the peer addresses to ask at a start; this instance's own is
+	// skipped. Default none.
+	Peers []netip.AddrPort `json:"peers"`
+	// LogLevel is the least severe level to log: error, warn, info or debug.
+	// Default info. It is the only key that a reload changes.
+	LogLevel string `json:"log_level"`
+	// ColdFactor and ColdSlack bound the flows that a cold upstream gets in a
+	// second over all instances: its own rate times the factor, plus the slack.
+	// Defaults 1.0 and 0, ranges 0 to 100 and 0 to 1,000.
+	ColdFactor float64 `json:"cold_factor"`
+	ColdSlack  float64 `json:"cold_slack"`
+	// ShutdownMS is how long a leaving instance goes on forwarding after it
+	// stopped being ready, in ms. Default 4,000, range 0 to 60,000.
+	ShutdownMS int64 `json:"shutdown_ms"`
+	// MaxFlows bounds the flows that are remembered for the choice of
+	// upstreams; further flows are forwarded all the same. Default 65,536, range
+	// 0 to 4,000,000.
+	MaxFlows int64 `json:"max_flows"`
+}
+
+// Defaults of Settings.
+const (
+	defaultReadinessPath = "/readyz"
+	defaultLogLevel      = "info"
+	// defaultShutdownMS covers two missed readiness probes half a second apart
+	// and the last packets that the routers had under way.
+	defaultShutdownMS = 4000
+	// defaultMaxFlows holds the 28,000 flows of an instance of the target size
+	// twice; about 12 MB when full.
+	defaultMaxFlows = 65536
+)
+
+// SetDefaults sets the defaults.
+func (s *Settings) SetDefaults() {
+	s.ReadinessPath, s.LogLevel = defaultReadinessPath, defaultLogLevel
+	s.ColdFactor, s.ShutdownMS, s.MaxFlows = 1, defaultShutdownMS, defaultMaxFlows
+}
+
+// LoadSettings reads and checks a settings file. It fails with
+// *document.Error.
+func LoadSettings(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &document.Error{Source: file, Kind: document.Unreadable, Err: err}
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings decodes and checks settings; the file name appears in errors.
+// It fails with *document.Error.
+func ParseSettings(file string, data []byte) (*Settings, error) {
+	s := &Settings{}
+	s.SetDefaults()
+	doc, err := document.Decode(file, data, s)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.check(doc); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check(doc *document.Document) error {
+	checks := []error{
+		doc.CheckName("instance", s.Instance),
+		doc.CheckName("failure_domain", s.FailureDomain),
+		doc.CheckAddress("traffic_address", s.TrafficAddress, false),
+		doc.CheckAddress("readiness_address", s.ReadinessAddress, true),
+		doc.CheckAddress("metrics_address", s.MetricsAddress, true),
+		doc.CheckAddress("store_address", s.StoreAddress, false),
+		doc.CheckAddress("peer_address", s.PeerAddress, false),
+		checkFloat(doc, "cold_factor", s.ColdFactor, 100),
+		checkFloat(doc, "cold_slack", s.ColdSlack, 1000),
+		doc.CheckRange("shutdown_ms", s.ShutdownMS, 0, 60_000),
+		doc.CheckRange("max_flows", s.MaxFlows, 0, 4_000_000),
+	}
+	for i, peer := range s.Peers {
+		checks = append(checks, doc.CheckAddress(document.Index("peers", i), peer, false))
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		checks = append(checks, doc.Errorf("log_level", document.OutOfRange, "error, warn, info, debug", "unknown level %q", s.LogLevel))
+	}
+	if s.ReadinessPath == "" || s.ReadinessPath[0] != '/' {
+		checks = append(checks, doc.Errorf("readiness_path", document.OutOfRange, "a path that starts with /", "%q is no path", s.ReadinessPath))
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkFloat(doc *document.Document, path string, value, high float64) error {
+	if value < 0 || value > high {
+		return doc.Errorf(path, document.OutOfRange, fmt.Sprintf("0 to %g", high), "%g is outside the range", value)
+	}
+	return nil
+}
+
+// Level returns the log level.
+func (s *Settings) Level() logrus.Level {
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		// ParseSettings accepts no other level.
+		return logrus.InfoLevel
+	}
+	return level
+}
+
+func (s *Settings) shutdown() time.Duration { return time.Duration(s.ShutdownMS) * time.Millisecond }
+
+func (s *Settings) equal(other *Settings) bool { return reflect.DeepEqual(s, other) }
--- /dev/null
+++ b/internal/edge/traffic.go
@@ -0,0 +1,262 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/forward"
+)
+
+const (
+	// socketBuffer holds about 100 ms of packets at 30,000 packets a second.
+	socketBuffer = 4 << 20
+	// maxHeld bounds the packets that wait for the next snapshot; about 640 KB.
+	maxHeld = 512
+	// holdTime is how long a packet waits for a snapshot that decides it: the
+	// caller sends the next copy after 200 ms.
+	holdTime = 400 * time.Millisecond
+	// pollInterval is how long the reader sleeps for packets while others wait.
+	pollInterval = 10 * time.Millisecond
+	// expireInterval is the time between two passes over the remembered flows.
+	expireInterval = time.Second
+	// readTimeout wakes the reader for its periodic work without traffic.
+	readTimeout = time.Second
+)
+
+// Codec translates packets between their wire format and forward.Packet.
+type Codec interface {
+	// Sizes returns the bytes that EncodeForward needs before a packet, and the
+	// size of the largest packet.
+	Sizes() (prefix, datagram int)
+	// Decode decodes a packet in place.
+	Decode(datagram []byte, p *forward.Packet) error
+	// EncodeForward prepares a buffer that holds the free prefix and a packet
+	// for an upstream.
+	EncodeForward(buffer []byte, upstream *catalog.Entry)
+	// AppendReset appends a reset of the packet's flow for the caller.
+	AppendReset(b []byte, p *forward.Packet) []byte
+}
+
+// ListenError says that a socket could not be opened.
+type ListenError struct {
+	Network string
+	Address netip.AddrPort
+	Err     error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen on %s %s: %v", e.Network, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// traffic owns the packet socket and the engine. Its goroutine shares nothing
+// with the control goroutine but the snapshot.
+type traffic struct {
+	conn    *net.UDPConn
+	codec   Codec
+	engine  *forward.Engine
+	view    *atomic.Pointer[catalog.Snapshot]
+	log     flowLog
+	metrics *Metrics
+
+	prefix  int
+	adopted *catalog.Snapshot
+	packet  forward.Packet
+	reset   []byte
+	held    []heldPacket
+	expired time.Time
+}
+
+// heldPacket is a packet that waits for the next snapshot.
+type heldPacket struct {
+	buffer  []byte
+	arrived time.Time
+}
+
+func listenTraffic(address netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, &ListenError{Network: "udp", Address: address, Err: err}
+	}
+	// The kernel may cap the size; a smaller buffer only drops earlier.
+	_ = conn.SetReadBuffer(socketBuffer)
+	return conn, nil
+}
+
+// run forwards packets until ctx ends.
+func (t *traffic) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	defer stop()
+	prefix, datagram := t.codec.Sizes()
+	t.prefix = prefix
+	// One byte more than the largest packet makes an oversized one visible.
+	buffer := make([]byte, prefix+datagram+1)
+	for {
+		if err := t.arm(); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("set deadline: %w", err)
+		}
+		n, _, err := t.conn.ReadFromUDPAddrPort(buffer[prefix:])
+		now := time.Now()
+		t.periodic(now)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			continue
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			// An error that an earlier send caused; the socket stays usable.
+			t.metrics.drop(dropSocket)
+			continue
+		}
+		t.handle(now, buffer[:prefix+n], now)
+	}
+}
+
+func (t *traffic) arm() error {
+	wait := readTimeout
+	if len(t.held) > 0 {
+		wait = pollInterval
+	}
+	return t.conn.SetReadDeadline(time.Now().Add(wait))
+}
+
+// periodic adopts a new snapshot, and does what is due.
+func (t *traffic) periodic(now time.Time) {
+	if view := t.view.Load(); view != t.adopted && view != nil {
+		t.adopted = view
+		t.engine.Adopt(view)
+		t.retry(now)
+	}
+	if len(t.held) > 0 && now.Sub(t.held[0].arrived) > holdTime {
+		t.retry(now)
+	}
+	if now.Sub(t.expired) >= expireInterval {
+		t.expired = now
+		t.engine.Expire(now)
+		t.metrics.setFlows(t.engine.Flows())
+	}
+}
+
+// retry decides the waiting packets again.
+func (t *traffic) retry(now time.Time) {
+	held := t.held
+	t.held = nil
+	for _, packet := range held {
+		t.handle(now, packet.buffer, packet.arrived)
+	}
+}
+
+// handle decides one packet; the buffer has the free prefix and the packet.
+func (t *traffic) handle(now time.Time, buffer []byte, arrived time.Time) {
+	p := &t.packet
+	if err := t.codec.Decode(buffer[t.prefix:], p); err != nil {
+		t.metrics.drop(dropMalformed)
+		return
+	}
+	decision := t.engine.Decide(now, p)
+	switch decision.Action {
+	case forward.Forward:
+		t.codec.EncodeForward(buffer, decision.Upstream)
+		if _, err := t.conn.WriteToUDPAddrPort(buffer, decision.Upstream.Address); err != nil {
+			t.metrics.drop(dropSocket)
+			t.log.sendFailed(p, decision.Upstream, err)
+		}
+	case forward.Reset:
+		t.sendReset(p)
+	case forward.Wait:
+		if t.hold(now, buffer, arrived) {
+			return
+		}
+	}
+	t.metrics.decided(decision)
+	if decision.Reason != forward.ReasonEstablished {
+		t.log.decided(now, p, decision, t.adopted)
+	}
+}
+
+// hold keeps a copy of a packet for the next snapshot, unless it has waited
+// long enough or too many do.
+func (t *traffic) hold(now time.Time, buffer []byte, arrived time.Time) bool {
+	if now.Sub(arrived) > holdTime || len(t.held) >= maxHeld {
+		return false
+	}
+	t.held = append(t.held, heldPacket{buffer: append([]byte(nil), buffer...), arrived: arrived})
+	return true
+}
+
+// sendReset sends a reset to the caller of a packet. Callers receive at their
+// own address and the port that packets arrive at.
+func (t *traffic) sendReset(p *forward.Packet) {
+	t.reset = t.codec.AppendReset(t.reset[:0], p)
+	port := t.conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	if _, err := t.conn.WriteToUDPAddrPort(t.reset, netip.AddrPortFrom(p.Flow.Caller.Addr(), port)); err != nil {
+		t.metrics.drop(dropSocket)
+		t.log.sendFailed(p, nil, err)
+	}
+}
+
+// flowLog writes the decisions about single flows.
+type flowLog struct{ events eventLog }
+
+// eventLog is the part of eventlog.Log that the traffic goroutine uses.
+type eventLog interface {
+	Flow(level logrus.Level, event string, fields func() logrus.Fields)
+}
+
+// decided logs a decision with the inputs that led to it and their age.
+func (l flowLog) decided(now time.Time, p *forward.Packet, d forward.Decision, view *catalog.Snapshot) {
+	level := logrus.InfoLevel
+	if d.Action != forward.Forward {
+		level = logrus.WarnLevel
+	}
+	l.events.Flow(level, "flow_"+d.Action.String(), func() logrus.Fields {
+		fields := flowFields(p)
+		fields["reason"] = d.Reason.String()
+		fields["copy"] = p.Copy
+		if d.Detail != "" {
+			fields["tier"] = d.Detail
+		}
+		if d.Upstream != nil {
+			fields["upstream"], fields["upstream_domain"] = d.Upstream.ID, d.Upstream.FailureDomain
+			fields["upstream_revision"] = d.Upstream.Revision
+		} else {
+			fields["cookie"] = fmt.Sprintf("%08x", uint32(p.Cookie))
+		}
+		if view != nil {
+			fields["config_version"], fields["upstreams_revision"] = view.Version, view.UpstreamRevision
+			fields["upstreams_age_ms"] = now.Sub(view.Confirmed[catalog.KindUpstreams]).Milliseconds()
+			fields["config_age_ms"] = now.Sub(view.Confirmed[catalog.KindConfiguration]).Milliseconds()
+		}
+		return fields
+	})
+}
+
+func (l flowLog) sendFailed(p *forward.Packet, upstream *catalog.Entry, err error) {
+	l.events.Flow(logrus.WarnLevel, "send_failed", func() logrus.Fields {
+		fields := flowFields(p)
+		fields["error"] = err
+		if upstream != nil {
+			fields["upstream"] = upstream.ID
+		}
+		return fields
+	})
+}
+
+// flowFields identifies a flow: its two ends and the sequence number of the
+// packet, which for an opening packet is that of the flow.
+func flowFields(p *forward.Packet) logrus.Fields {
+	return logrus.Fields{"caller": p.Flow.Caller.String(), "service": p.Flow.Service.String(), "seq": p.Seq}
+}
--- /dev/null
+++ b/internal/forward/engine.go
@@ -0,0 +1,203 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/choice"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+const (
+	// routeFreshness is the age of the configuration up to which a missing
+	// route is refused; an older view may lack a route that was just added, and
+	// the caller's next copy may find an instance that has it.
+	routeFreshness = 3 * time.Second
+	// isolatedAfter is the age of the view of the upstreams from which an
+	// instance keeps flows in its failure domain: a watch is confirmed at least
+	// every 2 s, so that one was missed.
+	isolatedAfter = 3500 * time.Millisecond
+)
+
+// Config sets up an Engine.
+type Config struct {
+	FailureDomain string
+	// ColdFactor and ColdSlack bound the flows that cold upstreams get in a
+	// second, over all instances: rate * factor + slack.
+	ColdFactor, ColdSlack float64
+	// MaxFlows bounds the remembered flows.
+	MaxFlows int
+}
+
+// Engine decides packets. It belongs to one goroutine.
+type Engine struct {
+	cfg   Config
+	view  *catalog.Snapshot
+	flows flowTable
+	stats map[flowcookie.Cookie]*upstreamStats
+
+	weights    []int
+	candidates []choice.Candidate
+	entries    []*catalog.Entry
+}
+
+// New returns an engine without a view: every packet waits.
+func New(cfg Config) *Engine {
+	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), stats: map[flowcookie.Cookie]*upstreamStats{}}
+}
+
+// Adopt makes a snapshot the view for the packets that follow.
+func (e *Engine) Adopt(view *catalog.Snapshot) {
+	e.view = view
+	for cookie := range e.stats {
+		if view.Resolve(cookie) == nil {
+			delete(e.stats, cookie)
+		}
+	}
+}
+
+// Expire forgets idle flows.
+func (e *Engine) Expire(now time.Time) {
+	for _, record := range e.flows.expire(now) {
+		e.forget(record)
+	}
+}
+
+// Decide returns what happens to a packet.
+func (e *Engine) Decide(now time.Time, p *Packet) Decision {
+	switch {
+	case e.view == nil:
+		return Decision{Action: Wait, Reason: ReasonNotSynchronized}
+	case p.Open:
+		return e.open(now, p)
+	}
+	return e.established(now, p)
+}
+
+func (e *Engine) established(now time.Time, p *Packet) Decision {
+	if e.view.Dropped(p.Flow.Service) {
+		return e.end(p, Decision{Action: Reset, Reason: ReasonRouteRemoved})
+	}
+	if p.Cookie == flowcookie.None {
+		return Decision{Action: Drop, Reason: ReasonNoCookie}
+	}
+	entry := e.view.Resolve(p.Cookie)
+	if entry == nil {
+		if e.view.Complete(now) && !p.Reset {
+			return e.end(p, Decision{Action: Reset, Reason: ReasonUnknownCookie})
+		}
+		return Decision{Action: Wait, Reason: ReasonUnknownCookie}
+	}
+	if entry.Gone(now) && (entry.Replaced || e.view.Complete(now)) && !p.Reset {
+		return e.end(p, Decision{Action: Reset, Reason: ReasonUpstreamGone, Upstream: entry})
+	}
+	return Decision{Action: Forward, Reason: ReasonEstablished, Upstream: entry, Answer: e.observe(now, p)}
+}
+
+// end forgets a flow that is reset.
+func (e *Engine) end(p *Packet, decision Decision) Decision {
+	if record := e.flows.remove(p.Flow); record != nil {
+		e.forget(record)
+	}
+	return decision
+}
+
+func (e *Engine) open(now time.Time, p *Packet) Decision {
+	route := e.view.Route(p.Flow.Service)
+	if route == nil {
+		return e.noRoute(now, p)
+	}
+	hash := p.Flow.hash(p.Seq)
+	record := e.flows.get(p.Flow)
+	if record != nil && record.seq != p.Seq {
+		// The caller uses the port again for another flow.
+		e.end(p, Decision{})
+		record = nil
+	}
+	service := e.service(route, hash)
+	if service == nil {
+		return Decision{Action: Reset, Reason: ReasonNoUpstream}
+	}
+	if record != nil && !record.answered && p.Copy > record.copies {
+		e.missed(now, record)
+	}
+	return e.assign(now, p, hash, service, record)
+}
+
+func (e *Engine) noRoute(now time.Time, p *Packet) Decision {
+	switch {
+	case e.view.Dropped(p.Flow.Service):
+		return Decision{Action: Reset, Reason: ReasonRouteRemoved}
+	case now.Sub(e.view.Confirmed[catalog.KindConfiguration]) <= routeFreshness:
+		return Decision{Action: Reset, Reason: ReasonNoRoute}
+	}
+	return Decision{Action: Drop, Reason: ReasonNoRoute}
+}
+
+// service picks the service of a new flow by the weights of its route.
+// Services without any upstream are passed over.
+func (e *Engine) service(route *catalog.Route, hash uint64) *catalog.ServiceView {
+	e.weights = e.weights[:0]
+	for _, w := range route.Split {
+		weight := w.Weight
+		if s := e.view.Service(w.Service); s == nil || len(s.Entries)+len(s.Lapsed) == 0 {
+			weight = 0
+		}
+		e.weights = append(e.weights, weight)
+	}
+	i := choice.Split(hash, e.weights)
+	if i < 0 {
+		return nil
+	}
+	return e.view.Service(route.Split[i].Service)
+}
+
+func (e *Engine) assign(now time.Time, p *Packet, hash uint64, service *catalog.ServiceView, record *flowRecord) Decision {
+	request := choice.Request{
+		Hash:          hash,
+		AverageDomain: float64(service.Total) / float64(max(service.Domains, 1)),
+		Isolated:      now.Sub(e.view.Confirmed[catalog.KindUpstreams]) > isolatedAfter,
+	}
+	if record != nil {
+		request.Exclude = record.tried()
+	}
+	entries := service.Entries
+	if len(entries) == 0 {
+		entries = service.Lapsed
+	}
+	e.candidates, e.entries = e.candidates[:0], e.entries[:0]
+	limited := false
+	for _, entry := range entries {
+		stats := e.statsOf(entry.Cookie)
+		cold := entry.Cold(now)
+		if cold && !stats.cold.allows(now, e.coldBudget(service)) {
+			limited = true
+			continue
+		}
+		e.entries = append(e.entries, entry)
+		e.candidates = append(e.candidates, choice.Candidate{
+			Cookie: entry.Cookie, Local: entry.FailureDomain == e.cfg.FailureDomain, Cold: cold,
+			Suspect: stats.suspect(now), Flows: stats.flows, Capacity: entry.Capacity,
+		})
+	}
+	i, tier := choice.Pick(request, e.candidates)
+	if i < 0 {
+		if limited {
+			return Decision{Action: Drop, Reason: ReasonColdLimit}
+		}
+		return Decision{Action: Reset, Reason: ReasonNoUpstream}
+	}
+	chosen := e.entries[i]
+	if e.candidates[i].Cold {
+		e.statsOf(chosen.Cookie).cold.take(now)
+	}
+	e.remember(now, p, chosen, record)
+	reason := ReasonOpened
+	if p.Copy > 0 {
+		reason = ReasonOpenRepeated
+	}
+	return Decision{Action: Forward, Reason: reason, Upstream: chosen, Detail: tier.String()}
+}
+
+// Flows returns the number of remembered flows.
+func (e *Engine) Flows() int { return len(e.flows.records) }
--- /dev/null
+++ b/internal/forward/flows.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+const (
+	// flowIdle is how long a silent flow counts as load of its upstream:
+	// upstreams close idle connections after about 12 s.
+	flowIdle = 12 * time.Second
+	// maxCopies is the number of upstreams that one opening packet and its
+	// copies go to.
+	maxCopies = 3
+)
+
+// flowRecord is what an engine remembers of a flow.
+type flowRecord struct {
+	flow Flow
+	// seq is the sequence number of the opening packet.
+	seq    uint32
+	copies uint32
+	// targets are the upstreams that the opening packet and its copies went to;
+	// after the first packet that follows, targets[0] is the flow's upstream.
+	targets  [maxCopies]flowcookie.Cookie
+	attempts int
+	answered bool
+	// opened is when the first copy of the opening packet arrived.
+	opened   time.Time
+	lastSeen time.Time
+}
+
+func (r *flowRecord) tried() []flowcookie.Cookie { return r.targets[:r.attempts] }
+
+// hash spreads flows; the opening sequence number makes a repeated use of a
+// port another flow.
+func (f Flow) hash(seq uint32) uint64 {
+	var key [16]byte
+	caller, service := f.Caller.Addr().As4(), f.Service.Addr().As4()
+	copy(key[0:], caller[:])
+	copy(key[4:], service[:])
+	binary.BigEndian.PutUint16(key[8:], f.Caller.Port())
+	binary.BigEndian.PutUint16(key[10:], f.Service.Port())
+	binary.BigEndian.PutUint32(key[12:], seq)
+	return xxhash.Sum64(key[:])
+}
+
+// flowTable remembers a bounded number of flows.
+type flowTable struct {
+	limit   int
+	records map[Flow]*flowRecord
+}
+
+func newFlowTable(limit int) flowTable {
+	return flowTable{limit: limit, records: map[Flow]*flowRecord{}}
+}
+
+func (t *flowTable) get(flow Flow) *flowRecord { return t.records[flow] }
+
+func (t *flowTable) remove(flow Flow) *flowRecord {
+	record := t.records[flow]
+	delete(t.records, flow)
+	return record
+}
+
+// add remembers a flow; nil when the table is full.
+func (t *flowTable) add(flow Flow, seq uint32) *flowRecord {
+	if len(t.records) >= t.limit {
+		return nil
+	}
+	record := &flowRecord{flow: flow, seq: seq}
+	t.records[flow] = record
+	return record
+}
+
+func (t *flowTable) expire(now time.Time) []*flowRecord {
+	var expired []*flowRecord
+	for flow, record := range t.records {
+		if now.Sub(record.lastSeen) >= flowIdle {
+			expired = append(expired, record)
+			delete(t.records, flow)
+		}
+	}
+	return expired
+}
+
+// remember records that an opening packet went to an upstream.
+func (e *Engine) remember(now time.Time, p *Packet, chosen *catalog.Entry, record *flowRecord) {
+	if record == nil {
+		if record = e.flows.add(p.Flow, p.Seq); record == nil {
+			return
+		}
+		record.opened = now
+	}
+	record.lastSeen = now
+	record.copies = max(record.copies, p.Copy)
+	for _, target := range record.tried() {
+		if target == chosen.Cookie {
+			return
+		}
+	}
+	if record.attempts == maxCopies {
+		return
+	}
+	record.targets[record.attempts] = chosen.Cookie
+	record.attempts++
+	e.statsOf(chosen.Cookie).flows++
+}
+
+// observe takes evidence from a packet of an established flow. It returns the
+// time since the opening packet for the first packet that follows it.
+func (e *Engine) observe(now time.Time, p *Packet) (answer time.Duration) {
+	record := e.flows.get(p.Flow)
+	if record == nil {
+		if p.Fin || p.Reset {
+			return 0
+		}
+		if record = e.flows.add(p.Flow, p.Seq); record == nil {
+			return 0
+		}
+		record.targets[0], record.attempts, record.answered = p.Cookie, 1, true
+		e.statsOf(p.Cookie).flows++
+	}
+	record.lastSeen = now
+	if !record.answered {
+		answer = now.Sub(record.opened)
+	}
+	if !record.answered || record.targets[0] != p.Cookie {
+		e.settle(record, p.Cookie)
+	}
+	if p.Fin || p.Reset {
+		e.flows.remove(p.Flow)
+		e.forget(record)
+	}
+	return answer
+}
+
+// settle attributes a flow to the upstream whose answer the caller took.
+func (e *Engine) settle(record *flowRecord, cookie flowcookie.Cookie) {
+	e.forget(record)
+	stats := e.statsOf(cookie)
+	stats.flows++
+	stats.answered()
+	record.targets = [maxCopies]flowcookie.Cookie{cookie}
+	record.attempts, record.answered = 1, true
+}
+
+// forget takes a flow off the load of its upstreams.
+func (e *Engine) forget(record *flowRecord) {
+	for _, target := range record.tried() {
+		if stats := e.stats[target]; stats != nil {
+			stats.flows--
+		}
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -13,12 +13,12 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"go.opentelemetry.io/otel/attribute"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/counters"
 	"github.com/chivemast/chivemast/internal/request"
 )
 
@@ -41,10 +41,10 @@
 	provider *sdk.MeterProvider
 	registry *prometheus.Registry
 
-	refusals *family
-	retries  *family
-	drops    *family
-	messages *family
+	refusals *counters.Family
+	retries  *counters.Family
+	drops    *counters.Family
+	messages *counters.Family
 
 	forwarded           atomic.Int64
 	invalidObjects      atomic.Int64
@@ -54,12 +54,6 @@
 	revision            atomic.Int64
 }
 
-// family is a counter with a fixed list of attribute sets.
-type family struct {
-	counts  []atomic.Int64
-	options []metric.ObserveOption
-}
-
 // New returns metrics with a registry of their own. It fails with *SetupError.
 func New() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
@@ -69,10 +63,10 @@
 	}
 	m := &Metrics{
 		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)), registry: registry,
-		refusals: newFamily("reason", refusalLabels()),
-		retries:  newFamily("reason", retryLabels()),
-		drops:    newFamily("reason", allDropLabels()),
-		messages: newFamily2("kind", messageLabels[:], "direction", directionLabels[:]),
+		refusals: counters.NewFamily("reason", refusalLabels()),
+		retries:  counters.NewFamily("reason", retryLabels()),
+		drops:    counters.NewFamily("reason", allDropLabels()),
+		messages: counters.NewFamily2("kind", messageLabels[:], "direction", directionLabels[:]),
 	}
 	if err := m.register(m.provider.Meter(scope)); err != nil {
 		return nil, &SetupError{Step: "instruments", Err: err}
@@ -89,17 +83,17 @@
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
 
 // Refused counts a refusal.
-func (m *Metrics) Refused(reason pb.RefusalReason) { m.refusals.add(int(reason), 1) }
+func (m *Metrics) Refused(reason pb.RefusalReason) { m.refusals.Add(int(reason), 1) }
 
 // Retried counts a retry.
-func (m *Metrics) Retried(reason request.RetryReason) { m.retries.add(int(reason), 1) }
+func (m *Metrics) Retried(reason request.RetryReason) { m.retries.Add(int(reason), 1) }
 
 // Dropped counts a dropped packet.
-func (m *Metrics) Dropped(reason DropReason) { m.drops.add(int(reason), 1) }
+func (m *Metrics) Dropped(reason DropReason) { m.drops.Add(int(reason), 1) }
 
 // ControlBytes counts the bytes of one control message.
 func (m *Metrics) ControlBytes(kind MessageKind, direction Direction, bytes int) {
-	m.messages.add(int(kind)*int(directions)+int(direction), int64(bytes))
+	m.messages.Add(int(kind)*int(directions)+int(direction), int64(bytes))
 }
 
 // Meter returns the meter for packages that count by themselves.
@@ -124,17 +118,17 @@
 func (m *Metrics) SetRevision(revision uint64) { m.revision.Store(int64(revision)) }
 
 // Refusals returns the number of refusals for a reason.
-func (m *Metrics) Refusals(reason pb.RefusalReason) int64 { return m.refusals.get(int(reason)) }
+func (m *Metrics) Refusals(reason pb.RefusalReason) int64 { return m.refusals.Get(int(reason)) }
 
 // Retries returns the number of retries for a reason.
-func (m *Metrics) Retries(reason request.RetryReason) int64 { return m.retries.get(int(reason)) }
+func (m *Metrics) Retries(reason request.RetryReason) int64 { return m.retries.Get(int(reason)) }
 
 // Drops returns the number of packets dropped for a reason.
-func (m *Metrics) Drops(reason DropReason) int64 { return m.drops.get(int(reason)) }
+func (m *Metrics) Drops(reason DropReason) int64 { return m.drops.Get(int(reason)) }
 
 // Bytes returns the control bytes of a kind and direction.
 func (m *Metrics) Bytes(kind MessageKind, direction Direction) int64 {
-	return m.messages.get(int(kind)*int(directions) + int(direction))
+	return m.messages.Get(int(kind)*int(directions) + int(direction))
 }
 
 // RequestObserver counts what a request engine reports.
@@ -157,9 +151,9 @@
 
 func (m *Metrics) register(meter metric.Meter) error {
 	var errs []error
-	counter := func(name, description string, f *family) {
+	counter := func(name, description string, f *counters.Family) {
 		_, err := meter.Int64ObservableCounter(name, metric.WithDescription(description),
-			metric.WithInt64Callback(f.observe))
+			metric.WithInt64Callback(f.Observe))
 		errs = append(errs, err)
 	}
 	gauge := func(name, description string, value *atomic.Int64) {
@@ -190,42 +184,3 @@
 	gauge("chivemast_config_revision", "Configuration revision in force.", &m.revision)
 	return errors.Join(errs...)
 }
-
-func newFamily(name string, values []string) *family {
-	f := &family{counts: make([]atomic.Int64, len(values))}
-	for _, value := range values {
-		f.options = append(f.options, metric.WithAttributeSet(attribute.NewSet(attribute.String(name, value))))
-	}
-	return f
-}
-
-func newFamily2(name1 string, values1 []string, name2 string, values2 []string) *family {
-	f := &family{counts: make([]atomic.Int64, len(values1)*len(values2))}
-	for _, v1 := range values1 {
-		for _, v2 := range values2 {
-			f.options = append(f.options, metric.WithAttributeSet(
-				attribute.NewSet(attribute.String(name1, v1), attribute.String(name2, v2))))
-		}
-	}
-	return f
-}
-
-// add counts values out of range, such as a reason of a newer peer, at index
-// zero.
-func (f *family) add(i int, n int64) {
-	if i < 0 || i >= len(f.counts) {
-		i = 0
-	}
-	f.counts[i].Add(n)
-}
-
-func (f *family) get(i int) int64 { return f.counts[i].Load() }
-
-func (f *family) observe(_ context.Context, o metric.Int64Observer) error {
-	for i := range f.counts {
-		if n := f.counts[i].Load(); n > 0 {
-			o.Observe(n, f.options[i])
-		}
-	}
-	return nil
-}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -60,9 +60,6 @@
 	} {
 		require.Contains(t, strings.Split(w.Body.String(), "\n"), line)
 	}
-	for _, f := range []*family{m.refusals, m.retries, m.drops, m.messages} {
-		require.Len(t, f.options, len(f.counts))
-	}
 	require.NotContains(t, w.Body.String(), `reason=""`)
 	require.NoError(t, m.Shutdown(context.Background()))
 }
