Keep the later of two upstreams that list one address

Entries were taken in the order of their names, so the dead one displaced the live one, whose flows were then reset as of an upstream that ended. Ruled out: a lagging replica, a lapsed entry.

The start of each incarnation now decides who has the address, and an upstream that lost it counts as ended only when its entry is missing as well.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,9 +37,12 @@
 	RemovedAt time.Time
 	// SettledAt is when a missing entry proves that the upstream is gone.
 	SettledAt time.Time
-	// Replaced is set when another incarnation has the id or the address: this
-	// one has certainly ended.
+	// Replaced is set when a later incarnation has the id, or has the address of
+	// an entry that is missing: this one has certainly ended.
 	Replaced bool
+	// Displaced is set while a later upstream lists the same address. The entry
+	// of an upstream that ended stays listed until it lapses.
+	Displaced bool
 	// Invalid is set while the entry cannot be decoded: no new flows.
 	Invalid bool
 }
@@ -48,7 +51,9 @@
 func (e *Entry) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
 // Listed tells whether the store lists a valid entry of this incarnation.
-func (e *Entry) Listed() bool { return e.RemovedAt.IsZero() && !e.Replaced && !e.Invalid }
+func (e *Entry) Listed() bool {
+	return e.RemovedAt.IsZero() && !e.Replaced && !e.Displaced && !e.Invalid
+}
 
 // Gone tells whether the upstream has ended for all that the store says.
 func (e *Entry) Gone(now time.Time) bool {
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -45,6 +45,7 @@
 	removed := *entry
 	removed.RemovedAt = now
 	removed.SettledAt = now.Add(returnGrace)
+	removed.Replaced = removed.Displaced
 	c.replace(entry, &removed)
 	c.note(Change{Event: "upstream_removed", Subject: entry.ID, Revision: revision, Detail: entry.describe()})
 }
@@ -65,7 +66,7 @@
 	if entry.Upstream == u && entry.Listed() {
 		return
 	}
-	updated := &Entry{Upstream: u, Cookie: entry.Cookie, ColdUntil: coldUntil(now, u)}
+	updated := &Entry{Upstream: u, Cookie: entry.Cookie, ColdUntil: coldUntil(now, u), Displaced: entry.Displaced}
 	if !entry.RemovedAt.IsZero() || entry.Draining != u.Draining || entry.Invalid || (entry.ColdFor > 0) != (u.ColdFor > 0) {
 		c.note(Change{Event: "upstream_changed", Subject: u.ID, Revision: u.Revision, Detail: updated.describe()})
 	}
@@ -88,17 +89,33 @@
 		return
 	}
 	entry := &Entry{Upstream: u, Cookie: cookie, ColdUntil: coldUntil(now, u)}
-	c.supersede(now, earlier)
-	if occupant := c.byAddress[u.Address]; occupant != nil && occupant.ID != u.ID {
-		c.supersede(now, occupant)
-	}
-	c.entries[cookie], c.current[u.ID], c.byAddress[u.Address] = entry, entry, entry
+	c.end(now, earlier)
+	c.occupy(entry)
+	c.entries[cookie], c.current[u.ID] = entry, entry
 	c.dirty = true
 	c.note(Change{Event: "upstream_added", Subject: u.ID, Revision: u.Revision, Detail: entry.describe()})
 }
 
-// supersede marks an incarnation whose id or address another one has taken.
-func (c *Catalog) supersede(now time.Time, entry *Entry) {
+// occupy settles which of two upstreams has an address: the later one.
+func (c *Catalog) occupy(entry *Entry) {
+	occupant := c.byAddress[entry.Address]
+	switch {
+	case occupant == nil || occupant.ID == entry.ID:
+	case occupant.Born > entry.Born:
+		entry.Displaced = true
+		return
+	default:
+		displaced := *occupant
+		displaced.Displaced = true
+		displaced.Replaced = displaced.Replaced || !displaced.RemovedAt.IsZero()
+		c.replace(occupant, &displaced)
+		c.note(Change{Event: "upstream_displaced", Subject: occupant.ID, Revision: entry.Revision, Detail: "by " + entry.ID})
+	}
+	c.byAddress[entry.Address] = entry
+}
+
+// end marks an incarnation whose id a later one has taken.
+func (c *Catalog) end(now time.Time, entry *Entry) {
 	if entry == nil || entry.Replaced {
 		return
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -49,6 +49,7 @@
 // beliefEvents are the counted changes of belief; others count as the first.
 var beliefEvents = []string{
 	"other", "store_lost", "store_regained", "upstream_added", "upstream_changed", "upstream_removed", "upstream_replaced",
+	"upstream_displaced",
 	"upstream_invalid", "upstream_older_incarnation", "cookie_collision", "configuration_adopted", "configuration_invalid",
 	"configuration_older", "evacuation_started", "evacuation_ended",
 }
