--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,14 @@
 	tickInterval = 250 * time.Millisecond
 	// headerTimeout bounds how long an HTTP client may take for its request.
 	headerTimeout = 2 * time.Second
+	// probesToLeave is the number of refused readiness probes after which the
+	// routers stop sending to an instance.
+	probesToLeave = 2
+	// quietToLeave is how long no packet may have arrived: more than the time
+	// after which callers send a packet again (200 ms).
+	quietToLeave = 300 * time.Millisecond
+	// leavePoll is the time between two looks at a leaving instance.
+	leavePoll = 50 * time.Millisecond
 )
 
 // Source emits what the platform's store says, until ctx ends.
@@ -47,7 +55,9 @@
 	view     atomic.Pointer[catalog.Snapshot]
 	ready    atomic.Bool
 	leaving  atomic.Bool
-	servers  []httpServer
+	// refused counts readiness probes since the instance began to leave.
+	refused atomic.Int64
+	servers []httpServer
 }
 
 type httpServer struct {
@@ -131,16 +141,33 @@
 	case <-stop.Done():
 		return
 	}
+	began := time.Now()
+	i.refused.Store(0)
 	i.leaving.Store(true)
 	i.ready.Store(false)
-	i.log.Event(logrus.InfoLevel, "shutdown_started", logrus.Fields{"forwards_for_ms": i.settings.ShutdownMS})
-	timer := time.NewTimer(i.settings.shutdown())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-stop.Done():
+	i.log.Event(logrus.InfoLevel, "shutdown_started", logrus.Fields{"forwards_at_most_ms": i.settings.ShutdownMS})
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for now := began; !i.mayExit(now, began); {
+		select {
+		case now = <-ticker.C:
+		case <-stop.Done():
+			return
+		}
+	}
+	i.log.Event(logrus.InfoLevel, "shutdown_finished", logrus.Fields{
+		"after_ms": time.Since(began).Milliseconds(), "probes_refused": i.refused.Load(),
+		"quiet_ms": time.Since(i.traffic.lastPacket()).Milliseconds(), "flows_remembered": i.metrics.flows.Load(),
+	})
+}
+
+// mayExit tells whether the routers have taken a leaving instance out of the
+// rotation. They go on sending while too few instances are left.
+func (i *Instance) mayExit(now, began time.Time) bool {
+	if now.Sub(began) >= i.settings.shutdown() {
+		return true
 	}
-	i.log.Event(logrus.InfoLevel, "shutdown_finished", logrus.Fields{"flows_remembered": i.metrics.flows.Load()})
+	return i.refused.Load() >= probesToLeave && now.Sub(i.traffic.lastPacket()) >= quietToLeave
 }
 
 // control is the control goroutine: it owns the catalog.
@@ -225,6 +252,7 @@
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !i.ready.Load() {
+		i.refused.Add(1)
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -42,8 +42,9 @@
 	// Defaults 1.0 and 0, ranges 0 to 100 and 0 to 1,000.
 	ColdFactor float64 `json:"cold_factor"`
 	ColdSlack  float64 `json:"cold_slack"`
-	// ShutdownMS is how long a leaving instance goes on forwarding after it
-	// stopped being ready, in ms. Default 4,000, range 0 to 60,000.
+	// ShutdownMS is how long a leaving instance goes on forwarding at most after
+	// it stopped being ready, in ms; it exits earlier when the routers have
+	// stopped sending. Default 5,000, range 0 to 60,000.
 	ShutdownMS int64 `json:"shutdown_ms"`
 	// MaxFlows bounds the flows that are remembered for the choice of
 	// upstreams; further flows are forwarded all the same. Default 65,536, range
@@ -55,9 +56,8 @@
 const (
 	defaultReadinessPath = "/readyz"
 	defaultLogLevel      = "info"
-	// defaultShutdownMS covers two missed readiness probes half a second apart
-	// and the last packets that the routers had under way.
-	defaultShutdownMS = 4000
+	// defaultShutdownMS leaves one second of the platform's grace of 6 s.
+	defaultShutdownMS = 5000
 	// defaultMaxFlows holds the 28,000 flows of an instance of the target size
 	// twice; about 12 MB when full.
 	defaultMaxFlows = 65536
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -70,6 +70,8 @@
 	log     flowLog
 	metrics *Metrics
 
+	// arrived is when the last packet arrived, in Unix nanoseconds.
+	arrived atomic.Int64
 	prefix  int
 	adopted *catalog.Snapshot
 	packet  forward.Packet
@@ -121,6 +123,7 @@
 			t.metrics.drop(dropSocket)
 			continue
 		}
+		t.arrived.Store(now.UnixNano())
 		t.handle(now, buffer[:prefix+n], now)
 	}
 }
@@ -133,6 +136,9 @@
 	return t.conn.SetReadDeadline(time.Now().Add(wait))
 }
 
+// lastPacket returns when the last packet arrived.
+func (t *traffic) lastPacket() time.Time { return time.Unix(0, t.arrived.Load()) }
+
 // periodic adopts a new snapshot, and does what is due.
 func (t *traffic) periodic(now time.Time) {
 	if view := t.view.Load(); view != t.adopted && view != nil {
