Probe upstreams that seem silent and reset the flows of one that is gone

Ruled out: choice of upstreams for new flows, which avoided it after two copies.

An engine now takes data that is sent again, unanswered opens and removed entries as signs, unless a packet within 200 ms shows that the upstream answers. A connection attempt (300 ms) decides: refused or silent resets the remembered flows and avoids the upstream until a later probe or a packet contradicts; alive keeps the flows even when the entry is missing.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -83,6 +83,7 @@
 			FailureDomain: s.FailureDomain, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, MaxFlows: int(s.MaxFlows),
 		}),
 	}
+	i.traffic.prober = newProber(i.traffic.wake)
 	if err := i.listenHTTP(); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
@@ -120,6 +121,7 @@
 	group, stop := errgroup.WithContext(stop)
 	events := make(chan catalog.Event, eventQueue)
 	group.Go(func() error { return i.traffic.run(stop) })
+	group.Go(func() error { return i.traffic.prober.run(stop) })
 	group.Go(func() error { return i.source.Run(stop, events) })
 	for _, server := range i.servers {
 		group.Go(func() error { return serveHTTP(stop, server) })
@@ -198,6 +200,7 @@
 		return
 	}
 	i.view.Store(view)
+	i.traffic.wake()
 	i.metrics.adopted(view)
 	if !i.leaving.Load() && !i.ready.Swap(true) {
 		i.log.Event(logrus.InfoLevel, "ready", logrus.Fields{
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,9 +24,14 @@
 const (
 	dropMalformed = iota
 	dropSocket
+	// dropProbe counts probes that were not started because too many were under
+	// way.
+	dropProbe
 )
 
-var dropLabels = []string{"malformed", "socket"}
+var dropLabels = []string{"malformed", "socket", "probe_limit"}
+
+var verdictLabels = []string{"none", "alive", "refused", "silent"}
 
 var actionLabels = []string{"drop", "forward", "reset", "wait"}
 
@@ -38,10 +43,12 @@
 	decisions *counters.Family
 	drops     *counters.Family
 	events    *counters.Family
+	probes    *counters.Family
 	flows     atomic.Int64
 	upstreams atomic.Int64
 	version   atomic.Int64
 	confirmed [3]atomic.Int64
+	probe     metric.Float64Histogram
 	answer    metric.Float64Histogram
 	gap       metric.Float64Histogram
 }
@@ -66,6 +73,7 @@
 		decisions: counters.NewFamily2("action", actionLabels, "reason", forward.Reasons[:]),
 		drops:     counters.NewFamily("reason", dropLabels),
 		events:    counters.NewFamily("event", beliefEvents),
+		probes:    counters.NewFamily("verdict", verdictLabels),
 	}
 	return m, m.register(m.provider.Meter(scope))
 }
@@ -87,6 +95,7 @@
 	counter("chivemast_decisions", "Packets of callers by action and reason.", m.decisions)
 	counter("chivemast_discarded_datagrams", "Datagrams that could not be decoded or sent.", m.drops)
 	counter("chivemast_belief_changes", "Changes of what the instance knows.", m.events)
+	counter("chivemast_probes", "Connection attempts to upstreams that seemed silent.", m.probes)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
 	gauge("chivemast_upstreams_known", "Upstream incarnations that cookies resolve to.", m.upstreams.Load)
 	gauge("chivemast_config_version", "Configuration version in force.", m.version.Load)
@@ -99,6 +108,10 @@
 		metric.WithDescription("Time from an opening packet to the next packet of its flow, in ms."),
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1600))
 	errs = append(errs, err)
+	m.probe, err = meter.Float64Histogram("chivemast_probe_ms",
+		metric.WithDescription("Duration of connection attempts to upstreams, in ms."),
+		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50, 100, 200, 300, 400))
+	errs = append(errs, err)
 	m.gap, err = meter.Float64Histogram("chivemast_knowledge_gap_ms",
 		metric.WithDescription("Time between two confirmations of one kind by the store, in ms."),
 		metric.WithExplicitBucketBoundaries(10, 100, 500, 1000, 2000, 2600, 4000, 8000, 16000))
@@ -118,6 +131,11 @@
 
 func (m *Metrics) drop(reason int) { m.drops.Add(reason, 1) }
 
+func (m *Metrics) probed(verdict forward.Verdict, took time.Duration) {
+	m.probes.Add(int(verdict), 1)
+	m.probe.Record(context.Background(), float64(took)/float64(time.Millisecond))
+}
+
 func (m *Metrics) setFlows(n int) { m.flows.Store(int64(n)) }
 
 func (m *Metrics) changed(event string) {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -66,6 +66,7 @@
 	conn    *net.UDPConn
 	codec   Codec
 	engine  *forward.Engine
+	prober  *prober
 	view    *atomic.Pointer[catalog.Snapshot]
 	log     flowLog
 	metrics *Metrics
@@ -78,6 +79,8 @@
 	reset   []byte
 	held    []heldPacket
 	expired time.Time
+	// deadline is when the reader wakes without a packet.
+	deadline time.Time
 }
 
 // heldPacket is a packet that waits for the next snapshot.
@@ -105,16 +108,18 @@
 	// One byte more than the largest packet makes an oversized one visible.
 	buffer := make([]byte, prefix+datagram+1)
 	for {
-		if err := t.arm(); err != nil && ctx.Err() == nil {
+		now := time.Now()
+		if err := t.arm(now); err != nil && ctx.Err() == nil {
 			return fmt.Errorf("set deadline: %w", err)
 		}
-		n, _, err := t.conn.ReadFromUDPAddrPort(buffer[prefix:])
-		now := time.Now()
+		// What arrived before the deadline was set has not interrupted the read.
 		t.periodic(now)
+		n, _, err := t.conn.ReadFromUDPAddrPort(buffer[prefix:])
 		switch {
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			t.deadline = time.Time{}
 			continue
 		case errors.Is(err, net.ErrClosed):
 			return err
@@ -123,17 +128,61 @@
 			t.metrics.drop(dropSocket)
 			continue
 		}
+		now = time.Now()
 		t.arrived.Store(now.UnixNano())
 		t.handle(now, buffer[:prefix+n], now)
+		t.requestProbes()
 	}
 }
 
-func (t *traffic) arm() error {
+// arm sets the deadline of the next read. It leaves a deadline that is far
+// enough in the future, which saves a timer for each packet.
+func (t *traffic) arm(now time.Time) error {
 	wait := readTimeout
 	if len(t.held) > 0 {
 		wait = pollInterval
 	}
-	return t.conn.SetReadDeadline(time.Now().Add(wait))
+	if left := t.deadline.Sub(now); left > wait/2 && left <= wait {
+		return nil
+	}
+	t.deadline = now.Add(wait)
+	return t.conn.SetReadDeadline(t.deadline)
+}
+
+// wake interrupts the reader; it may be called from any goroutine.
+func (t *traffic) wake() {
+	// The only error is that of a closed socket, which ends the reader anyway.
+	_ = t.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// requestProbes hands the wanted probes to the prober.
+func (t *traffic) requestProbes() {
+	for _, probe := range t.engine.TakeProbes() {
+		if !t.prober.request(probe) {
+			t.engine.Unprobed(probe)
+			t.metrics.drop(dropProbe)
+		}
+	}
+}
+
+// takeResults acts on the outcomes of probes.
+func (t *traffic) takeResults(now time.Time) {
+	for {
+		select {
+		case result := <-t.prober.results:
+			abandoned := t.engine.Probed(now, result)
+			t.log.probed(now, result, len(abandoned))
+			t.metrics.probed(result.Verdict, now.Sub(result.Started))
+			for i := range abandoned {
+				t.sendReset(&abandoned[i])
+				decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamSilent, Upstream: result.Upstream}
+				t.metrics.decided(decision)
+				t.log.decided(now, &abandoned[i], decision, t.adopted)
+			}
+		default:
+			return
+		}
+	}
 }
 
 // lastPacket returns when the last packet arrived.
@@ -146,14 +195,17 @@
 		t.engine.Adopt(view)
 		t.retry(now)
 	}
+	t.takeResults(now)
 	if len(t.held) > 0 && now.Sub(t.held[0].arrived) > holdTime {
 		t.retry(now)
 	}
 	if now.Sub(t.expired) >= expireInterval {
 		t.expired = now
 		t.engine.Expire(now)
+		t.engine.Reprobe(now)
 		t.metrics.setFlows(t.engine.Flows())
 	}
+	t.requestProbes()
 }
 
 // retry decides the waiting packets again.
@@ -261,6 +313,16 @@
 	})
 }
 
+// probed logs the outcome of a probe.
+func (l flowLog) probed(now time.Time, result forward.ProbeResult, flows int) {
+	l.events.Flow(logrus.InfoLevel, "upstream_probed", func() logrus.Fields {
+		return logrus.Fields{
+			"upstream": result.Upstream.ID, "verdict": result.Verdict.String(), "sign": result.Sign, "upstream_revision": result.Upstream.Revision,
+			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": flows,
+		}
+	})
+}
+
 // flowFields identifies a flow: its two ends and the sequence number of the
 // packet, which for an opening packet is that of the flow.
 func flowFields(p *forward.Packet) logrus.Fields {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -36,6 +36,7 @@
 	flows flowTable
 	stats map[flowcookie.Cookie]*upstreamStats
 
+	probes     []Probe
 	weights    []int
 	candidates []choice.Candidate
 	entries    []*catalog.Entry
@@ -49,6 +50,7 @@
 // Adopt makes a snapshot the view for the packets that follow.
 func (e *Engine) Adopt(view *catalog.Snapshot) {
 	e.view = view
+	e.probeRemoved()
 	for cookie := range e.stats {
 		if view.Resolve(cookie) == nil {
 			delete(e.stats, cookie)
@@ -56,6 +58,17 @@
 	}
 }
 
+// probeRemoved asks for probes of upstreams that have flows here and are no
+// longer listed.
+func (e *Engine) probeRemoved() {
+	for cookie, stats := range e.stats {
+		entry := e.view.Resolve(cookie)
+		if entry != nil && !entry.RemovedAt.IsZero() && stats.flows > 0 && stats.probe.asked.Before(entry.RemovedAt) {
+			e.wantProbe(entry.RemovedAt, cookie, evidenceRemoved)
+		}
+	}
+}
+
 // Expire forgets idle flows.
 func (e *Engine) Expire(now time.Time) {
 	for _, record := range e.flows.expire(now) {
@@ -88,12 +101,31 @@
 		}
 		return Decision{Action: Wait, Reason: ReasonUnknownCookie}
 	}
-	if entry.Gone(now) && (entry.Replaced || e.view.Complete(now)) && !p.Reset {
-		return e.end(p, Decision{Action: Reset, Reason: ReasonUpstreamGone, Upstream: entry})
+	if reason, ended := e.ended(now, entry); ended && !p.Reset {
+		return e.end(p, Decision{Action: Reset, Reason: reason, Upstream: entry})
 	}
 	return Decision{Action: Forward, Reason: ReasonEstablished, Upstream: entry, Answer: e.observe(now, p)}
 }
 
+// ended tells whether an upstream can no longer answer its flows. The store
+// alone does not prove it: an entry also vanishes when the upstream has lost the
+// store. A probe decides.
+func (e *Engine) ended(now time.Time, entry *catalog.Entry) (Reason, bool) {
+	if entry.Replaced {
+		return ReasonUpstreamGone, true
+	}
+	stats := e.statsOf(entry.Cookie)
+	if stats.probe.failed() {
+		return ReasonUpstreamSilent, true
+	}
+	if entry.RemovedAt.IsZero() || now.Sub(stats.answered) < answerWindow {
+		return 0, false
+	}
+	e.wantProbe(now, entry.Cookie, evidenceRemoved)
+	gone := entry.Gone(now) && e.view.Complete(now)
+	return ReasonUpstreamGone, gone && !stats.probe.alive(now) && !stats.probe.pending
+}
+
 // end forgets a flow that is reset.
 func (e *Engine) end(p *Packet, decision Decision) Decision {
 	if record := e.flows.remove(p.Flow); record != nil {
--- /dev/null
+++ b/internal/forward/engine_test.go
@@ -0,0 +1,353 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+var start = time.Date(2026, 1, 21, 11, 10, 0, 0, time.UTC)
+
+var service = netip.MustParseAddrPort("198.18.0.1:443")
+
+// upstream returns a ready upstream in failure domain "a".
+func upstream(n int) catalog.Upstream {
+	return catalog.Upstream{
+		ID: fmt.Sprintf("i-%d", n), Born: 1000, Token: uint64(n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		FailureDomain: "a", Service: "s", Capacity: 2, Revision: uint64(n),
+	}
+}
+
+// fixture is an engine with the catalog that feeds it.
+type fixture struct {
+	t       *testing.T
+	catalog *catalog.Catalog
+	engine  *Engine
+	now     time.Time
+	// revision is the store's.
+	revision uint64
+}
+
+func newFixture(t *testing.T, upstreams ...catalog.Upstream) *fixture {
+	f := &fixture{
+		t: t, catalog: catalog.New(), now: start, revision: 100,
+		engine: New(Config{FailureDomain: "a", MaxFlows: 1000, ColdFactor: 1.5, ColdSlack: 5}),
+	}
+	list := catalog.UpstreamsListed{Revision: f.revision}
+	for _, u := range upstreams {
+		list.Entries = append(list.Entries, catalog.UpstreamChange{Upstream: u})
+	}
+	f.apply(catalog.ConfigurationRead{Configuration: catalog.Configuration{
+		Version: 1, Revision: 1, Services: []catalog.Service{{Name: "s", ColdRate: 10, ColdDuration: 5 * time.Second}},
+		Routes: []catalog.Route{{Name: "r", Address: service, Split: []catalog.Weight{{Service: "s", Weight: 1}}}},
+	}})
+	f.apply(catalog.EvacuationsListed{Revision: 1})
+	f.apply(list)
+	return f
+}
+
+func (f *fixture) apply(event catalog.Event) {
+	f.catalog.Apply(f.now, event)
+	if view, changed := f.catalog.Snapshot(f.now); changed && f.catalog.Known() {
+		f.engine.Adopt(view)
+	}
+}
+
+func (f *fixture) remove(id string) {
+	f.revision++
+	f.apply(catalog.UpstreamsChanged{Revision: f.revision, Changes: []catalog.UpstreamChange{
+		{Upstream: catalog.Upstream{ID: id, Revision: f.revision}, Removed: true},
+	}})
+}
+
+func (f *fixture) set(u catalog.Upstream) {
+	f.revision++
+	u.Revision = f.revision
+	f.apply(catalog.UpstreamsChanged{Revision: f.revision, Changes: []catalog.UpstreamChange{{Upstream: u}}})
+}
+
+// wait lets time pass in which the store confirms its view.
+func (f *fixture) wait(d time.Duration) {
+	f.now = f.now.Add(d)
+	for _, kind := range []catalog.Kind{catalog.KindUpstreams, catalog.KindConfiguration, catalog.KindEvacuations} {
+		f.apply(catalog.Confirmed{Kind: kind, Revision: f.revision})
+	}
+}
+
+func caller(port int) Flow {
+	return Flow{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), uint16(port)), Service: service}
+}
+
+// open sends copy n of the opening packet of a flow.
+func (f *fixture) open(port, n int) Decision {
+	return f.engine.Decide(f.now, &Packet{Flow: caller(port), Open: true, Copy: uint32(n), Seq: uint32(port) * 1000})
+}
+
+// establish opens a flow and lets its upstream answer.
+func (f *fixture) establish(port int) *catalog.Entry {
+	f.t.Helper()
+	d := f.open(port, 0)
+	require.Equal(f.t, Forward, d.Action)
+	f.send(port, d.Upstream.Cookie, 1, 1, 0)
+	return d.Upstream
+}
+
+// send sends a packet of an established flow, with sequence numbers relative to
+// the start of the flow.
+func (f *fixture) send(port int, cookie flowcookie.Cookie, seq, ack uint32, data int) Decision {
+	return f.engine.Decide(f.now, &Packet{
+		Flow: caller(port), Cookie: cookie, Seq: uint32(port)*1000 + seq, Ack: ack, Data: data,
+	})
+}
+
+// Guards against losing a flow when another instance takes over: it has never
+// seen the flow and decides from the cookie alone.
+func TestInstanceWithoutStateForwardsByCookie(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	other := newFixture(t, upstream(1), upstream(2), upstream(3))
+	for port := 1; port < 100; port++ {
+		chosen := f.establish(port)
+		d := other.send(port, chosen.Cookie, 1, 1, 100)
+		require.Equal(t, Forward, d.Action)
+		require.Equal(t, chosen.ID, d.Upstream.ID)
+	}
+}
+
+// Guards against cutting the flows of upstreams that drain, are evacuated or
+// whose entry cannot be read.
+func TestEstablishedFlowsOutliveTheEndOfNewOnes(t *testing.T) {
+	for name, end := range map[string]func(*fixture){
+		"draining":  func(f *fixture) { u := upstream(1); u.Draining = true; f.set(u) },
+		"evacuated": func(f *fixture) { f.apply(catalog.EvacuationsListed{Domains: []string{"a"}, Revision: 200}) },
+		"cold":      func(f *fixture) { u := upstream(1); u.ColdFor = time.Minute; f.set(u) },
+		"entry removed while it answers": func(f *fixture) {
+			f.remove("i-1")
+			f.wait(5 * time.Second)
+			f.send(7, flowcookie.Of("i-1", 1000), 1, 500, 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, upstream(1))
+			chosen := f.establish(7)
+			end(f)
+			d := f.send(7, chosen.Cookie, 1, 501, 100)
+			require.Equal(t, Forward, d.Action, d.Reason)
+			require.Equal(t, "i-1", d.Upstream.ID)
+		})
+	}
+}
+
+// Pattern: upstream silent. Guards against callers that wait for their time
+// limit on an upstream that crashed without a word: data that is sent again and
+// a failed probe end its flows, and new flows go elsewhere.
+func TestSilentUpstreamIsProbedAndItsFlowsAreReset(t *testing.T) {
+	for _, verdict := range []Verdict{VerdictRefused, VerdictSilent} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			f := newFixture(t, upstream(1), upstream(2))
+			byUpstream := map[string][]int{}
+			for port := 1; port <= 20; port++ {
+				id := f.establish(port).ID
+				byUpstream[id] = append(byUpstream[id], port)
+			}
+			crashed := flowcookie.Of("i-1", 1000)
+			f.wait(time.Second)
+			port := byUpstream["i-1"][0]
+			f.send(port, crashed, 1, 1, 100)
+			require.Empty(t, f.engine.TakeProbes())
+			f.wait(200 * time.Millisecond)
+			require.Equal(t, Forward, f.send(port, crashed, 1, 1, 100).Action)
+			probes := f.engine.TakeProbes()
+			require.Len(t, probes, 1)
+			require.Equal(t, "i-1", probes[0].Upstream.ID)
+
+			reset := f.engine.Probed(f.now, ProbeResult{Upstream: probes[0].Upstream, Verdict: verdict, Started: f.now})
+			require.Len(t, reset, len(byUpstream["i-1"]))
+			for _, p := range reset {
+				require.EqualValues(t, 1, p.Ack, "the reset must lie in the caller's window")
+			}
+			// A flow that only another instance remembers is reset as well.
+			d := f.send(500, crashed, 1, 1, 100)
+			require.Equal(t, Reset, d.Action)
+			require.Equal(t, ReasonUpstreamSilent, d.Reason)
+			for port := 100; port < 120; port++ {
+				require.Equal(t, "i-2", f.open(port, 0).Upstream.ID)
+			}
+			require.Equal(t, Forward, f.send(byUpstream["i-2"][0], flowcookie.Of("i-2", 1000), 1, 1, 100).Action)
+		})
+	}
+}
+
+// Guards against a false alarm: a lost packet, or a slow answer, while other
+// flows of the upstream go on or the probe finds it.
+func TestUpstreamThatAnswersKeepsItsFlows(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	cookie := f.establish(1).Cookie
+	f.establish(2)
+	f.wait(time.Second)
+	f.send(1, cookie, 1, 1, 100)
+	f.wait(200 * time.Millisecond)
+	f.send(2, cookie, 1, 400, 0)
+	f.send(1, cookie, 1, 1, 100)
+	require.Empty(t, f.engine.TakeProbes(), "another flow shows that the upstream answers")
+
+	f.wait(time.Second)
+	f.send(2, cookie, 1, 400, 100)
+	f.wait(200 * time.Millisecond)
+	f.send(2, cookie, 1, 400, 100)
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1)
+	require.Empty(t, f.engine.Probed(f.now, ProbeResult{Upstream: probes[0].Upstream, Verdict: VerdictAlive, Started: f.now}))
+	require.Equal(t, Forward, f.send(2, cookie, 1, 400, 100).Action)
+}
+
+// Guards against resets on a probe that failed although the upstream answered a
+// flow after it began, as on an instance that was stopped for a while.
+func TestAnswerOverridesAProbeThatBeganBefore(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	cookie := f.establish(1).Cookie
+	f.wait(time.Second)
+	f.send(1, cookie, 1, 1, 100)
+	f.wait(200 * time.Millisecond)
+	f.send(1, cookie, 1, 1, 100)
+	probe := f.engine.TakeProbes()[0]
+	began := f.now
+	f.wait(100 * time.Millisecond)
+	f.send(1, cookie, 101, 300, 0)
+	f.wait(200 * time.Millisecond)
+	require.Empty(t, f.engine.Probed(f.now, ProbeResult{Upstream: probe.Upstream, Verdict: VerdictSilent, Started: began}))
+	require.Equal(t, Forward, f.send(1, cookie, 101, 300, 100).Action)
+}
+
+// Guards against an upstream that stays avoided after it is back: a later probe
+// or an answer ends it.
+func TestUpstreamThatReturnsIsUsedAgain(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	entry := f.establish(1)
+	f.wait(time.Second)
+	f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictSilent, Started: f.now})
+	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
+	f.wait(time.Second)
+	f.engine.Reprobe(f.now)
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1)
+	f.engine.Probed(f.now, ProbeResult{Upstream: probes[0].Upstream, Verdict: VerdictAlive, Started: f.now})
+	require.Equal(t, Forward, f.send(1, entry.Cookie, 1, 1, 100).Action)
+}
+
+// Guards against endless probes of upstreams that have left.
+func TestRemovedUpstreamIsNotProbedAgain(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	entry := f.establish(1)
+	f.wait(time.Second)
+	f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictRefused, Started: f.now})
+	f.remove("i-1")
+	f.engine.TakeProbes()
+	f.wait(time.Second)
+	f.engine.Reprobe(f.now)
+	require.Empty(t, f.engine.TakeProbes())
+}
+
+// Guards against resets of the flows of an upstream whose entry lapsed with the
+// store, and against flows that are kept on one that has left: a probe decides.
+func TestMissingEntryIsCheckedByAProbe(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	entry := f.establish(1)
+	f.wait(time.Second)
+	f.remove("i-1")
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1)
+	f.engine.Probed(f.now, ProbeResult{Upstream: probes[0].Upstream, Verdict: VerdictAlive, Started: f.now})
+	f.wait(time.Second)
+	require.Equal(t, Forward, f.send(1, entry.Cookie, 1, 1, 100).Action)
+
+	f.engine.TakeProbes()
+	f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictRefused, Started: f.now})
+	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
+}
+
+// Guards against packets that carry no or an unknown cookie: they reach no
+// upstream, and are reset only when the view is complete.
+func TestForgedCookieReachesNoUpstream(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	require.Equal(t, Drop, f.send(1, flowcookie.None, 1, 1, 100).Action)
+	require.Equal(t, Wait, f.send(1, 12345, 1, 1, 100).Action)
+	f.wait(3 * time.Second)
+	require.Equal(t, Reset, f.send(1, 12345, 1, 1, 100).Action)
+}
+
+// Pattern: upstream silent. Guards against copies of an opening packet that go
+// to the upstream that did not answer the first.
+func TestCopiesOfAnOpeningPacketGoToOtherUpstreams(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	seen := map[string]bool{}
+	for n := range 3 {
+		d := f.open(1, n)
+		require.Equal(t, Forward, d.Action)
+		seen[d.Upstream.ID] = true
+		f.wait(200 * time.Millisecond)
+	}
+	require.Len(t, seen, 3)
+}
+
+// Pattern: calm wave. Guards against uneven load: plain hashing gave the
+// busiest upstream 1.3 to 1.4 times the mean.
+func TestNewFlowsSpreadEvenly(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3), upstream(4))
+	flows := map[string]int{}
+	for port := 1; port <= 400; port++ {
+		flows[f.establish(port).ID]++
+	}
+	for id, n := range flows {
+		require.Equal(t, 100, n, id)
+	}
+}
+
+// Guards against refusing a flow whose route this instance may only not have
+// read yet, and against silence where it cannot be served.
+func TestUnknownRouteIsRefusedOnlyWithAFreshView(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	flow := Packet{Flow: Flow{Caller: caller(1).Caller, Service: netip.MustParseAddrPort("198.18.0.9:443")}, Open: true}
+	require.Equal(t, Reset, f.engine.Decide(f.now, &flow).Action)
+	f.now = f.now.Add(routeFreshness + time.Millisecond)
+	require.Equal(t, Drop, f.engine.Decide(f.now, &flow).Action)
+}
+
+// Guards against leaving the callers of a removed route waiting, and against
+// resets for a route that another instance has read first.
+func TestFlowsOfARemovedRouteAreReset(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	entry := f.establish(1)
+	unknown := Packet{Flow: Flow{Caller: caller(1).Caller, Service: netip.MustParseAddrPort("198.18.0.9:443")}, Cookie: entry.Cookie}
+	require.Equal(t, Forward, f.engine.Decide(f.now, &unknown).Action)
+	f.apply(catalog.ConfigurationRead{Configuration: catalog.Configuration{Version: 2, Revision: 200, Services: []catalog.Service{{Name: "s"}}}})
+	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
+	require.Equal(t, Reset, f.open(2, 0).Action)
+}
+
+// Guards against an allocation or slow decision for each packet of an
+// established flow.
+func TestEstablishedPacketsDoNotAllocate(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	cookie := f.establish(1).Cookie
+	p := Packet{Flow: caller(1), Cookie: cookie, Seq: 1001, Ack: 1, Data: 100}
+	require.Zero(t, testing.AllocsPerRun(1000, func() { p.Seq += 100; p.Ack += 100; f.engine.Decide(f.now, &p) }))
+}
+
+func BenchmarkEstablishedPacket(b *testing.B) {
+	t := &testing.T{}
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := f.establish(1).Cookie
+	p := Packet{Flow: caller(1), Cookie: cookie, Seq: 1001, Ack: 1, Data: 100}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Seq += 100
+		p.Ack += 100
+		f.engine.Decide(f.now, &p)
+	}
+}
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -30,6 +30,12 @@
 	targets  [maxCopies]flowcookie.Cookie
 	attempts int
 	answered bool
+	// ack is the caller's last acknowledgement, sent the end of the data that
+	// it has sent.
+	ack, sent uint32
+	// stalled is set when the caller sent data again without an answer in
+	// between.
+	stalled bool
 	// opened is when the first copy of the opening packet arrived.
 	opened   time.Time
 	lastSeen time.Time
@@ -95,7 +101,7 @@
 		if record = e.flows.add(p.Flow, p.Seq); record == nil {
 			return
 		}
-		record.opened = now
+		record.opened, record.sent = now, p.Seq
 	}
 	record.lastSeen = now
 	record.copies = max(record.copies, p.Copy)
@@ -124,15 +130,19 @@
 			return 0
 		}
 		record.targets[0], record.attempts, record.answered = p.Cookie, 1, true
+		record.ack, record.sent = p.Ack, p.Seq
 		e.statsOf(p.Cookie).flows++
 	}
 	record.lastSeen = now
 	if !record.answered {
 		answer = now.Sub(record.opened)
+		record.sent = p.Seq
+		e.statsOf(p.Cookie).progressed(now)
 	}
 	if !record.answered || record.targets[0] != p.Cookie {
 		e.settle(record, p.Cookie)
 	}
+	e.compare(now, p, record)
 	if p.Fin || p.Reset {
 		e.flows.remove(p.Flow)
 		e.forget(record)
@@ -140,12 +150,28 @@
 	return answer
 }
 
+// compare tells from the sequence numbers whether the upstream answers: a
+// higher acknowledgement shows that it does, data that is sent again without
+// one that it may not.
+func (e *Engine) compare(now time.Time, p *Packet, record *flowRecord) {
+	end := p.Seq + uint32(p.Data)
+	switch {
+	case int32(p.Ack-record.ack) > 0:
+		record.ack, record.stalled = p.Ack, false
+		e.statsOf(p.Cookie).progressed(now)
+	case p.Data > 0 && int32(end-record.sent) <= 0 && !record.stalled:
+		record.stalled = true
+		e.suspect(now, p.Cookie, evidenceStall)
+	}
+	if int32(end-record.sent) > 0 {
+		record.sent = end
+	}
+}
+
 // settle attributes a flow to the upstream whose answer the caller took.
 func (e *Engine) settle(record *flowRecord, cookie flowcookie.Cookie) {
 	e.forget(record)
-	stats := e.statsOf(cookie)
-	stats.flows++
-	stats.answered()
+	e.statsOf(cookie).flows++
 	record.targets = [maxCopies]flowcookie.Cookie{cookie}
 	record.attempts, record.answered = 1, true
 }
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -69,6 +69,9 @@
 	ReasonColdLimit
 	// ReasonUpstreamGone: the flow's upstream has ended.
 	ReasonUpstreamGone
+	// ReasonUpstreamSilent: the flow's upstream answers neither its flows nor a
+	// probe.
+	ReasonUpstreamSilent
 	// ReasonUnknownCookie: the cookie names no upstream that is known.
 	ReasonUnknownCookie
 	// ReasonNoCookie: a packet of an established flow carries no cookie.
@@ -85,7 +88,7 @@
 // Reasons are the labels of all reasons, by value.
 var Reasons = [reasons]string{
 	"established", "opened", "open_repeated", "no_route", "route_removed", "no_upstream", "cold_limit",
-	"upstream_gone", "unknown_cookie", "no_cookie", "not_synchronized", "other_service",
+	"upstream_gone", "upstream_silent", "unknown_cookie", "no_cookie", "not_synchronized", "other_service",
 }
 
 func (r Reason) String() string { return Reasons[r] }
--- /dev/null
+++ b/internal/forward/probe.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+const (
+	// probeInterval is the least time between two probes of an upstream by one
+	// instance.
+	probeInterval = 500 * time.Millisecond
+	// aliveFor is how long a successful probe keeps the flows of an upstream
+	// that the store no longer lists.
+	aliveFor = 2 * time.Second
+)
+
+// Verdict is the outcome of a probe: a connection attempt to the upstream.
+type Verdict int
+
+// Verdicts.
+const (
+	// VerdictAlive: the upstream accepted the connection.
+	VerdictAlive Verdict = iota + 1
+	// VerdictRefused: its machine runs no process at the address.
+	VerdictRefused
+	// VerdictSilent: nothing answered.
+	VerdictSilent
+)
+
+func (v Verdict) String() string { return [...]string{"none", "alive", "refused", "silent"}[v] }
+
+// Probe asks for a connection attempt to an upstream.
+type Probe struct {
+	Upstream *catalog.Entry
+	// Sign says why, for the log.
+	Sign string
+	// Since is when the upstream last answered this instance; zero when it has
+	// not.
+	Since time.Time
+}
+
+// ProbeResult is the outcome of a Probe.
+type ProbeResult struct {
+	Upstream *catalog.Entry
+	Verdict  Verdict
+	Sign     string
+	// Started is when the attempt began.
+	Started time.Time
+}
+
+// probeState is what an engine knows from probes of one upstream.
+type probeState struct {
+	pending bool
+	asked   time.Time
+	verdict Verdict
+	decided time.Time
+}
+
+// failed tells whether the last probe found no process.
+func (s *probeState) failed() bool { return s.verdict == VerdictRefused || s.verdict == VerdictSilent }
+
+// alive tells whether a recent probe found the process.
+func (s *probeState) alive(now time.Time) bool {
+	return s.verdict == VerdictAlive && now.Sub(s.decided) < aliveFor
+}
+
+// answered withdraws a failed probe: a packet shows that the upstream lives.
+func (s *probeState) answered() {
+	if s.failed() {
+		s.verdict = 0
+	}
+}
+
+// wantProbe asks for a probe of an upstream unless one is under way or was a
+// moment ago.
+func (e *Engine) wantProbe(now time.Time, cookie flowcookie.Cookie, sign evidence) {
+	entry := e.view.Resolve(cookie)
+	stats := e.statsOf(cookie)
+	if entry == nil || entry.Replaced || stats.probe.pending || now.Sub(stats.probe.asked) < probeInterval {
+		return
+	}
+	stats.probe.pending, stats.probe.asked = true, now
+	e.probes = append(e.probes, Probe{Upstream: entry, Sign: sign.String(), Since: stats.answered})
+}
+
+// TakeProbes returns the probes that are wanted and forgets them.
+func (e *Engine) TakeProbes() []Probe {
+	if len(e.probes) == 0 {
+		return nil
+	}
+	probes := e.probes
+	e.probes = nil
+	return probes
+}
+
+// Unprobed takes back a probe that could not be started.
+func (e *Engine) Unprobed(probe Probe) { e.statsOf(probe.Upstream.Cookie).probe.pending = false }
+
+// Reprobe asks again for upstreams whose last probe failed, so that one that
+// returns is used again.
+func (e *Engine) Reprobe(now time.Time) {
+	if e.view == nil {
+		return
+	}
+	for cookie, stats := range e.stats {
+		if entry := e.view.Resolve(cookie); stats.probe.failed() && entry != nil && entry.RemovedAt.IsZero() {
+			e.wantProbe(now, cookie, evidenceSilent)
+		}
+	}
+}
+
+// Probed takes in the outcome of a probe. When the upstream has ended or cannot
+// be reached it returns its remembered flows, for which the caller sends
+// resets, and forgets them.
+func (e *Engine) Probed(now time.Time, result ProbeResult) []Packet {
+	stats := e.statsOf(result.Upstream.Cookie)
+	stats.probe.pending = false
+	if result.Verdict != VerdictAlive && stats.answered.After(result.Started) {
+		// A packet that arrived meanwhile is the better evidence.
+		return nil
+	}
+	stats.probe.verdict, stats.probe.decided = result.Verdict, now
+	if !stats.probe.failed() {
+		stats.signs = 0
+		return nil
+	}
+	return e.abandon(result.Upstream.Cookie)
+}
+
+// abandon forgets the established flows of an upstream and returns them.
+func (e *Engine) abandon(cookie flowcookie.Cookie) []Packet {
+	var packets []Packet
+	for flow, record := range e.flows.records {
+		if !record.answered || record.targets[0] != cookie {
+			continue
+		}
+		packets = append(packets, Packet{Flow: flow, Ack: record.ack, Cookie: cookie})
+		delete(e.flows.records, flow)
+		e.forget(record)
+	}
+	slices.SortFunc(packets, func(a, b Packet) int { return a.Flow.Caller.Compare(b.Flow.Caller) })
+	return packets
+}
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -8,31 +8,62 @@
 )
 
 const (
-	// suspectAfter is the number of opens in a row without a packet that
-	// follows from which an upstream is avoided. One may be a lost packet.
+	// suspectAfter is the number of signs of silence in a row from which an
+	// upstream is avoided before a probe has decided. One may be a lost packet.
 	suspectAfter = 2
 	// suspectFor is how long it is avoided at first; it doubles with every
-	// further miss up to suspectMax, about the time in which the store removes
+	// further sign up to suspectMax, about the time in which the store removes
 	// the entry of an upstream that has crashed.
 	suspectFor = time.Second
 	suspectMax = 4 * time.Second
+	// answerWindow is how recent an answer contradicts a sign of silence: a
+	// caller sends again 200 ms after the packet that got none.
+	answerWindow = 200 * time.Millisecond
 	// coldWindow is the span over which the limit of a cold upstream counts.
 	coldWindow = time.Second
 )
 
+// evidence is a sign that an upstream is silent.
+type evidence int
+
+const (
+	// evidenceOpen: a copy of an opening packet shows that the first one got no
+	// answer.
+	evidenceOpen evidence = iota
+	// evidenceStall: a caller sent data again.
+	evidenceStall
+	// evidenceRemoved: the store no longer lists the upstream.
+	evidenceRemoved
+	// evidenceSilent: the last probe failed.
+	evidenceSilent
+)
+
+func (e evidence) String() string {
+	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed"}[e]
+}
+
 // upstreamStats is what an engine has seen of one upstream.
 type upstreamStats struct {
 	flows        int
-	misses       int
+	signs        int
 	suspectUntil time.Time
-	cold         coldLimiter
+	// answered is when a packet last showed that the upstream answers.
+	answered time.Time
+	probe    probeState
+	cold     coldLimiter
 }
 
-func (s *upstreamStats) suspect(now time.Time) bool { return now.Before(s.suspectUntil) }
+// suspect tells whether new flows avoid the upstream.
+func (s *upstreamStats) suspect(now time.Time) bool {
+	return now.Before(s.suspectUntil) || s.probe.failed()
+}
 
-func (s *upstreamStats) answered() {
-	s.misses = 0
+// progressed records that the upstream answers.
+func (s *upstreamStats) progressed(now time.Time) {
+	s.answered = now
+	s.signs = 0
 	s.suspectUntil = time.Time{}
+	s.probe.answered()
 }
 
 func (e *Engine) statsOf(cookie flowcookie.Cookie) *upstreamStats {
@@ -47,14 +78,23 @@
 // missed records that the caller of a flow got no answer from the upstream that
 // the last copy of the opening packet went to.
 func (e *Engine) missed(now time.Time, record *flowRecord) {
-	if record.attempts == 0 {
+	if record.attempts > 0 {
+		e.suspect(now, record.targets[record.attempts-1], evidenceOpen)
+	}
+}
+
+// suspect takes in a sign that an upstream is silent, unless another flow shows
+// that it answers, and asks for a probe.
+func (e *Engine) suspect(now time.Time, cookie flowcookie.Cookie, sign evidence) {
+	stats := e.statsOf(cookie)
+	if now.Sub(stats.answered) < answerWindow {
 		return
 	}
-	stats := e.statsOf(record.targets[record.attempts-1])
-	stats.misses++
-	if over := stats.misses - suspectAfter; over >= 0 {
+	stats.signs++
+	if over := stats.signs - suspectAfter; over >= 0 {
 		stats.suspectUntil = now.Add(min(suspectFor<<min(over, 4), suspectMax))
 	}
+	e.wantProbe(now, cookie, sign)
 }
 
 // coldLimiter bounds the flows that one instance sends to a cold upstream in
