Take unanswered opens and retries of a caller as signs of a silent upstream

Now an opening packet without a follower for 50 ms is a sign, a caller's next flow avoids the upstream that did not answer its last one, a failed probe asks for probes of its failure domain, probes take 200 ms and are repeated when the instance itself stood still, and an instance that has lost the store and reaches no upstream leaves the rotation.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -55,6 +55,9 @@
 // Service returns a service, or nil.
 func (s *Snapshot) Service(name string) *ServiceView { return s.services[name] }
 
+// Services returns the services by name. The result must not be changed.
+func (s *Snapshot) Services() map[string]*ServiceView { return s.services }
+
 // Known returns the number of upstream incarnations that cookies resolve to.
 func (s *Snapshot) Known() int { return len(s.byCookie) }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -190,6 +190,7 @@
 			c.Forget(now)
 		}
 		i.publish(c)
+		i.updateReadiness(time.Now())
 	}
 }
 
@@ -202,11 +203,20 @@
 	i.view.Store(view)
 	i.traffic.wake()
 	i.metrics.adopted(view)
-	if !i.leaving.Load() && !i.ready.Swap(true) {
-		i.log.Event(logrus.InfoLevel, "ready", logrus.Fields{
-			"config_version": view.Version, "upstreams": view.Known(), "upstreams_revision": view.UpstreamRevision,
-		})
+}
+
+// updateReadiness takes the instance into the rotation while it can serve.
+func (i *Instance) updateReadiness(now time.Time) {
+	view := i.view.Load()
+	ready := view != nil && !i.leaving.Load() && !i.traffic.cutOff.Load()
+	if i.ready.Swap(ready) == ready || view == nil {
+		return
 	}
+	i.log.Event(logrus.InfoLevel, "readiness_changed", logrus.Fields{
+		"ready": ready, "leaving": i.leaving.Load(), "cut_off": i.traffic.cutOff.Load(),
+		"config_version": view.Version, "upstreams": view.Known(), "upstreams_revision": view.UpstreamRevision,
+		"upstreams_age_ms": now.Sub(view.Confirmed[catalog.KindUpstreams]).Milliseconds(),
+	})
 }
 
 func (i *Instance) logChanges(changes []catalog.Change) {
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -11,11 +12,17 @@
 )
 
 const (
-	// probeTimeout is the time after which an upstream counts as silent: 100
-	// times the users' longest round trip, and late timers of a slow instance.
-	probeTimeout = 300 * time.Millisecond
-	// maxProbes bounds the connection attempts under way.
-	maxProbes = 16
+	// probeTimeout is the time after which an upstream counts as silent: 50
+	// times the users' longest round trip.
+	probeTimeout = 200 * time.Millisecond
+	// probeLateness is how late the timer of a probe may be. A later one shows
+	// that the instance itself stood still, and the probe is repeated.
+	probeLateness = 50 * time.Millisecond
+	// maxProbeAttempts bounds the repetitions.
+	maxProbeAttempts = 3
+	// maxProbes bounds the connection attempts under way: the upstreams of one
+	// failure domain of the target size would take five rounds.
+	maxProbes = 64
 )
 
 // prober attempts connections to upstreams that seem silent.
@@ -65,11 +72,12 @@
 
 func (p *prober) attempt(ctx context.Context, probe forward.Probe) {
 	result := forward.ProbeResult{Upstream: probe.Upstream, Sign: probe.Sign, Started: time.Now()}
-	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", probe.Upstream.Address.String())
-	result.Verdict = verdictOf(err)
-	if err == nil {
-		_ = conn.Close() // Nothing was sent; a failed close has no effect.
+	for range maxProbeAttempts {
+		began := time.Now()
+		result.Verdict = connect(ctx, probe.Upstream.Address)
+		if result.Verdict != forward.VerdictSilent || time.Since(began) < probeTimeout+probeLateness {
+			break
+		}
 	}
 	if ctx.Err() != nil {
 		return
@@ -81,6 +89,16 @@
 	}
 }
 
+// connect attempts a connection and closes it.
+func connect(ctx context.Context, address netip.AddrPort) forward.Verdict {
+	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+	if err == nil {
+		_ = conn.Close() // Nothing was sent; a failed close has no effect.
+	}
+	return verdictOf(err)
+}
+
 func verdictOf(err error) forward.Verdict {
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/edge/probe_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/forward"
+)
+
+// Guards against taking a machine without a process for one that cannot be
+// reached, and against an upstream that lives but counts as gone.
+func TestProbeTellsALivingUpstreamFromARefusal(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	require.Equal(t, forward.VerdictAlive, connect(t.Context(), address))
+	require.NoError(t, listener.Close())
+	require.Equal(t, forward.VerdictRefused, connect(t.Context(), address))
+	require.Equal(t, forward.VerdictSilent, verdictOf(context.DeadlineExceeded))
+}
+
+// Guards against results that are lost or that do not wake the reader, against
+// a request that blocks the traffic goroutine, and against leaked goroutines.
+func TestProberReportsAndStops(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	woken := make(chan struct{}, 1)
+	p := newProber(func() { woken <- struct{}{} })
+	entry := &catalog.Entry{Upstream: catalog.Upstream{Address: netip.MustParseAddrPort(listener.Addr().String())}}
+	for range maxProbes {
+		require.True(t, p.request(forward.Probe{Upstream: entry}))
+	}
+	require.False(t, p.request(forward.Probe{Upstream: entry}))
+	for len(p.wanted) > 1 {
+		<-p.wanted
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- p.run(ctx) }()
+	require.Equal(t, forward.VerdictAlive, (<-p.results).Verdict)
+	<-woken
+	cancel()
+	require.NoError(t, <-done)
+}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -28,8 +28,11 @@
 	pollInterval = 10 * time.Millisecond
 	// expireInterval is the time between two passes over the remembered flows.
 	expireInterval = time.Second
+	// reachInterval is the time between two checks whether any upstream is in
+	// reach: half of the time between two readiness probes.
+	reachInterval = 250 * time.Millisecond
 	// readTimeout wakes the reader for its periodic work without traffic.
-	readTimeout = time.Second
+	readTimeout = reachInterval
 )
 
 // Codec translates packets between their wire format and forward.Packet.
@@ -73,12 +76,15 @@
 
 	// arrived is when the last packet arrived, in Unix nanoseconds.
 	arrived atomic.Int64
+	// cutOff is set while no upstream is in reach.
+	cutOff  atomic.Bool
 	prefix  int
 	adopted *catalog.Snapshot
 	packet  forward.Packet
 	reset   []byte
 	held    []heldPacket
 	expired time.Time
+	reached time.Time
 	// deadline is when the reader wakes without a packet.
 	deadline time.Time
 }
@@ -205,6 +211,10 @@
 		t.engine.Reprobe(now)
 		t.metrics.setFlows(t.engine.Flows())
 	}
+	if now.Sub(t.reached) >= reachInterval {
+		t.reached = now
+		t.cutOff.Store(t.adopted != nil && !t.engine.CanServe(now))
+	}
 	t.requestProbes()
 }
 
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -14,9 +15,9 @@
 	// the caller's next copy may find an instance that has it.
 	routeFreshness = 3 * time.Second
 	// isolatedAfter is the age of the view of the upstreams from which an
-	// instance keeps flows in its failure domain: a watch is confirmed at least
-	// every 2 s, so that one was missed.
-	isolatedAfter = 3500 * time.Millisecond
+	// instance keeps flows in its failure domain: the store confirms it at least
+	// every 2 s, and answers within 0.3 s even when it is slow.
+	isolatedAfter = 2500 * time.Millisecond
 )
 
 // Config sets up an Engine.
@@ -36,6 +37,12 @@
 	flows flowTable
 	stats map[flowcookie.Cookie]*upstreamStats
 
+	// pending are opening packets by the time at which they were sent.
+	pending []pendingOpen
+	// lastOpen is the last flow that each caller address opened, until it is
+	// answered and another one is opened.
+	lastOpen map[netip.Addr]*flowRecord
+
 	probes     []Probe
 	weights    []int
 	candidates []choice.Candidate
@@ -44,7 +51,7 @@
 
 // New returns an engine without a view: every packet waits.
 func New(cfg Config) *Engine {
-	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), stats: map[flowcookie.Cookie]*upstreamStats{}}
+	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), stats: map[flowcookie.Cookie]*upstreamStats{}, lastOpen: map[netip.Addr]*flowRecord{}}
 }
 
 // Adopt makes a snapshot the view for the packets that follow.
@@ -74,14 +81,20 @@
 	for _, record := range e.flows.expire(now) {
 		e.forget(record)
 	}
+	for address, record := range e.lastOpen {
+		if now.Sub(record.lastSeen) > retryWindow {
+			delete(e.lastOpen, address)
+		}
+	}
 }
 
 // Decide returns what happens to a packet.
 func (e *Engine) Decide(now time.Time, p *Packet) Decision {
-	switch {
-	case e.view == nil:
+	if e.view == nil {
 		return Decision{Action: Wait, Reason: ReasonNotSynchronized}
-	case p.Open:
+	}
+	e.checkPending(now)
+	if p.Open {
 		return e.open(now, p)
 	}
 	return e.established(now, p)
@@ -150,9 +163,6 @@
 	if service == nil {
 		return Decision{Action: Reset, Reason: ReasonNoUpstream}
 	}
-	if record != nil && !record.answered && p.Copy > record.copies {
-		e.missed(now, record)
-	}
 	return e.assign(now, p, hash, service, record)
 }
 
@@ -188,10 +198,12 @@
 	request := choice.Request{
 		Hash:          hash,
 		AverageDomain: float64(service.Total) / float64(max(service.Domains, 1)),
-		Isolated:      now.Sub(e.view.Confirmed[catalog.KindUpstreams]) > isolatedAfter,
+		Isolated:      e.isolated(now),
 	}
 	if record != nil {
 		request.Exclude = record.tried()
+	} else {
+		request.Exclude = e.failedBefore(now, p)
 	}
 	entries := service.Entries
 	if len(entries) == 0 {
@@ -233,3 +245,26 @@
 
 // Flows returns the number of remembered flows.
 func (e *Engine) Flows() int { return len(e.flows.records) }
+
+// isolated tells whether this instance has lost the store and may be cut off.
+func (e *Engine) isolated(now time.Time) bool {
+	return now.Sub(e.view.Confirmed[catalog.KindUpstreams]) > isolatedAfter
+}
+
+// CanServe tells whether a new flow of any service has an upstream that is not
+// known to be silent. An instance that is cut off from all of them does better
+// to leave the callers to others. While the store is in reach the instance is
+// not cut off, and others would find no upstreams either.
+func (e *Engine) CanServe(now time.Time) bool {
+	if e.view == nil || !e.isolated(now) {
+		return e.view != nil
+	}
+	for _, service := range e.view.Services() {
+		for _, entry := range service.Entries {
+			if stats := e.stats[entry.Cookie]; stats == nil || !stats.probe.failed() {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -351,3 +351,78 @@
 		f.engine.Decide(f.now, &p)
 	}
 }
+
+// Pattern: upstreams crash with a restart of their machines still to come, so
+// that opening packets are answered by resets which instances do not see.
+// Guards against a caller whose retries, milliseconds apart, all go to the
+// crashed upstream.
+func TestRetryOfACallerGoesElsewhereAndAsksForAProbe(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	first := f.open(1, 0).Upstream
+	f.now = f.now.Add(2500 * time.Microsecond)
+	second := f.open(2, 0).Upstream
+	require.NotEqual(t, first.ID, second.ID)
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1)
+	require.Equal(t, first.ID, probes[0].Upstream.ID)
+}
+
+// Guards against a sign from two unrelated flows of one address.
+func TestAnsweredFlowOfTheSameCallerIsNoSign(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.establish(1)
+	f.now = f.now.Add(2500 * time.Microsecond)
+	f.open(2, 0)
+	f.now = f.now.Add(100 * time.Microsecond)
+	f.open(3, 0)
+	require.Empty(t, f.engine.TakeProbes())
+}
+
+// Pattern: upstream silent. Guards against waiting for the caller's copy after
+// 200 ms: the packet after an opening packet takes a few milliseconds.
+func TestUnansweredOpenIsASignAfterTheTimeout(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	silent := f.open(1, 0).Upstream
+	f.wait(openTimeout)
+	f.establish(2)
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1)
+	require.Equal(t, silent.ID, probes[0].Upstream.ID)
+}
+
+// Pattern: zone cut. Guards against learning one upstream at a time that a
+// failure domain is cut off, and against sending new flows there.
+func TestFailedUpstreamCallsForProbesOfItsDomain(t *testing.T) {
+	remote := func(n int) catalog.Upstream { u := upstream(n); u.FailureDomain = "b"; return u }
+	f := newFixture(t, upstream(1), remote(2), remote(3), remote(4))
+	f.wait(time.Second)
+	f.engine.suspect(f.now, flowcookie.Of("i-2", 1000), evidenceStall)
+	first := f.engine.TakeProbes()
+	require.Len(t, first, 1)
+	f.engine.Probed(f.now, ProbeResult{Upstream: first[0].Upstream, Verdict: VerdictSilent, Started: f.now})
+	probed := map[string]bool{}
+	for _, probe := range f.engine.TakeProbes() {
+		probed[probe.Upstream.ID] = true
+	}
+	require.Equal(t, map[string]bool{"i-3": true, "i-4": true}, probed)
+}
+
+// Pattern: zone cut while the failure domain is evacuated. Guards against an
+// instance that keeps callers although it reaches no upstream; and against
+// leaving the rotation while the store is in reach, when all instances would
+// leave at once.
+func TestInstanceThatReachesNothingCannotServe(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	fail := func(id string) {
+		entry := f.engine.view.Resolve(flowcookie.Of(id, 1000))
+		f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictSilent, Started: f.now})
+	}
+	f.now = f.now.Add(isolatedAfter + time.Second)
+	require.True(t, f.engine.CanServe(f.now), "a lost store alone keeps nobody from serving")
+	fail("i-1")
+	require.True(t, f.engine.CanServe(f.now))
+	fail("i-2")
+	require.False(t, f.engine.CanServe(f.now))
+	f.wait(0)
+	require.True(t, f.engine.CanServe(f.now))
+}
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -17,8 +17,24 @@
 	// maxCopies is the number of upstreams that one opening packet and its
 	// copies go to.
 	maxCopies = 3
+	// openTimeout is how long the packet after an opening packet may take: ten
+	// times the users' longest round trip over an instance.
+	openTimeout = 50 * time.Millisecond
+	// retryWindow is how long an unanswered flow of a caller counts against its
+	// upstream when the caller opens another: callers give up after 1.4 s.
+	retryWindow = 1400 * time.Millisecond
+	// minAnswer is the least time in which a caller can have been reset: one
+	// round trip. Flows that are opened closer together are unrelated.
+	minAnswer = time.Millisecond
 )
 
+// pendingOpen is an opening packet that waits for the packet that follows it.
+type pendingOpen struct {
+	record *flowRecord
+	target flowcookie.Cookie
+	sent   time.Time
+}
+
 // flowRecord is what an engine remembers of a flow.
 type flowRecord struct {
 	flow Flow
@@ -116,6 +132,40 @@
 	record.targets[record.attempts] = chosen.Cookie
 	record.attempts++
 	e.statsOf(chosen.Cookie).flows++
+	e.pending = append(e.pending, pendingOpen{record: record, target: chosen.Cookie, sent: now})
+	e.lastOpen[p.Flow.Caller.Addr()] = record
+}
+
+// checkPending takes opening packets without an answer as signs.
+func (e *Engine) checkPending(now time.Time) {
+	for len(e.pending) > 0 && now.Sub(e.pending[0].sent) >= openTimeout {
+		open := e.pending[0]
+		e.pending = e.pending[1:]
+		if !open.record.answered {
+			e.suspect(now, open.target, evidenceOpen)
+		}
+	}
+}
+
+// failedBefore returns the upstreams that an earlier flow of the same caller
+// got no answer from: a caller that opens the next flow at once was reset.
+func (e *Engine) failedBefore(now time.Time, p *Packet) []flowcookie.Cookie {
+	address := p.Flow.Caller.Addr()
+	earlier := e.lastOpen[address]
+	if earlier == nil {
+		return nil
+	}
+	if earlier.answered || now.Sub(earlier.lastSeen) > retryWindow {
+		delete(e.lastOpen, address)
+		return nil
+	}
+	if earlier.flow == p.Flow || now.Sub(earlier.lastSeen) < minAnswer {
+		return nil
+	}
+	for _, target := range earlier.tried() {
+		e.suspect(now, target, evidenceRetry)
+	}
+	return earlier.tried()
 }
 
 // observe takes evidence from a packet of an established flow. It returns the
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -127,9 +127,24 @@
 		stats.signs = 0
 		return nil
 	}
+	e.probeDomain(now, result.Upstream.FailureDomain)
 	return e.abandon(result.Upstream.Cookie)
 }
 
+// probeDomain asks for probes of the upstreams of a failure domain in which one
+// has failed: the domain may be cut off, and releases and crashes also hit
+// several at once.
+func (e *Engine) probeDomain(now time.Time, domain string) {
+	for _, service := range e.view.Services() {
+		for _, entry := range service.Entries {
+			stats := e.statsOf(entry.Cookie)
+			if entry.FailureDomain == domain && now.Sub(stats.answered) > answerWindow {
+				e.wantProbe(now, entry.Cookie, evidenceDomain)
+			}
+		}
+	}
+}
+
 // abandon forgets the established flows of an upstream and returns them.
 func (e *Engine) abandon(cookie flowcookie.Cookie) []Packet {
 	var packets []Packet
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -27,8 +27,7 @@
 type evidence int
 
 const (
-	// evidenceOpen: a copy of an opening packet shows that the first one got no
-	// answer.
+	// evidenceOpen: no packet followed an opening packet.
 	evidenceOpen evidence = iota
 	// evidenceStall: a caller sent data again.
 	evidenceStall
@@ -36,10 +35,15 @@
 	evidenceRemoved
 	// evidenceSilent: the last probe failed.
 	evidenceSilent
+	// evidenceDomain: another upstream of the failure domain has failed.
+	evidenceDomain
+	// evidenceRetry: the caller opens another flow although the last one was
+	// not answered.
+	evidenceRetry
 )
 
 func (e evidence) String() string {
-	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed"}[e]
+	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried"}[e]
 }
 
 // upstreamStats is what an engine has seen of one upstream.
@@ -75,14 +79,6 @@
 	return stats
 }
 
-// missed records that the caller of a flow got no answer from the upstream that
-// the last copy of the opening packet went to.
-func (e *Engine) missed(now time.Time, record *flowRecord) {
-	if record.attempts > 0 {
-		e.suspect(now, record.targets[record.attempts-1], evidenceOpen)
-	}
-}
-
 // suspect takes in a sign that an upstream is silent, unless another flow shows
 // that it answers, and asks for a probe.
 func (e *Engine) suspect(now time.Time, cookie flowcookie.Cookie, sign evidence) {
