Let two instances of a failure domain watch the store and pass changes on

follow keeps the knowledge up to date: watch while on duty, else take what mates pass on, ask the store after 2.2 s without word or after a gap, list from a replica first, borrow from a mate while the store is away. relay finds the instances of the failure domain from the seeds, ranks them for duty and sends the updates; it also carries reports of silent upstreams, which the receiver checks by a probe of its own. The loop moves from platform/ to the product; the adapter only translates.

--- a/cmd/chivemast-edge/main.go
+++ b/cmd/chivemast-edge/main.go
@@ -83,7 +83,9 @@
 	log.Event(logrus.InfoLevel, "started", logrus.Fields{
 		"failure_domain": settings.FailureDomain, "traffic_address": settings.TrafficAddress.String(),
 	})
-	instance, err := edge.New(settings, platform.Codec{}, platform.NewSource(settings.StoreAddress), log)
+	store := platform.NewStore(settings.StoreAddress)
+	defer store.Close()
+	instance, err := edge.New(settings, platform.Codec{}, store, log)
 	if err != nil {
 		return err
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -19,6 +19,10 @@
 	// be missing after the store's return before the upstream counts as gone:
 	// the users' bound.
 	returnGrace = 2 * time.Second
+	// completeAfter is how long the store must have been in reach before the
+	// view is complete: its replicas lag by up to 3 s, and entries that lapsed
+	// are back within returnGrace.
+	completeAfter = 3*time.Second + returnGrace
 	// evacuationRamp is how long the upstreams of a failure domain that returns
 	// count as cold without a fresh word of their own: two reports of an
 	// upstream and the lag between the watches of two kinds.
@@ -125,11 +129,13 @@
 		c.note(Change{Event: "configuration_invalid", Kind: KindConfiguration, Revision: e.Revision, Err: e.Err})
 		c.confirm(now, KindConfiguration, 0)
 	case EvacuationsListed:
+		c.noteInvalid(KindEvacuations, e.Revision, e.Invalid)
 		if c.newer(KindEvacuations, e.Revision) {
 			c.listEvacuations(now, e)
 		}
 		c.confirm(now, KindEvacuations, e.Revision)
 	case EvacuationsChanged:
+		c.noteInvalid(KindEvacuations, e.Revision, e.Invalid)
 		c.confirm(now, KindEvacuations, e.Revision)
 		for _, change := range e.Changes {
 			c.evacuate(now, change.FailureDomain, !change.Ended)
@@ -138,6 +144,8 @@
 		c.confirm(now, e.Kind, e.Revision)
 	case Unavailable:
 		c.lose(e.Kind, e.Err)
+	case MateUnavailable:
+		c.note(Change{Event: "mate_unavailable", Kind: e.Kind, Err: e.Err})
 	}
 	return c.changes
 }
@@ -171,6 +179,12 @@
 
 func (c *Catalog) note(change Change) { c.changes = append(c.changes, change) }
 
+func (c *Catalog) noteInvalid(kind Kind, revision uint64, reasons []error) {
+	for _, err := range reasons {
+		c.note(Change{Event: "entry_invalid", Kind: kind, Revision: revision, Err: err})
+	}
+}
+
 // newer tells whether a list is not older than what is known. A list from a
 // replica that lags must not undo a change.
 func (c *Catalog) newer(kind Kind, revision uint64) bool {
@@ -184,7 +198,9 @@
 		contact.returned = now
 	}
 	contact.known, contact.unavailable = true, false
-	contact.confirmed = now
+	if now.After(contact.confirmed) {
+		contact.confirmed = now
+	}
 	contact.revision = max(contact.revision, revision)
 	c.dirty = true
 }
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -16,6 +16,9 @@
 	kinds
 )
 
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{KindUpstreams, KindConfiguration, KindEvacuations} }
+
 func (k Kind) String() string {
 	return [...]string{"upstreams", "configuration", "evacuations"}[k]
 }
@@ -113,13 +116,17 @@
 
 // EvacuationsListed replaces the set of evacuated failure domains.
 type EvacuationsListed struct {
-	Domains  []string
+	Domains []string
+	// Invalid are the reasons for entries that were left out.
+	Invalid  []error
 	Revision uint64
 }
 
 // EvacuationsChanged adds and removes evacuated failure domains, in order.
 type EvacuationsChanged struct {
-	Changes  []EvacuationChange
+	Changes []EvacuationChange
+	// Invalid are the reasons for entries that were left out.
+	Invalid  []error
 	Revision uint64
 }
 
@@ -141,6 +148,13 @@
 	Err  error
 }
 
+// MateUnavailable says that no other instance could give its knowledge.
+type MateUnavailable struct {
+	Kind Kind
+	Err  error
+}
+
+func (MateUnavailable) event()      {}
 func (UpstreamsListed) event()      {}
 func (UpstreamsChanged) event()     {}
 func (ConfigurationRead) event()    {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -11,20 +12,22 @@
 
 // Snapshot is an immutable view for the traffic goroutines.
 type Snapshot struct {
-	Version        uint64
-	ConfigRevision uint64
-	// Upstreams is the store's revision up to which upstreams are known.
-	UpstreamRevision uint64
+	// Version is that of the configuration in force.
+	Version uint64
+	// Revisions are the store's revisions up to which each kind is known.
+	Revisions [kinds]uint64
 	// Confirmed is when the store last confirmed each kind.
 	Confirmed [kinds]time.Time
-	// Settled is when the view of the upstreams was last complete again; a
-	// missing upstream proves nothing before returnGrace has passed.
+	// Settled is when contact with the store began or returned; a missing
+	// upstream proves nothing before completeAfter has passed.
 	Settled time.Time
 
-	routes   map[netip.AddrPort]*Route
-	dropped  map[netip.AddrPort]bool
-	byCookie map[flowcookie.Cookie]*Entry
-	services map[string]*ServiceView
+	routes    map[netip.AddrPort]*Route
+	dropped   map[netip.AddrPort]bool
+	byCookie  map[flowcookie.Cookie]*Entry
+	services  map[string]*ServiceView
+	config    *Configuration
+	evacuated []string
 }
 
 // ServiceView is a service with the upstreams that may get new flows.
@@ -61,10 +64,9 @@
 // Known returns the number of upstream incarnations that cookies resolve to.
 func (s *Snapshot) Known() int { return len(s.byCookie) }
 
-// Complete tells whether a cookie that does not resolve names an upstream that
-// has ended.
+// Complete tells whether an upstream that is not known has ended.
 func (s *Snapshot) Complete(now time.Time) bool {
-	return !s.Settled.IsZero() && now.Sub(s.Settled) >= returnGrace
+	return !s.Settled.IsZero() && now.Sub(s.Settled) >= completeAfter
 }
 
 // Snapshot returns the present view, and false when it is the same as the last
@@ -75,14 +77,13 @@
 	}
 	c.dirty = false
 	s := &Snapshot{
-		UpstreamRevision: c.contact[KindUpstreams].revision,
-		routes:           map[netip.AddrPort]*Route{},
-		dropped:          make(map[netip.AddrPort]bool, len(c.dropped)),
-		byCookie:         make(map[flowcookie.Cookie]*Entry, len(c.entries)),
-		services:         map[string]*ServiceView{},
+		routes:   map[netip.AddrPort]*Route{},
+		dropped:  make(map[netip.AddrPort]bool, len(c.dropped)),
+		byCookie: make(map[flowcookie.Cookie]*Entry, len(c.entries)),
+		services: map[string]*ServiceView{},
 	}
 	for kind := range c.contact {
-		s.Confirmed[kind] = c.contact[kind].confirmed
+		s.Confirmed[kind], s.Revisions[kind] = c.contact[kind].confirmed, c.contact[kind].revision
 	}
 	if contact := c.contact[KindUpstreams]; contact.known && !contact.unavailable {
 		s.Settled = contact.returned
@@ -90,8 +91,9 @@
 	for address := range c.dropped {
 		s.dropped[address] = true
 	}
+	s.evacuated = slices.Sorted(maps.Keys(c.evacuated))
 	if c.config != nil {
-		s.Version, s.ConfigRevision = c.config.Version, c.config.Revision
+		s.Version, s.config = c.config.Version, c.config
 		for i := range c.config.Routes {
 			s.routes[c.config.Routes[i].Address] = &c.config.Routes[i]
 		}
@@ -166,3 +168,24 @@
 	}
 	return "ready"
 }
+
+// Knowledge returns all that is known of a kind as an event that another
+// instance can take over.
+func (s *Snapshot) Knowledge(kind Kind) Event {
+	switch kind {
+	case KindConfiguration:
+		if s.config == nil {
+			return nil
+		}
+		return ConfigurationRead{Configuration: *s.config}
+	case KindEvacuations:
+		return EvacuationsListed{Domains: s.evacuated, Revision: s.Revisions[kind]}
+	}
+	list := UpstreamsListed{Revision: s.Revisions[KindUpstreams]}
+	for _, entry := range s.All() {
+		if entry.RemovedAt.IsZero() && !entry.Replaced && !entry.Invalid {
+			list.Entries = append(list.Entries, UpstreamChange{Upstream: entry.Upstream})
+		}
+	}
+	return list
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,7 +19,9 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/eventlog"
+	"github.com/chivemast/chivemast/internal/follow"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/relay"
 )
 
 const (
@@ -40,15 +42,12 @@
 	leavePoll = 50 * time.Millisecond
 )
 
-// Source emits what the platform's store says, until ctx ends.
-type Source interface {
-	Run(ctx context.Context, events chan<- catalog.Event) error
-}
-
 // Instance is one running instance.
 type Instance struct {
 	settings *Settings
-	source   Source
+	follower *follow.Follower
+	relay    *relay.Relay
+	events   chan follow.Event
 	log      *eventlog.Log
 	metrics  *Metrics
 	traffic  *traffic
@@ -67,7 +66,7 @@
 
 // New opens the sockets of an instance. It fails with *ListenError, or with an
 // error of the metrics library.
-func New(s *Settings, codec Codec, source Source, log *eventlog.Log) (*Instance, error) {
+func New(s *Settings, codec Codec, store follow.Store, log *eventlog.Log) (*Instance, error) {
 	metrics, err := NewMetrics()
 	if err != nil {
 		return nil, err
@@ -76,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &Instance{settings: s, source: source, log: log, metrics: metrics}
+	i := &Instance{settings: s, log: log, metrics: metrics, events: make(chan follow.Event, eventQueue)}
 	i.traffic = &traffic{
 		conn: conn, codec: codec, view: &i.view, log: flowLog{log}, metrics: metrics,
 		engine: forward.New(forward.Config{
@@ -84,12 +83,51 @@
 		}),
 	}
 	i.traffic.prober = newProber(i.traffic.wake)
-	if err := i.listenHTTP(); err != nil {
+	i.traffic.reports = make(chan relay.SilentUpstream, reportQueue)
+	if err := i.listenRelay(store); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
+	if err := i.listenHTTP(); err != nil {
+		return nil, errors.Join(err, conn.Close(), i.relay.Close())
+	}
 	return i, nil
 }
 
+// listenRelay opens the relay and sets up the follower that it feeds.
+func (i *Instance) listenRelay(store follow.Store) error {
+	s := i.settings
+	var err error
+	i.relay, err = relay.Listen(relay.Config{
+		Self:  relay.Member{Name: s.Instance, FailureDomain: s.FailureDomain, Address: s.PeerAddress},
+		Seeds: s.Peers,
+		Passed: func(update follow.Update) {
+			i.follower.Passed(update)
+		},
+		Silent:    i.traffic.reported,
+		Knowledge: i.knowledge,
+		Observer:  relayObserver{i},
+	})
+	if err != nil {
+		return &ListenError{Network: "udp", Address: s.PeerAddress, Err: err}
+	}
+	i.traffic.silent = i.relay.ReportSilent
+	i.follower = follow.New(store, i.relay, i.events)
+	return nil
+}
+
+// knowledge returns what this instance knows of a kind.
+func (i *Instance) knowledge(kind catalog.Kind) (follow.Update, time.Duration, bool) {
+	view := i.view.Load()
+	if view == nil {
+		return follow.Update{}, 0, false
+	}
+	update := follow.Update{Kind: kind, Revision: view.Revisions[kind]}
+	if event := view.Knowledge(kind); event != nil {
+		update.Events = []catalog.Event{event}
+	}
+	return update, time.Since(view.Confirmed[kind]), true
+}
+
 // listenHTTP opens the readiness and the metrics address.
 func (i *Instance) listenHTTP() error {
 	readiness := http.NewServeMux()
@@ -100,7 +138,7 @@
 	for _, server := range []struct {
 		address netip.AddrPort
 		handler http.Handler
-	}{{i.settings.ReadinessAddress, readiness}, {i.settings.MetricsAddress, operations}} {
+	}{{i.settings.ReadinessAddress, readiness}, {i.settings.MetricsAddress, operations}, {i.settings.PeerAddress, i.relay.Handler()}} {
 		listener, err := net.Listen("tcp4", server.address.String())
 		if err != nil {
 			for _, open := range i.servers {
@@ -119,14 +157,14 @@
 	stop, cancel := context.WithCancel(abort)
 	defer cancel()
 	group, stop := errgroup.WithContext(stop)
-	events := make(chan catalog.Event, eventQueue)
 	group.Go(func() error { return i.traffic.run(stop) })
 	group.Go(func() error { return i.traffic.prober.run(stop) })
-	group.Go(func() error { return i.source.Run(stop, events) })
+	group.Go(func() error { return i.relay.Run(stop) })
+	group.Go(func() error { return i.follower.Run(stop) })
 	for _, server := range i.servers {
 		group.Go(func() error { return serveHTTP(stop, server) })
 	}
-	group.Go(func() error { i.control(stop, events, reload, load); return nil })
+	group.Go(func() error { i.control(stop, reload, load); return nil })
 	group.Go(func() error {
 		defer cancel()
 		i.leave(ctx, stop)
@@ -173,7 +211,7 @@
 }
 
 // control is the control goroutine: it owns the catalog.
-func (i *Instance) control(ctx context.Context, events <-chan catalog.Event, reload <-chan os.Signal, load func() (*Settings, error)) {
+func (i *Instance) control(ctx context.Context, reload <-chan os.Signal, load func() (*Settings, error)) {
 	c := catalog.New()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -181,8 +219,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case event := <-events:
-			i.logChanges(c.Apply(time.Now(), event))
+		case event := <-i.events:
+			i.logChanges(c.Apply(time.Now().Add(-event.Age), event.Event))
 		case <-reload:
 			i.reload(load)
 			continue
@@ -214,7 +252,7 @@
 	}
 	i.log.Event(logrus.InfoLevel, "readiness_changed", logrus.Fields{
 		"ready": ready, "leaving": i.leaving.Load(), "cut_off": i.traffic.cutOff.Load(),
-		"config_version": view.Version, "upstreams": view.Known(), "upstreams_revision": view.UpstreamRevision,
+		"config_version": view.Version, "upstreams": view.Known(), "upstreams_revision": view.Revisions[catalog.KindUpstreams],
 		"upstreams_age_ms": now.Sub(view.Confirmed[catalog.KindUpstreams]).Milliseconds(),
 	})
 }
@@ -309,7 +347,7 @@
 	if view == nil {
 		return s
 	}
-	s.ConfigVersion, s.UpstreamRevision = view.Version, view.UpstreamRevision
+	s.ConfigVersion, s.UpstreamRevision = view.Version, view.Revisions[catalog.KindUpstreams]
 	for kind, confirmed := range view.Confirmed {
 		s.AgeMS[catalog.Kind(kind).String()] = now.Sub(confirmed).Milliseconds()
 	}
@@ -321,3 +359,31 @@
 	}
 	return s
 }
+
+// relayObserver counts and logs what the relay reports.
+type relayObserver struct{ instance *Instance }
+
+// Sent implements relay.Observer.
+func (o relayObserver) Sent(bytes int) { o.instance.metrics.relayed(relaySent, bytes) }
+
+// Received implements relay.Observer.
+func (o relayObserver) Received(bytes int) { o.instance.metrics.relayed(relayReceived, bytes) }
+
+// Rejected implements relay.Observer.
+func (o relayObserver) Rejected(source netip.AddrPort, err error) {
+	o.instance.metrics.relayed(relayRejected, 0)
+	o.instance.log.Flow(logrus.WarnLevel, "message_rejected", func() logrus.Fields {
+		return logrus.Fields{"source": source.String(), "error": err}
+	})
+}
+
+// MemberChanged implements relay.Observer.
+func (o relayObserver) MemberChanged(member relay.Member, found bool) {
+	event := "member_lost"
+	if found {
+		event = "member_found"
+	}
+	o.instance.log.Flow(logrus.InfoLevel, event, func() logrus.Fields {
+		return logrus.Fields{"member": member.Name, "member_domain": member.FailureDomain, "address": member.Address.String()}
+	})
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -31,6 +31,15 @@
 
 var dropLabels = []string{"malformed", "socket", "probe_limit"}
 
+// Directions of messages between instances.
+const (
+	relaySent = iota
+	relayReceived
+	relayRejected
+)
+
+var relayLabels = []string{"sent", "received", "rejected"}
+
 var verdictLabels = []string{"none", "alive", "refused", "silent"}
 
 var actionLabels = []string{"drop", "forward", "reset", "wait"}
@@ -44,6 +53,8 @@
 	drops     *counters.Family
 	events    *counters.Family
 	probes    *counters.Family
+	messages  *counters.Family
+	bytes     *counters.Family
 	flows     atomic.Int64
 	upstreams atomic.Int64
 	version   atomic.Int64
@@ -58,7 +69,7 @@
 	"other", "store_lost", "store_regained", "upstream_added", "upstream_changed", "upstream_removed", "upstream_replaced",
 	"upstream_displaced",
 	"upstream_invalid", "upstream_older_incarnation", "cookie_collision", "configuration_adopted", "configuration_invalid",
-	"configuration_older", "evacuation_started", "evacuation_ended",
+	"configuration_older", "evacuation_started", "evacuation_ended", "entry_invalid", "mate_unavailable",
 }
 
 // NewMetrics returns metrics with a registry of their own.
@@ -74,6 +85,8 @@
 		drops:     counters.NewFamily("reason", dropLabels),
 		events:    counters.NewFamily("event", beliefEvents),
 		probes:    counters.NewFamily("verdict", verdictLabels),
+		messages:  counters.NewFamily("direction", relayLabels),
+		bytes:     counters.NewFamily("direction", relayLabels),
 	}
 	return m, m.register(m.provider.Meter(scope))
 }
@@ -96,6 +109,8 @@
 	counter("chivemast_discarded_datagrams", "Datagrams that could not be decoded or sent.", m.drops)
 	counter("chivemast_belief_changes", "Changes of what the instance knows.", m.events)
 	counter("chivemast_probes", "Connection attempts to upstreams that seemed silent.", m.probes)
+	counter("chivemast_relay_messages", "Messages between instances.", m.messages)
+	counter("chivemast_relay_bytes", "Bytes of messages between instances.", m.bytes)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
 	gauge("chivemast_upstreams_known", "Upstream incarnations that cookies resolve to.", m.upstreams.Load)
 	gauge("chivemast_config_version", "Configuration version in force.", m.version.Load)
@@ -136,6 +151,11 @@
 	m.probe.Record(context.Background(), float64(took)/float64(time.Millisecond))
 }
 
+func (m *Metrics) relayed(direction, bytes int) {
+	m.messages.Add(direction, 1)
+	m.bytes.Add(direction, int64(bytes))
+}
+
 func (m *Metrics) setFlows(n int) { m.flows.Store(int64(n)) }
 
 func (m *Metrics) changed(event string) {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -14,6 +14,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/relay"
 )
 
 const (
@@ -33,6 +34,8 @@
 	reachInterval = 250 * time.Millisecond
 	// readTimeout wakes the reader for its periodic work without traffic.
 	readTimeout = reachInterval
+	// reportQueue is the number of words of mates that may wait.
+	reportQueue = 64
 )
 
 // Codec translates packets between their wire format and forward.Packet.
@@ -66,10 +69,13 @@
 // traffic owns the packet socket and the engine. Its goroutine shares nothing
 // with the control goroutine but the snapshot.
 type traffic struct {
-	conn    *net.UDPConn
-	codec   Codec
-	engine  *forward.Engine
-	prober  *prober
+	conn   *net.UDPConn
+	codec  Codec
+	engine *forward.Engine
+	prober *prober
+	// reports are upstreams that mates found silent; silent tells the mates.
+	reports chan relay.SilentUpstream
+	silent  func(relay.SilentUpstream)
 	view    *atomic.Pointer[catalog.Snapshot]
 	log     flowLog
 	metrics *Metrics
@@ -171,26 +177,45 @@
 	}
 }
 
-// takeResults acts on the outcomes of probes.
+// takeResults acts on the outcomes of probes and the words of mates.
 func (t *traffic) takeResults(now time.Time) {
 	for {
 		select {
 		case result := <-t.prober.results:
-			abandoned := t.engine.Probed(now, result)
-			t.log.probed(now, result, len(abandoned))
-			t.metrics.probed(result.Verdict, now.Sub(result.Started))
-			for i := range abandoned {
-				t.sendReset(&abandoned[i])
-				decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamSilent, Upstream: result.Upstream}
-				t.metrics.decided(decision)
-				t.log.decided(now, &abandoned[i], decision, t.adopted)
-			}
+			t.takeResult(now, result)
+		case report := <-t.reports:
+			t.engine.Reported(now, report.ID, report.Born)
 		default:
 			return
 		}
 	}
 }
 
+func (t *traffic) takeResult(now time.Time, result forward.ProbeResult) {
+	abandoned := t.engine.Probed(now, result)
+	t.log.probed(now, result, len(abandoned.Flows))
+	t.metrics.probed(result.Verdict, now.Sub(result.Started))
+	if abandoned.New {
+		t.silent(relay.SilentUpstream{ID: result.Upstream.ID, Born: result.Upstream.Born})
+	}
+	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamSilent, Upstream: result.Upstream}
+	for i := range abandoned.Flows {
+		t.sendReset(&abandoned.Flows[i])
+		t.metrics.decided(decision)
+		t.log.decided(now, &abandoned.Flows[i], decision, t.adopted)
+	}
+}
+
+// reported takes in a mate's word on an upstream. It never blocks; a mate
+// reports again when its next probe of another upstream fails.
+func (t *traffic) reported(upstream relay.SilentUpstream) {
+	select {
+	case t.reports <- upstream:
+		t.wake()
+	default:
+	}
+}
+
 // lastPacket returns when the last packet arrived.
 func (t *traffic) lastPacket() time.Time { return time.Unix(0, t.arrived.Load()) }
 
@@ -304,7 +329,7 @@
 			fields["cookie"] = fmt.Sprintf("%08x", uint32(p.Cookie))
 		}
 		if view != nil {
-			fields["config_version"], fields["upstreams_revision"] = view.Version, view.UpstreamRevision
+			fields["config_version"], fields["upstreams_revision"] = view.Version, view.Revisions[catalog.KindUpstreams]
 			fields["upstreams_age_ms"] = now.Sub(view.Confirmed[catalog.KindUpstreams]).Milliseconds()
 			fields["config_age_ms"] = now.Sub(view.Confirmed[catalog.KindConfiguration]).Milliseconds()
 		}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -15,6 +15,9 @@
 	// aliveFor is how long a successful probe keeps the flows of an upstream
 	// that the store no longer lists.
 	aliveFor = 2 * time.Second
+	// reportContradicted is how recent an answer of the upstream outweighs the
+	// word of another instance, which takes a millisecond.
+	reportContradicted = 20 * time.Millisecond
 )
 
 // Verdict is the outcome of a probe: a connection attempt to the upstream.
@@ -51,6 +54,16 @@
 	Started time.Time
 }
 
+// Reported takes in another instance's word that its probe of an upstream
+// failed. This instance probes the upstream itself.
+func (e *Engine) Reported(now time.Time, id string, born int64) {
+	cookie := flowcookie.Of(id, born)
+	if e.view == nil || now.Sub(e.statsOf(cookie).answered) < reportContradicted {
+		return
+	}
+	e.wantProbe(now, cookie, evidenceReport)
+}
+
 // probeState is what an engine knows from probes of one upstream.
 type probeState struct {
 	pending bool
@@ -112,23 +125,33 @@
 	}
 }
 
+// Abandoned is what a failed probe ends.
+type Abandoned struct {
+	// New is set when the probe before did not fail.
+	New bool
+	// Flows are packets to answer with a reset, one for each remembered flow.
+	Flows []Packet
+}
+
 // Probed takes in the outcome of a probe. When the upstream has ended or cannot
-// be reached it returns its remembered flows, for which the caller sends
-// resets, and forgets them.
-func (e *Engine) Probed(now time.Time, result ProbeResult) []Packet {
+// be reached it forgets and returns its flows.
+func (e *Engine) Probed(now time.Time, result ProbeResult) Abandoned {
 	stats := e.statsOf(result.Upstream.Cookie)
 	stats.probe.pending = false
 	if result.Verdict != VerdictAlive && stats.answered.After(result.Started) {
 		// A packet that arrived meanwhile is the better evidence.
-		return nil
+		return Abandoned{}
 	}
+	first := !stats.probe.failed()
 	stats.probe.verdict, stats.probe.decided = result.Verdict, now
 	if !stats.probe.failed() {
 		stats.signs = 0
-		return nil
+		return Abandoned{}
+	}
+	if first {
+		e.probeDomain(now, result.Upstream.FailureDomain)
 	}
-	e.probeDomain(now, result.Upstream.FailureDomain)
-	return e.abandon(result.Upstream.Cookie)
+	return Abandoned{New: first, Flows: e.abandon(result.Upstream.Cookie)}
 }
 
 // probeDomain asks for probes of the upstreams of a failure domain in which one
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -40,10 +40,12 @@
 	// evidenceRetry: the caller opens another flow although the last one was
 	// not answered.
 	evidenceRetry
+	// evidenceReport: another instance's probe failed.
+	evidenceReport
 )
 
 func (e evidence) String() string {
-	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried"}[e]
+	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported"}[e]
 }
 
 // upstreamStats is what an engine has seen of one upstream.
--- /dev/null
+++ b/internal/relay/members.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+)
+
+const (
+	// watchers is the number of instances of a failure domain that watch a kind:
+	// one may fail without a gap.
+	watchers = 2
+	// dutyWindow is how long an instance counts as watching after it passed on
+	// an update; a watch is answered at least every 1.5 s.
+	dutyWindow = 2 * time.Second
+	// memberTimeout is how long a member counts after it was heard: five
+	// greetings.
+	memberTimeout = 10 * time.Second
+	// maxListed bounds the members in one message.
+	maxListed = 12
+)
+
+// members is what an instance knows of the others. It is pure: the caller
+// passes the time.
+type members struct {
+	self Member
+	// heard has the time at which each member was last heard of.
+	heard map[string]memberState
+}
+
+type memberState struct {
+	member Member
+	heard  time.Time
+	// watched is when the member last passed on an update of each kind.
+	watched [3]time.Time
+}
+
+func newMembers(self Member) *members {
+	return &members{self: self, heard: map[string]memberState{}}
+}
+
+// hear records a message of a member, or the mention of one.
+func (m *members) hear(now time.Time, member Member, direct bool) {
+	if member.Name == m.self.Name {
+		return
+	}
+	state := m.heard[member.Name]
+	if !direct && !state.heard.IsZero() {
+		return
+	}
+	state.member, state.heard = member, now
+	m.heard[member.Name] = state
+}
+
+// watching records that a member passed on an update.
+func (m *members) watching(now time.Time, name string, kind catalog.Kind) {
+	if state, ok := m.heard[name]; ok {
+		state.watched[kind] = now
+		m.heard[name] = state
+	}
+}
+
+// expire forgets members that were not heard of for long.
+func (m *members) expire(now time.Time) {
+	for name, state := range m.heard {
+		if now.Sub(state.heard) > memberTimeout {
+			delete(m.heard, name)
+		}
+	}
+}
+
+// onDuty tells whether this instance watches a kind: fewer than two members
+// that come before it do. The order depends on the kind, which spreads the
+// duties.
+func (m *members) onDuty(now time.Time, kind catalog.Kind) bool {
+	before := 0
+	own := rank(m.self.Name, kind)
+	for name, state := range m.heard {
+		if state.member.FailureDomain == m.self.FailureDomain && rank(name, kind) < own &&
+			!state.watched[kind].IsZero() && now.Sub(state.watched[kind]) < dutyWindow {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+func rank(name string, kind catalog.Kind) uint64 {
+	return xxhash.Sum64String(name + "/" + kind.String())
+}
+
+// mates returns the members of this instance's failure domain, by name.
+func (m *members) mates() []Member {
+	var mates []Member
+	for _, state := range m.heard {
+		if state.member.FailureDomain == m.self.FailureDomain {
+			mates = append(mates, state.member)
+		}
+	}
+	slices.SortFunc(mates, func(a, b Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return mates
+}
+
+// list returns members for a message: those of a failure domain first.
+func (m *members) list(domain string) []Member {
+	var near, far []Member
+	for _, state := range m.heard {
+		if state.member.FailureDomain == domain {
+			near = append(near, state.member)
+		} else {
+			far = append(far, state.member)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	all := append(near, far...)
+	return all[:min(len(all), maxListed)]
+}
--- /dev/null
+++ b/internal/relay/message.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/follow"
+)
+
+// MaxDatagram is the size of the largest message in bytes. A larger update is
+// announced without its events, and the receivers ask the store.
+const MaxDatagram = 1400
+
+// Member is an instance of the fleet.
+type Member struct {
+	Name          string         `json:"name"`
+	FailureDomain string         `json:"domain"`
+	Address       netip.AddrPort `json:"address"`
+}
+
+// message is a datagram between instances.
+type message struct {
+	From Member `json:"from"`
+	// Hello asks the receiver for the members that it knows.
+	Hello bool `json:"hello,omitempty"`
+	// Members are instances that the sender has heard of lately.
+	Members []Member `json:"members,omitempty"`
+	// Update is what the store told the sender.
+	Update *wireUpdate `json:"update,omitempty"`
+	// Silent names an upstream that the sender's probe found gone or silent.
+	Silent *SilentUpstream `json:"silent,omitempty"`
+}
+
+// SilentUpstream names an incarnation of an upstream.
+type SilentUpstream struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"`
+}
+
+// wireUpdate is a follow.Update with typed events.
+type wireUpdate struct {
+	Kind     catalog.Kind `json:"kind"`
+	Base     uint64       `json:"base"`
+	Revision uint64       `json:"revision"`
+	Events   []wireEvent  `json:"events,omitempty"`
+}
+
+// wireEvent has one field set.
+type wireEvent struct {
+	Listed        *wireUpstreams             `json:"listed,omitempty"`
+	Changed       *wireUpstreams             `json:"changed,omitempty"`
+	Configuration *catalog.Configuration     `json:"configuration,omitempty"`
+	Invalid       *wireInvalid               `json:"invalid,omitempty"`
+	Evacuated     *[]string                  `json:"evacuated,omitempty"`
+	Evacuations   []catalog.EvacuationChange `json:"evacuations,omitempty"`
+	Revision      uint64                     `json:"revision,omitempty"`
+}
+
+type wireInvalid struct {
+	Reason string `json:"reason"`
+}
+
+type wireUpstreams struct {
+	Changes []wireChange `json:"changes"`
+}
+
+// wireChange is a catalog.UpstreamChange whose error is a text.
+type wireChange struct {
+	Upstream catalog.Upstream `json:"upstream"`
+	Removed  bool             `json:"removed,omitempty"`
+	Invalid  string           `json:"invalid,omitempty"`
+}
+
+// RemoteError is an error that another instance saw.
+type RemoteError struct{ Reason string }
+
+func (e *RemoteError) Error() string { return e.Reason }
+
+// MessageError says that a datagram of another instance cannot be used.
+type MessageError struct{ Err error }
+
+func (e *MessageError) Error() string { return fmt.Sprintf("message of an instance: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *MessageError) Unwrap() error { return e.Err }
+
+var errSender = errors.New("the sender has no name, failure domain or address")
+
+func decodeMessage(data []byte) (*message, error) {
+	m := &message{}
+	if err := json.Unmarshal(data, m); err != nil {
+		return nil, &MessageError{Err: err}
+	}
+	if m.From.Name == "" || m.From.FailureDomain == "" || !m.From.Address.IsValid() {
+		return nil, &MessageError{Err: errSender}
+	}
+	return m, nil
+}
+
+func encodeUpdate(u follow.Update) *wireUpdate {
+	w := &wireUpdate{Kind: u.Kind, Base: u.Base, Revision: u.Revision}
+	for _, event := range u.Events {
+		switch e := event.(type) {
+		case catalog.UpstreamsListed:
+			w.Events = append(w.Events, wireEvent{Listed: encodeChanges(e.Entries), Revision: e.Revision})
+		case catalog.UpstreamsChanged:
+			w.Events = append(w.Events, wireEvent{Changed: encodeChanges(e.Changes), Revision: e.Revision})
+		case catalog.ConfigurationRead:
+			w.Events = append(w.Events, wireEvent{Configuration: &e.Configuration})
+		case catalog.ConfigurationInvalid:
+			w.Events = append(w.Events, wireEvent{Invalid: &wireInvalid{Reason: e.Err.Error()}, Revision: e.Revision})
+		case catalog.EvacuationsListed:
+			w.Events = append(w.Events, wireEvent{Evacuated: &e.Domains, Revision: e.Revision})
+		case catalog.EvacuationsChanged:
+			w.Events = append(w.Events, wireEvent{Evacuations: e.Changes, Revision: e.Revision})
+		}
+	}
+	return w
+}
+
+func encodeChanges(changes []catalog.UpstreamChange) *wireUpstreams {
+	w := &wireUpstreams{Changes: make([]wireChange, 0, len(changes))}
+	for _, change := range changes {
+		c := wireChange{Upstream: change.Upstream, Removed: change.Removed}
+		if change.Invalid != nil {
+			c.Invalid = change.Invalid.Error()
+		}
+		w.Changes = append(w.Changes, c)
+	}
+	return w
+}
+
+func (w *wireUpdate) decode() (follow.Update, error) {
+	u := follow.Update{Kind: w.Kind, Base: w.Base, Revision: w.Revision}
+	if w.Kind < 0 || int(w.Kind) >= len(catalog.Kinds()) || w.Base > w.Revision {
+		return u, &MessageError{Err: fmt.Errorf("kind %d from revision %d to %d", w.Kind, w.Base, w.Revision)}
+	}
+	for _, e := range w.Events {
+		switch {
+		case e.Listed != nil:
+			u.Events = append(u.Events, catalog.UpstreamsListed{Entries: e.Listed.decode(), Revision: e.Revision})
+		case e.Changed != nil:
+			u.Events = append(u.Events, catalog.UpstreamsChanged{Changes: e.Changed.decode(), Revision: e.Revision})
+		case e.Configuration != nil:
+			u.Events = append(u.Events, catalog.ConfigurationRead{Configuration: *e.Configuration})
+		case e.Invalid != nil:
+			u.Events = append(u.Events, catalog.ConfigurationInvalid{Err: &RemoteError{Reason: e.Invalid.Reason}, Revision: e.Revision})
+		case e.Evacuated != nil:
+			u.Events = append(u.Events, catalog.EvacuationsListed{Domains: *e.Evacuated, Revision: e.Revision})
+		case e.Evacuations != nil:
+			u.Events = append(u.Events, catalog.EvacuationsChanged{Changes: e.Evacuations, Revision: e.Revision})
+		}
+	}
+	return u, nil
+}
+
+func (w *wireUpstreams) decode() []catalog.UpstreamChange {
+	changes := make([]catalog.UpstreamChange, 0, len(w.Changes))
+	for _, c := range w.Changes {
+		change := catalog.UpstreamChange{Upstream: c.Upstream, Removed: c.Removed}
+		if c.Invalid != "" {
+			change.Invalid = &RemoteError{Reason: c.Invalid}
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
