--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -410,6 +410,26 @@
 	require.Equal(t, map[string]bool{"i-3": true, "i-4": true}, probed)
 }
 
+// Pattern: release. Guards against probes of all upstreams of a failure domain
+// for each one that leaves as announced: 16,000 on one quiet day of 71
+// instances.
+func TestPlannedEndOfAnUpstreamCallsForNoOtherProbes(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	for port := 1; port < 10; port++ {
+		f.establish(port)
+	}
+	f.wait(time.Second)
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.set(leaving)
+	f.wait(time.Second)
+	f.remove("i-1")
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1)
+	f.engine.Probed(f.now, ProbeResult{Upstream: probes[0].Upstream, Verdict: VerdictRefused, Started: f.now})
+	require.Empty(t, f.engine.TakeProbes())
+}
+
 // Pattern: zone cut while the failure domain is evacuated. Guards against an
 // instance that keeps callers although it reaches no upstream; and against
 // leaving the rotation while the store is in reach, when all instances would
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -148,14 +148,14 @@
 		stats.signs = 0
 		return Abandoned{}
 	}
-	if first {
-		e.probeDomain(now, result.Upstream.FailureDomain)
+	if entry := e.view.Resolve(result.Upstream.Cookie); first && entry != nil && entry.Listed() && !entry.Draining {
+		e.probeDomain(now, entry.FailureDomain)
 	}
 	return Abandoned{New: first, Flows: e.abandon(result.Upstream.Cookie)}
 }
 
 // probeDomain asks for probes of the upstreams of a failure domain in which one
-// has failed: the domain may be cut off, and releases and crashes also hit
+// has failed unannounced: the domain may be cut off, and crashes also hit
 // several at once.
 func (e *Engine) probeDomain(now time.Time, domain string) {
 	for _, service := range e.view.Services() {
