--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -66,6 +66,8 @@
 	// ColdRate is the number of requests per second that a cold upstream
 	// sustains.
 	ColdRate float64
+	// HealthPath is the path of the upstreams' health check.
+	HealthPath string
 }
 
 // Configuration is what the operators declared.
@@ -84,7 +86,8 @@
 // one of its kind is ignored.
 type Event interface{ event() }
 
-// UpstreamsListed replaces all upstreams. It has no removals.
+// UpstreamsListed replaces all upstreams. A removal in it describes an upstream
+// that was listed before.
 type UpstreamsListed struct {
 	Entries  []UpstreamChange
 	Revision uint64
@@ -98,7 +101,7 @@
 
 // UpstreamChange is a new entry, or the end of one.
 type UpstreamChange struct {
-	// Upstream has only its ID and revision when Removed or Invalid is set.
+	// Upstream may have only its ID and revision when Removed or Invalid is set.
 	Upstream Upstream
 	Removed  bool
 	// Invalid says why the entry cannot be used; nil for a valid entry.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -170,7 +170,8 @@
 }
 
 // Knowledge returns all that is known of a kind as an event that another
-// instance can take over.
+// instance can take over. It includes upstreams that are no longer listed, whose
+// flows may go on.
 func (s *Snapshot) Knowledge(kind Kind) Event {
 	switch kind {
 	case KindConfiguration:
@@ -183,8 +184,8 @@
 	}
 	list := UpstreamsListed{Revision: s.Revisions[KindUpstreams]}
 	for _, entry := range s.All() {
-		if entry.RemovedAt.IsZero() && !entry.Replaced && !entry.Invalid {
-			list.Entries = append(list.Entries, UpstreamChange{Upstream: entry.Upstream})
+		if !entry.Replaced && !entry.Invalid {
+			list.Entries = append(list.Entries, UpstreamChange{Upstream: entry.Upstream, Removed: !entry.RemovedAt.IsZero()})
 		}
 	}
 	return list
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -10,7 +10,7 @@
 func (c *Catalog) listUpstreams(now time.Time, list UpstreamsListed) {
 	listed := make(map[string]bool, len(list.Entries))
 	for _, entry := range list.Entries {
-		listed[entry.Upstream.ID] = true
+		listed[entry.Upstream.ID] = !entry.Removed
 		c.changeUpstream(now, entry)
 	}
 	for id, entry := range c.current {
@@ -25,6 +25,10 @@
 	entry := c.current[u.ID]
 	switch {
 	case change.Removed:
+		if entry == nil && u.Address.IsValid() {
+			c.add(now, nil, u)
+			entry = c.current[u.ID]
+		}
 		if entry != nil && entry.RemovedAt.IsZero() {
 			c.remove(now, entry, u.Revision)
 		}
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -155,3 +155,19 @@
 	c.Apply(start, UpstreamsListed{Entries: nil, Revision: 50})
 	require.Len(t, view(t, c, start).Service("s").Entries, 1)
 }
+
+// Pattern: mass restart while the store is away. Guards against an instance that
+// borrows the knowledge of another and then lacks upstreams whose flows go on
+// although their entries have lapsed.
+func TestBorrowedKnowledgeHasUpstreamsThatAreNoLongerListed(t *testing.T) {
+	c := synchronized(listing("i-1", 1000, "10.0.0.1:80", 10), listing("i-2", 1000, "10.0.0.2:80", 11))
+	c.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{removal("i-1", 101)}, Revision: 101})
+	borrower := New()
+	for _, kind := range Kinds() {
+		borrower.Apply(start, view(t, c, start).Knowledge(kind))
+	}
+	s := view(t, borrower, start)
+	require.NotNil(t, s.Resolve(flowcookie.Of("i-1", 1000)))
+	require.Len(t, s.Service("s").Entries, 1)
+	require.EqualValues(t, 1, s.Version)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -82,7 +82,7 @@
 			FailureDomain: s.FailureDomain, ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, MaxFlows: int(s.MaxFlows),
 		}),
 	}
-	i.traffic.prober = newProber(i.traffic.wake)
+	i.traffic.prober = newProber(codec, i.traffic.wake)
 	i.traffic.reports = make(chan relay.SilentUpstream, reportQueue)
 	if err := i.listenRelay(store); err != nil {
 		return nil, errors.Join(err, conn.Close())
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -40,8 +40,6 @@
 
 var relayLabels = []string{"sent", "received", "rejected"}
 
-var verdictLabels = []string{"none", "alive", "refused", "silent"}
-
 var actionLabels = []string{"drop", "forward", "reset", "wait"}
 
 // Metrics holds the counters of one instance. It is safe for concurrent use.
@@ -84,7 +82,7 @@
 		decisions: counters.NewFamily2("action", actionLabels, "reason", forward.Reasons[:]),
 		drops:     counters.NewFamily("reason", dropLabels),
 		events:    counters.NewFamily("event", beliefEvents),
-		probes:    counters.NewFamily("verdict", verdictLabels),
+		probes:    counters.NewFamily("verdict", forward.Verdicts),
 		messages:  counters.NewFamily("direction", relayLabels),
 		bytes:     counters.NewFamily("direction", relayLabels),
 	}
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -30,13 +30,20 @@
 	wanted  chan forward.Probe
 	results chan forward.ProbeResult
 	// wake interrupts the traffic goroutine after a result.
-	wake func()
-	slot chan struct{}
+	wake     func()
+	identify Identifier
+	slot     chan struct{}
 }
 
-func newProber(wake func()) *prober {
+// Identifier asks the upstream at the other end of a connection for its id.
+type Identifier interface {
+	Identify(conn net.Conn, address netip.AddrPort, path string) (id string, err error)
+}
+
+func newProber(identify Identifier, wake func()) *prober {
 	return &prober{
-		wanted: make(chan forward.Probe, maxProbes), results: make(chan forward.ProbeResult, maxProbes),
+		identify: identify,
+		wanted:   make(chan forward.Probe, maxProbes), results: make(chan forward.ProbeResult, maxProbes),
 		wake: wake, slot: make(chan struct{}, maxProbes),
 	}
 }
@@ -74,7 +81,7 @@
 	result := forward.ProbeResult{Upstream: probe.Upstream, Sign: probe.Sign, Started: time.Now()}
 	for range maxProbeAttempts {
 		began := time.Now()
-		result.Verdict = connect(ctx, probe.Upstream.Address)
+		result.Verdict = p.connect(ctx, probe)
 		if result.Verdict != forward.VerdictSilent || time.Since(began) < probeTimeout+probeLateness {
 			break
 		}
@@ -90,13 +97,23 @@
 }
 
 // connect attempts a connection and closes it.
-func connect(ctx context.Context, address netip.AddrPort) forward.Verdict {
+func (p *prober) connect(ctx context.Context, probe forward.Probe) forward.Verdict {
+	address := probe.Upstream.Address
 	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
-	if err == nil {
-		_ = conn.Close() // Nothing was sent; a failed close has no effect.
+	if err != nil {
+		return verdictOf(err)
+	}
+	defer func() { _ = conn.Close() }() // Everything was read; a failed close has no effect.
+	if probe.HealthPath == "" || conn.SetDeadline(time.Now().Add(probeTimeout)) != nil {
+		return forward.VerdictAlive
+	}
+	id, err := p.identify.Identify(conn, address, probe.HealthPath)
+	if err == nil && id != "" && id != probe.Upstream.ID {
+		return forward.VerdictOther
 	}
-	return verdictOf(err)
+	// An upstream that is busy may not answer in time, but it lives.
+	return forward.VerdictAlive
 }
 
 func verdictOf(err error) forward.Verdict {
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -13,15 +13,28 @@
 	"github.com/chivemast/chivemast/internal/forward"
 )
 
+// namer answers for an upstream with an id.
+type namer string
+
+func (n namer) Identify(net.Conn, netip.AddrPort, string) (string, error) { return string(n), nil }
+
 // Guards against taking a machine without a process for one that cannot be
-// reached, and against an upstream that lives but counts as gone.
+// reached, against another upstream at a used address, and against an upstream that lives but counts as gone.
 func TestProbeTellsALivingUpstreamFromARefusal(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
-	require.Equal(t, forward.VerdictAlive, connect(t.Context(), address))
+	p := newProber(namer("i-2"), func() {})
+	probe := forward.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-1", Address: address}}}
+	require.Equal(t, forward.VerdictAlive, p.connect(t.Context(), probe))
+	probe.HealthPath = "/health"
+	require.Equal(t, forward.VerdictOther, p.connect(t.Context(), probe))
+	p.identify = namer("i-1")
+	require.Equal(t, forward.VerdictAlive, p.connect(t.Context(), probe))
+	p.identify = namer("")
+	require.Equal(t, forward.VerdictAlive, p.connect(t.Context(), probe), "a busy upstream lives")
 	require.NoError(t, listener.Close())
-	require.Equal(t, forward.VerdictRefused, connect(t.Context(), address))
+	require.Equal(t, forward.VerdictRefused, p.connect(t.Context(), probe))
 	require.Equal(t, forward.VerdictSilent, verdictOf(context.DeadlineExceeded))
 }
 
@@ -33,7 +46,7 @@
 	require.NoError(t, err)
 	defer func() { require.NoError(t, listener.Close()) }()
 	woken := make(chan struct{}, 1)
-	p := newProber(func() { woken <- struct{}{} })
+	p := newProber(namer("i-1"), func() { woken <- struct{}{} })
 	entry := &catalog.Entry{Upstream: catalog.Upstream{Address: netip.MustParseAddrPort(listener.Addr().String())}}
 	for range maxProbes {
 		require.True(t, p.request(forward.Probe{Upstream: entry}))
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -40,6 +40,7 @@
 
 // Codec translates packets between their wire format and forward.Packet.
 type Codec interface {
+	Identifier
 	// Sizes returns the bytes that EncodeForward needs before a packet, and the
 	// size of the largest packet.
 	Sizes() (prefix, datagram int)
@@ -352,7 +353,7 @@
 func (l flowLog) probed(now time.Time, result forward.ProbeResult, flows int) {
 	l.events.Flow(logrus.InfoLevel, "upstream_probed", func() logrus.Fields {
 		return logrus.Fields{
-			"upstream": result.Upstream.ID, "verdict": result.Verdict.String(), "sign": result.Sign, "upstream_revision": result.Upstream.Revision,
+			"upstream": result.Upstream.ID, "verdict": result.Verdict.String(), "sign": result.Sign.String(), "upstream_revision": result.Upstream.Revision,
 			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": flows,
 		}
 	})
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -71,7 +71,7 @@
 	for cookie, stats := range e.stats {
 		entry := e.view.Resolve(cookie)
 		if entry != nil && !entry.RemovedAt.IsZero() && stats.flows > 0 && stats.probe.asked.Before(entry.RemovedAt) {
-			e.wantProbe(entry.RemovedAt, cookie, evidenceRemoved)
+			e.wantProbe(entry.RemovedAt, cookie, SignRemoved)
 		}
 	}
 }
@@ -134,7 +134,7 @@
 	if entry.RemovedAt.IsZero() || now.Sub(stats.answered) < answerWindow {
 		return 0, false
 	}
-	e.wantProbe(now, entry.Cookie, evidenceRemoved)
+	e.wantProbe(now, entry.Cookie, SignRemoved)
 	gone := entry.Gone(now) && e.view.Complete(now)
 	return ReasonUpstreamGone, gone && !stats.probe.alive(now) && !stats.probe.pending
 }
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -241,6 +241,40 @@
 	require.Equal(t, Forward, f.send(1, entry.Cookie, 1, 1, 100).Action)
 }
 
+// Pattern: addresses are used again while the store is away. Guards against new
+// flows to an upstream that has ended, because a probe of its address finds the
+// upstream that came after it: only single flows test it until one is answered.
+func TestUpstreamBehindAReusedAddressGetsSingleTrials(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	entry := f.engine.view.Resolve(flowcookie.Of("i-1", 1000))
+	f.wait(time.Second)
+	f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictRefused, Started: f.now})
+	f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictAlive, Started: f.now})
+	trials := 0
+	for port := 1; port <= 40; port++ {
+		d := f.open(port, 0)
+		if d.Upstream.ID == "i-1" {
+			trials++
+		} else {
+			f.send(port, d.Upstream.Cookie, 1, 1, 0)
+		}
+		f.wait(10 * time.Millisecond)
+	}
+	require.Equal(t, 1, trials)
+
+	// An answer ends the trial.
+	f.wait(2 * time.Second)
+	f.send(1000, entry.Cookie, 1, 1, 0)
+	f.send(1000, entry.Cookie, 1, 400, 0)
+	chosen := 0
+	for port := 101; port <= 110; port++ {
+		if f.establish(port).ID == "i-1" {
+			chosen++
+		}
+	}
+	require.Greater(t, chosen, 1)
+}
+
 // Guards against endless probes of upstreams that have left.
 func TestRemovedUpstreamIsNotProbedAgain(t *testing.T) {
 	f := newFixture(t, upstream(1))
@@ -399,7 +433,7 @@
 	remote := func(n int) catalog.Upstream { u := upstream(n); u.FailureDomain = "b"; return u }
 	f := newFixture(t, upstream(1), remote(2), remote(3), remote(4))
 	f.wait(time.Second)
-	f.engine.suspect(f.now, flowcookie.Of("i-2", 1000), evidenceStall)
+	f.engine.suspect(f.now, flowcookie.Of("i-2", 1000), SignStall)
 	first := f.engine.TakeProbes()
 	require.Len(t, first, 1)
 	f.engine.Probed(f.now, ProbeResult{Upstream: first[0].Upstream, Verdict: VerdictSilent, Started: f.now})
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -131,7 +131,7 @@
 	}
 	record.targets[record.attempts] = chosen.Cookie
 	record.attempts++
-	e.statsOf(chosen.Cookie).flows++
+	e.statsOf(chosen.Cookie).chosen(now)
 	e.pending = append(e.pending, pendingOpen{record: record, target: chosen.Cookie, sent: now})
 	e.lastOpen[p.Flow.Caller.Addr()] = record
 }
@@ -142,7 +142,7 @@
 		open := e.pending[0]
 		e.pending = e.pending[1:]
 		if !open.record.answered {
-			e.suspect(now, open.target, evidenceOpen)
+			e.suspect(now, open.target, SignOpen)
 		}
 	}
 }
@@ -163,7 +163,7 @@
 		return nil
 	}
 	for _, target := range earlier.tried() {
-		e.suspect(now, target, evidenceRetry)
+		e.suspect(now, target, SignRetry)
 	}
 	return earlier.tried()
 }
@@ -211,7 +211,7 @@
 		e.statsOf(p.Cookie).progressed(now)
 	case p.Data > 0 && int32(end-record.sent) <= 0 && !record.stalled:
 		record.stalled = true
-		e.suspect(now, p.Cookie, evidenceStall)
+		e.suspect(now, p.Cookie, SignStall)
 	}
 	if int32(end-record.sent) > 0 {
 		record.sent = end
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -12,6 +12,10 @@
 	// probeInterval is the least time between two probes of an upstream by one
 	// instance.
 	probeInterval = 500 * time.Millisecond
+	// reprobeMin and reprobeMax bound the pause before a failed probe is
+	// repeated; cuts last a few seconds.
+	reprobeMin = 900 * time.Millisecond
+	reprobeMax = 4 * time.Second
 	// aliveFor is how long a successful probe keeps the flows of an upstream
 	// that the store no longer lists.
 	aliveFor = 2 * time.Second
@@ -31,25 +35,30 @@
 	VerdictRefused
 	// VerdictSilent: nothing answered.
 	VerdictSilent
+	// VerdictOther: another upstream answers at the address.
+	VerdictOther
 )
 
-func (v Verdict) String() string { return [...]string{"none", "alive", "refused", "silent"}[v] }
+// Verdicts are the labels of all verdicts, by value.
+var Verdicts = []string{"none", "alive", "refused", "silent", "other"}
+
+func (v Verdict) String() string { return Verdicts[v] }
 
 // Probe asks for a connection attempt to an upstream.
 type Probe struct {
 	Upstream *catalog.Entry
-	// Sign says why, for the log.
-	Sign string
-	// Since is when the upstream last answered this instance; zero when it has
-	// not.
-	Since time.Time
+	// Sign says why.
+	Sign Sign
+	// HealthPath is the path at which the upstream tells its id; empty when the
+	// connection alone decides.
+	HealthPath string
 }
 
 // ProbeResult is the outcome of a Probe.
 type ProbeResult struct {
 	Upstream *catalog.Entry
 	Verdict  Verdict
-	Sign     string
+	Sign     Sign
 	// Started is when the attempt began.
 	Started time.Time
 }
@@ -61,7 +70,7 @@
 	if e.view == nil || now.Sub(e.statsOf(cookie).answered) < reportContradicted {
 		return
 	}
-	e.wantProbe(now, cookie, evidenceReport)
+	e.wantProbe(now, cookie, SignReport)
 }
 
 // probeState is what an engine knows from probes of one upstream.
@@ -70,10 +79,23 @@
 	asked   time.Time
 	verdict Verdict
 	decided time.Time
+	// retryAfter is the pause before a failed probe is repeated.
+	retryAfter time.Duration
+}
+
+// decide takes in a verdict. Repeated failures double the pause.
+func (s *probeState) decide(now time.Time, verdict Verdict) {
+	retry := reprobeMin
+	if s.failed() {
+		retry = min(2*s.retryAfter, reprobeMax)
+	}
+	s.verdict, s.decided, s.retryAfter = verdict, now, retry
 }
 
 // failed tells whether the last probe found no process.
-func (s *probeState) failed() bool { return s.verdict == VerdictRefused || s.verdict == VerdictSilent }
+func (s *probeState) failed() bool {
+	return s.verdict == VerdictRefused || s.verdict == VerdictSilent || s.verdict == VerdictOther
+}
 
 // alive tells whether a recent probe found the process.
 func (s *probeState) alive(now time.Time) bool {
@@ -89,14 +111,19 @@
 
 // wantProbe asks for a probe of an upstream unless one is under way or was a
 // moment ago.
-func (e *Engine) wantProbe(now time.Time, cookie flowcookie.Cookie, sign evidence) {
+func (e *Engine) wantProbe(now time.Time, cookie flowcookie.Cookie, sign Sign) {
 	entry := e.view.Resolve(cookie)
 	stats := e.statsOf(cookie)
 	if entry == nil || entry.Replaced || stats.probe.pending || now.Sub(stats.probe.asked) < probeInterval {
 		return
 	}
 	stats.probe.pending, stats.probe.asked = true, now
-	e.probes = append(e.probes, Probe{Upstream: entry, Sign: sign.String(), Since: stats.answered})
+	probe := Probe{Upstream: entry, Sign: sign}
+	// Another upstream may have the address of one that failed or left.
+	if service := e.view.Service(entry.Service); service != nil && (stats.trial || !entry.RemovedAt.IsZero()) {
+		probe.HealthPath = service.HealthPath
+	}
+	e.probes = append(e.probes, probe)
 }
 
 // TakeProbes returns the probes that are wanted and forgets them.
@@ -119,8 +146,11 @@
 		return
 	}
 	for cookie, stats := range e.stats {
-		if entry := e.view.Resolve(cookie); stats.probe.failed() && entry != nil && entry.RemovedAt.IsZero() {
-			e.wantProbe(now, cookie, evidenceSilent)
+		if !stats.probe.failed() || stats.probe.verdict == VerdictOther || now.Sub(stats.probe.decided) < stats.probe.retryAfter {
+			continue
+		}
+		if entry := e.view.Resolve(cookie); entry != nil && entry.RemovedAt.IsZero() {
+			e.wantProbe(now, cookie, SignSilent)
 		}
 	}
 }
@@ -143,12 +173,14 @@
 		return Abandoned{}
 	}
 	first := !stats.probe.failed()
-	stats.probe.verdict, stats.probe.decided = result.Verdict, now
+	stats.probe.decide(now, result.Verdict)
 	if !stats.probe.failed() {
-		stats.signs = 0
 		return Abandoned{}
 	}
-	if entry := e.view.Resolve(result.Upstream.Cookie); first && entry != nil && entry.Listed() && !entry.Draining {
+	stats.trial = true
+	// Whoever reported the failure probes the domain and reports what it finds.
+	own := result.Sign != SignDomain && result.Sign != SignReport
+	if entry := e.view.Resolve(result.Upstream.Cookie); first && own && entry != nil && entry.Listed() && !entry.Draining {
 		e.probeDomain(now, entry.FailureDomain)
 	}
 	return Abandoned{New: first, Flows: e.abandon(result.Upstream.Cookie)}
@@ -162,7 +194,7 @@
 		for _, entry := range service.Entries {
 			stats := e.statsOf(entry.Cookie)
 			if entry.FailureDomain == domain && now.Sub(stats.answered) > answerWindow {
-				e.wantProbe(now, entry.Cookie, evidenceDomain)
+				e.wantProbe(now, entry.Cookie, SignDomain)
 			}
 		}
 	}
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -19,33 +19,36 @@
 	// answerWindow is how recent an answer contradicts a sign of silence: a
 	// caller sends again 200 ms after the packet that got none.
 	answerWindow = 200 * time.Millisecond
+	// trialInterval is the time between two flows that test an upstream: the
+	// caller of one waits 200 ms for its next copy.
+	trialInterval = time.Second
 	// coldWindow is the span over which the limit of a cold upstream counts.
 	coldWindow = time.Second
 )
 
-// evidence is a sign that an upstream is silent.
-type evidence int
+// Sign is a reason to think that an upstream is silent.
+type Sign int
 
 const (
-	// evidenceOpen: no packet followed an opening packet.
-	evidenceOpen evidence = iota
-	// evidenceStall: a caller sent data again.
-	evidenceStall
-	// evidenceRemoved: the store no longer lists the upstream.
-	evidenceRemoved
-	// evidenceSilent: the last probe failed.
-	evidenceSilent
-	// evidenceDomain: another upstream of the failure domain has failed.
-	evidenceDomain
-	// evidenceRetry: the caller opens another flow although the last one was
+	// SignOpen: no packet followed an opening packet.
+	SignOpen Sign = iota
+	// SignStall: a caller sent data again.
+	SignStall
+	// SignRemoved: the store no longer lists the upstream.
+	SignRemoved
+	// SignSilent: the last probe failed.
+	SignSilent
+	// SignDomain: another upstream of the failure domain has failed.
+	SignDomain
+	// SignRetry: the caller opens another flow although the last one was
 	// not answered.
-	evidenceRetry
-	// evidenceReport: another instance's probe failed.
-	evidenceReport
+	SignRetry
+	// SignReport: another instance's probe failed.
+	SignReport
 )
 
-func (e evidence) String() string {
-	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported"}[e]
+func (s Sign) String() string {
+	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported"}[s]
 }
 
 // upstreamStats is what an engine has seen of one upstream.
@@ -53,6 +56,12 @@
 	flows        int
 	signs        int
 	suspectUntil time.Time
+	// trial is set while only single flows test whether the upstream answers:
+	// after a failed probe or repeated signs, until a packet shows that it does.
+	// A successful probe does not end it, because another upstream may have the
+	// address.
+	trial     bool
+	nextTrial time.Time
 	// answered is when a packet last showed that the upstream answers.
 	answered time.Time
 	probe    probeState
@@ -61,13 +70,21 @@
 
 // suspect tells whether new flows avoid the upstream.
 func (s *upstreamStats) suspect(now time.Time) bool {
-	return now.Before(s.suspectUntil) || s.probe.failed()
+	return now.Before(s.suspectUntil) || s.probe.failed() || (s.trial && now.Before(s.nextTrial))
+}
+
+// chosen records that the upstream gets a new flow.
+func (s *upstreamStats) chosen(now time.Time) {
+	s.flows++
+	if s.trial {
+		s.nextTrial = now.Add(trialInterval)
+	}
 }
 
 // progressed records that the upstream answers.
 func (s *upstreamStats) progressed(now time.Time) {
 	s.answered = now
-	s.signs = 0
+	s.signs, s.trial = 0, false
 	s.suspectUntil = time.Time{}
 	s.probe.answered()
 }
@@ -83,13 +100,14 @@
 
 // suspect takes in a sign that an upstream is silent, unless another flow shows
 // that it answers, and asks for a probe.
-func (e *Engine) suspect(now time.Time, cookie flowcookie.Cookie, sign evidence) {
+func (e *Engine) suspect(now time.Time, cookie flowcookie.Cookie, sign Sign) {
 	stats := e.statsOf(cookie)
 	if now.Sub(stats.answered) < answerWindow {
 		return
 	}
 	stats.signs++
 	if over := stats.signs - suspectAfter; over >= 0 {
+		stats.trial = true
 		stats.suspectUntil = now.Add(min(suspectFor<<min(over, 4), suspectMax))
 	}
 	e.wantProbe(now, cookie, sign)
