--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,264 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/follow"
+)
+
+var start = time.Date(2026, 5, 8, 14, 56, 0, 0, time.UTC)
+
+func member(n int, domain string) Member {
+	return Member{Name: fmt.Sprintf("edge-%s-%d", domain, n), FailureDomain: domain, Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.1:80", n))}
+}
+
+// fleet is a failure domain in which every instance hears all that watch.
+type fleet struct {
+	views []*members
+	alive []bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{}
+	for i := range n {
+		f.views = append(f.views, newMembers(member(i, "a")))
+		f.alive = append(f.alive, true)
+	}
+	return f
+}
+
+// step lets one watch interval pass and returns who watched.
+func (f *fleet) step(now time.Time, kind catalog.Kind) []int {
+	var watching []int
+	for i, view := range f.views {
+		if f.alive[i] && view.onDuty(now, kind) {
+			watching = append(watching, i)
+		}
+	}
+	for _, w := range watching {
+		for i, view := range f.views {
+			if i != w && f.alive[i] {
+				view.hear(now, f.views[w].self, true)
+				view.watching(now, f.views[w].self.Name, kind)
+			}
+		}
+	}
+	return watching
+}
+
+// Guards against store calls that grow with the number of instances, and
+// against a kind that nobody watches after both watching instances have died.
+func TestTwoInstancesWatchAndOthersTakeOver(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 9, 18, 70} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(size)
+			now := start
+			require.Len(t, f.step(now, catalog.KindUpstreams), size, "nobody has been heard yet")
+			var watching []int
+			for range 4 {
+				now = now.Add(1500 * time.Millisecond)
+				watching = f.step(now, catalog.KindUpstreams)
+			}
+			require.Len(t, watching, min(size, watchers))
+			for _, w := range watching {
+				f.alive[w] = false
+			}
+			now = now.Add(dutyWindow)
+			for range 4 {
+				now = now.Add(1500 * time.Millisecond)
+				watching = f.step(now, catalog.KindUpstreams)
+			}
+			require.Len(t, watching, min(max(size-2, 0), watchers))
+		})
+	}
+}
+
+// Guards against one instance that watches everything.
+func TestDutiesSpreadOverTheInstances(t *testing.T) {
+	f := newFleet(18)
+	busy := map[int]int{}
+	for _, kind := range catalog.Kinds() {
+		now := start
+		var watching []int
+		for range 4 {
+			watching = f.step(now, kind)
+			now = now.Add(1500 * time.Millisecond)
+		}
+		for _, w := range watching {
+			busy[w]++
+		}
+	}
+	require.Greater(t, len(busy), watchers)
+}
+
+// Guards against members that stay forever, and against a mention that keeps a
+// dead member alive.
+func TestMembersExpire(t *testing.T) {
+	m := newMembers(member(0, "a"))
+	m.hear(start, member(1, "a"), true)
+	m.hear(start.Add(9*time.Second), member(1, "a"), false)
+	m.expire(start.Add(memberTimeout + time.Second))
+	require.Empty(t, m.mates())
+}
+
+// Guards against an update that means something else after its way through a
+// message.
+func TestUpdatesSurviveTheirEncoding(t *testing.T) {
+	upstream := catalog.Upstream{
+		ID: "i-1", Born: 1768993801216, Token: 1<<63 + 5, Address: netip.MustParseAddrPort("10.1.64.20:8628"), FailureDomain: "a",
+		Service: "s", Capacity: 2, Draining: true, ColdFor: 1500 * time.Millisecond, Revision: 9,
+	}
+	invalid := &RemoteError{Reason: "field state: unknown"}
+	update := follow.Update{Kind: catalog.KindUpstreams, Base: 8, Revision: 12, Events: []catalog.Event{
+		catalog.UpstreamsListed{Entries: []catalog.UpstreamChange{{Upstream: upstream}}, Revision: 12},
+		catalog.UpstreamsChanged{Revision: 12, Changes: []catalog.UpstreamChange{
+			{Upstream: catalog.Upstream{ID: "i-2", Revision: 10}, Removed: true},
+			{Upstream: catalog.Upstream{ID: "i-3", Revision: 11}, Invalid: invalid},
+		}},
+		catalog.ConfigurationRead{Configuration: catalog.Configuration{
+			Version: 7, Revision: 3, IdleTimeout: time.Second,
+			Routes:   []catalog.Route{{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Split: []catalog.Weight{{Service: "s", Weight: 3}}}},
+			Services: []catalog.Service{{Name: "s", ColdDuration: time.Second, ColdRate: 2.5, HealthPath: "/health"}},
+		}},
+		catalog.ConfigurationInvalid{Revision: 4, Err: invalid},
+		catalog.EvacuationsListed{Domains: []string{"a"}, Revision: 5},
+		catalog.EvacuationsListed{Domains: []string{}, Revision: 6},
+		catalog.EvacuationsChanged{Changes: []catalog.EvacuationChange{{FailureDomain: "b", Ended: true}}, Revision: 6},
+	}}
+	data, err := json.Marshal(encodeUpdate(update))
+	require.NoError(t, err)
+	w := &wireUpdate{}
+	require.NoError(t, json.Unmarshal(data, w))
+	decoded, err := w.decode()
+	require.NoError(t, err)
+	require.Equal(t, update, decoded)
+}
+
+// Guards against a malformed message that changes anything or panics.
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"from":{"name":"x","domain":"a","address":"10.0.0.1:80"},"update":{"kind":0,"base":1,"revision":2,"events":[{}]}}`))
+	f.Add([]byte(`{"from":{"name":"x","domain":"a","address":"10.0.0.1:80"},"update":{"kind":-1,"base":9,"revision":2}}`))
+	f.Add([]byte(`{"from":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decodeMessage(data)
+		if err != nil {
+			var rejected *MessageError
+			require.ErrorAs(t, err, &rejected)
+			return
+		}
+		if m.Update != nil {
+			if update, err := m.Update.decode(); err == nil {
+				require.LessOrEqual(t, update.Base, update.Revision)
+			}
+		}
+	})
+}
+
+// recorder is an observer and the receiver of one relay.
+type recorder struct {
+	mu       sync.Mutex
+	updates  []follow.Update
+	silent   []SilentUpstream
+	found    map[string]bool
+	rejected int
+}
+
+func (r *recorder) Sent(int)     {}
+func (r *recorder) Received(int) {}
+func (r *recorder) Rejected(netip.AddrPort, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rejected++
+}
+
+func (r *recorder) MemberChanged(m Member, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.found[m.Name] = found
+}
+
+func startRelay(t *testing.T, name, domain string, seeds ...netip.AddrPort) (*Relay, *recorder) {
+	t.Helper()
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	address := netip.MustParseAddrPort(probe.LocalAddr().String())
+	require.NoError(t, probe.Close())
+	r := &recorder{found: map[string]bool{}}
+	relay, err := Listen(Config{
+		Self: Member{Name: name, FailureDomain: domain, Address: address}, Seeds: seeds,
+		Passed: func(u follow.Update) { r.mu.Lock(); r.updates = append(r.updates, u); r.mu.Unlock() },
+		Silent: func(s SilentUpstream) { r.mu.Lock(); r.silent = append(r.silent, s); r.mu.Unlock() },
+		Knowledge: func(kind catalog.Kind) (follow.Update, time.Duration, bool) {
+			return follow.Update{Kind: kind, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
+				2 * time.Second, kind == catalog.KindEvacuations
+		},
+		Observer: r,
+	})
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- relay.Run(t.Context()) }()
+	t.Cleanup(func() { assert.NoError(t, <-done) })
+	return relay, r
+}
+
+// Guards against instances that do not find each other through one seed,
+// against updates that cross failure domains, and against messages that are not
+// one.
+func TestInstancesFindEachOtherAndPassUpdates(t *testing.T) {
+	seed, seedRecord := startRelay(t, "a-1", "a")
+	first, _ := startRelay(t, "a-2", "a", seed.cfg.Self.Address)
+	_, otherRecord := startRelay(t, "b-1", "b", seed.cfg.Self.Address)
+	require.Eventually(t, func() bool { return len(seed.Mates()) == 1 && len(first.Mates()) == 1 }, 5*time.Second, 10*time.Millisecond)
+
+	first.Pass(follow.Update{Kind: catalog.KindEvacuations, Base: 3, Revision: 3})
+	large := catalog.EvacuationsListed{Revision: 5}
+	for i := range 500 {
+		large.Domains = append(large.Domains, fmt.Sprintf("domain-%d", i))
+	}
+	first.Pass(follow.Update{Kind: catalog.KindEvacuations, Base: 3, Revision: 5, Events: []catalog.Event{large}})
+	first.ReportSilent(SilentUpstream{ID: "i-1", Born: 7})
+	_, err := first.conn.WriteToUDPAddrPort([]byte("not a message"), seed.cfg.Self.Address)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		seedRecord.mu.Lock()
+		defer seedRecord.mu.Unlock()
+		return len(seedRecord.updates) == 2 && len(seedRecord.silent) == 1 && seedRecord.rejected == 1
+	}, 5*time.Second, 10*time.Millisecond)
+	require.EqualValues(t, 5, seedRecord.updates[1].Base, "an update that does not fit shows a gap")
+	otherRecord.mu.Lock()
+	defer otherRecord.mu.Unlock()
+	require.Empty(t, otherRecord.updates)
+}
+
+// Guards against a start without the store that learns nothing, and against an
+// answer of an instance that does not know yet.
+func TestKnowledgeIsBorrowedFromASeed(t *testing.T) {
+	seed, _ := startRelay(t, "a-1", "a")
+	server := &http.Server{Handler: seed.Handler(), Addr: seed.cfg.Self.Address.String(), ReadHeaderTimeout: time.Second}
+	listener, err := net.Listen("tcp4", server.Addr)
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	defer func() { require.NoError(t, server.Close()); require.ErrorIs(t, <-served, http.ErrServerClosed) }()
+	starting, _ := startRelay(t, "a-2", "a", netip.MustParseAddrPort("127.0.0.1:1"), seed.cfg.Self.Address)
+
+	update, age, err := starting.Knowledge(t.Context(), catalog.KindEvacuations)
+	require.NoError(t, err)
+	require.Equal(t, 2*time.Second, age)
+	require.EqualValues(t, 9, update.Revision)
+	_, _, err = starting.Knowledge(t.Context(), catalog.KindUpstreams)
+	require.Error(t, err)
+	_, _, err = seed.Knowledge(t.Context(), catalog.KindUpstreams)
+	require.Error(t, err)
+}
