Share the limit of cold upstreams over the instances; test the patterns of load at 9 and 70 instances

Cause: each instance allowed itself one flow a second to a cold upstream, which 70 instances together exceed (limit 8 x 1.5 + 5 = 17) when a whole service starts cold. Only instances of the upstream's own failure domain now use it, and they share 80% of its limit by rank; the number of sharers does not shrink for 60 s after members are lost.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return &ListenError{Network: "udp", Address: s.PeerAddress, Err: err}
 	}
-	i.traffic.silent = i.relay.ReportSilent
+	i.traffic.silent, i.traffic.sharing = i.relay.ReportSilent, i.relay.Sharing
 	i.follower = follow.New(store, i.relay, i.events)
 	return nil
 }
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -77,6 +77,9 @@
 	// reports are upstreams that mates found silent; silent tells the mates.
 	reports chan relay.SilentUpstream
 	silent  func(relay.SilentUpstream)
+	// sharing returns this instance's place among those of its failure domain,
+	// and their number.
+	sharing func(time.Time) (rank, count int)
 	view    *atomic.Pointer[catalog.Snapshot]
 	log     flowLog
 	metrics *Metrics
@@ -235,6 +238,8 @@
 		t.expired = now
 		t.engine.Expire(now)
 		t.engine.Reprobe(now)
+		rank, count := t.sharing(now)
+		t.engine.Share(forward.Sharing{Rank: rank, Count: count})
 		t.metrics.setFlows(t.engine.Flows())
 	}
 	if now.Sub(t.reached) >= reachInterval {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -32,10 +32,12 @@
 
 // Engine decides packets. It belongs to one goroutine.
 type Engine struct {
-	cfg   Config
-	view  *catalog.Snapshot
-	flows flowTable
-	stats map[flowcookie.Cookie]*upstreamStats
+	cfg  Config
+	view *catalog.Snapshot
+	// sharing belongs to the limits of cold upstreams.
+	sharing Sharing
+	flows   flowTable
+	stats   map[flowcookie.Cookie]*upstreamStats
 
 	// pending are opening packets by the time at which they were sent.
 	pending []pendingOpen
@@ -213,14 +215,14 @@
 	limited := false
 	for _, entry := range entries {
 		stats := e.statsOf(entry.Cookie)
-		cold := entry.Cold(now)
-		if cold && !stats.cold.allows(now, e.coldBudget(service)) {
+		cold, local := entry.Cold(now), entry.FailureDomain == e.cfg.FailureDomain
+		if cold && (!local || !stats.cold.allows(now, e.coldBudget(service))) {
 			limited = true
 			continue
 		}
 		e.entries = append(e.entries, entry)
 		e.candidates = append(e.candidates, choice.Candidate{
-			Cookie: entry.Cookie, Local: entry.FailureDomain == e.cfg.FailureDomain, Cold: cold,
+			Cookie: entry.Cookie, Local: local, Cold: cold,
 			Suspect: stats.suspect(now), Flows: stats.flows, Capacity: entry.Capacity,
 		})
 	}
@@ -243,6 +245,14 @@
 	return Decision{Action: Forward, Reason: reason, Upstream: chosen, Detail: tier.String()}
 }
 
+// coldBudget returns the limit of this instance for a cold upstream.
+func (e *Engine) coldBudget(service *catalog.ServiceView) int {
+	return coldBudget(service.ColdRate, e.cfg.ColdFactor, e.cfg.ColdSlack, e.sharing)
+}
+
+// Share sets how this instance shares the limits of cold upstreams.
+func (e *Engine) Share(sharing Sharing) { e.sharing = sharing }
+
 // Flows returns the number of remembered flows.
 func (e *Engine) Flows() int { return len(e.flows.records) }
 
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -483,3 +483,45 @@
 	f.wait(0)
 	require.True(t, f.engine.CanServe(f.now))
 }
+
+// Pattern: whole service cold. Guards against instances that send more to a cold
+// upstream together than it sustains, for every number of instances.
+func TestColdBudgetsAddUpToTheLimit(t *testing.T) {
+	for _, rate := range []float64{0, 0.5, 3, 8, 40, 300} {
+		for _, count := range []int{1, 2, 3, 9, 18, 70} {
+			total := 0
+			for rank := range count {
+				total += coldBudget(rate, 1.5, 5, Sharing{Rank: rank, Count: count})
+			}
+			limit := rate*1.5 + 5
+			require.LessOrEqual(t, float64(total), limit, "rate %g, %d instances", rate, count)
+			require.Positive(t, total)
+		}
+	}
+}
+
+// Guards against flows to cold upstreams while others can take them, and against
+// a burst that is spread over two windows.
+func TestColdUpstreamsAreUsedLastAndWithinTheirLimit(t *testing.T) {
+	cold := func(n int) catalog.Upstream { u := upstream(n); u.ColdFor = time.Minute; return u }
+	f := newFixture(t, cold(1), upstream(2))
+	for port := 1; port <= 50; port++ {
+		require.Equal(t, "i-2", f.establish(port).ID)
+	}
+
+	f = newFixture(t, cold(1))
+	budget := coldBudget(10, 1.5, 5, Sharing{})
+	var sent []time.Time
+	for port := 1; port <= 400; port++ {
+		if f.open(port, 0).Action == Forward {
+			sent = append(sent, f.now)
+		}
+		f.wait(17 * time.Millisecond)
+	}
+	for i := range sent {
+		if i >= budget {
+			require.Greater(t, sent[i].Sub(sent[i-budget]), time.Second)
+		}
+	}
+	require.Greater(t, len(sent), 2*budget)
+}
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -24,6 +23,12 @@
 	trialInterval = time.Second
 	// coldWindow is the span over which the limit of a cold upstream counts.
 	coldWindow = time.Second
+	// coldMargin leaves room for packets that were delayed on the way, so that
+	// more arrive in a second than were sent in one.
+	coldMargin = 0.8
+	// minSharers is the least number of instances that a cold upstream's limit
+	// is shared by: an instance that has just started does not know the others.
+	minSharers = 4
 )
 
 // Sign is a reason to think that an upstream is silent.
@@ -126,8 +131,24 @@
 
 func (l *coldLimiter) take(now time.Time) { l.sent = append(l.sent, now) }
 
-// coldBudget is the number of flows that this instance may send to one cold
-// upstream in a window.
-func (e *Engine) coldBudget(service *catalog.ServiceView) int {
-	return 1
+// Sharing says how this instance shares work with the others of its failure
+// domain.
+type Sharing struct {
+	// Rank is this instance's place among them, from 0.
+	Rank int
+	// Count is the number of instances.
+	Count int
+}
+
+// coldBudget is the number of flows that an instance may send to one cold
+// upstream of its failure domain in a window. Over all instances of the domain
+// it stays within what the upstream sustains; when that is less than one flow
+// per instance, the first ones share it.
+func coldBudget(rate, factor, slack float64, sharing Sharing) int {
+	total := int((rate*factor + slack) * coldMargin)
+	senders := min(max(sharing.Count, minSharers), total)
+	if senders == 0 || sharing.Rank >= senders {
+		return 0
+	}
+	return total / senders
 }
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -20,6 +20,9 @@
 	// memberTimeout is how long a member counts after it was heard: five
 	// greetings.
 	memberTimeout = 10 * time.Second
+	// peakWindow is how long a larger number of instances is remembered: longer
+	// than the users' longest cuts.
+	peakWindow = 60 * time.Second
 	// maxListed bounds the members in one message.
 	maxListed = 12
 )
@@ -30,6 +33,9 @@
 	self Member
 	// heard has the time at which each member was last heard of.
 	heard map[string]memberState
+	// peak is the largest number of instances of the failure domain lately.
+	peak   int
+	peakAt time.Time
 }
 
 type memberState struct {
@@ -109,6 +115,26 @@
 	return mates
 }
 
+// sharing returns the place of this instance among those of its failure domain
+// and their number. The number does not shrink for a while after members are
+// lost: they may only be cut off, and still send.
+func (m *members) sharing(now time.Time) (rank, count int) {
+	count = 1
+	for name, state := range m.heard {
+		if state.member.FailureDomain != m.self.FailureDomain {
+			continue
+		}
+		count++
+		if name < m.self.Name {
+			rank++
+		}
+	}
+	if count >= m.peak || now.Sub(m.peakAt) > peakWindow {
+		m.peak, m.peakAt = count, now
+	}
+	return rank, m.peak
+}
+
 // list returns members for a message: those of a failure domain first.
 func (m *members) list(domain string) []Member {
 	var near, far []Member
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -217,6 +217,14 @@
 	return r.members.mates()
 }
 
+// Sharing returns the place of this instance among those of its failure domain,
+// and their number.
+func (r *Relay) Sharing(now time.Time) (rank, count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members.sharing(now)
+}
+
 // OnDuty implements follow.Mates.
 func (r *Relay) OnDuty(now time.Time, kind catalog.Kind) bool {
 	r.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -112,6 +112,24 @@
 	require.Empty(t, m.mates())
 }
 
+// Pattern: whole service cold during a cut. Guards against an instance that takes
+// a larger share of a cold upstream because it no longer hears the others.
+func TestShareDoesNotGrowWhenMembersAreLost(t *testing.T) {
+	m := newMembers(member(5, "a"))
+	for n := range 9 {
+		m.hear(start, member(n, "a"), true)
+		m.hear(start, member(n, "b"), true)
+	}
+	rank, count := m.sharing(start)
+	require.Equal(t, 5, rank)
+	require.Equal(t, 9, count)
+	m.expire(start.Add(memberTimeout + time.Second))
+	_, count = m.sharing(start.Add(memberTimeout + time.Second))
+	require.Equal(t, 9, count)
+	_, count = m.sharing(start.Add(peakWindow + time.Second))
+	require.Equal(t, 1, count)
+}
+
 // Guards against an update that means something else after its way through a
 // message.
 func TestUpdatesSurviveTheirEncoding(t *testing.T) {
