--- /dev/null
+++ b/cmd/chivemast/edge_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a status that hides an instance that is silent or not ready,
+// and against output that scripts cannot read.
+func TestEdgeShowsKnowledgeAndItsAge(t *testing.T) {
+	body := `{"instance":"edge-a-1","failure_domain":"a","ready":true,"config_version":12,"upstreams_revision":21,` +
+		`"age_ms":{"upstreams":230,"configuration":1500,"evacuations":40},"watches":["upstreams"],"mates":["edge-a-2"],` +
+		`"upstreams":[{"id":"i-1","service":"s","failure_domain":"a","address":"10.0.0.1:80","state":"draining"}]}`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "/status", r.URL.Path)
+		_, _ = w.Write([]byte(body))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+
+	var out, errOut bytes.Buffer
+	require.Equal(t, int(exitOK), run(t.Context(), []string{"chivemast", "edge", "--upstreams", address}, nil, &out, &errOut), errOut.String())
+	for _, text := range []string{"edge-a-1 (a): ready, configuration 12", "upstreams confirmed 230ms ago", "draining", "watches upstreams"} {
+		require.Contains(t, out.String(), text)
+	}
+	out.Reset()
+	require.Equal(t, int(exitUnconfirmed), run(t.Context(), []string{"chivemast", "-o", "json", "edge", address, "127.0.0.1:1"}, nil, &out, &errOut))
+	require.Contains(t, out.String(), `"upstreams_revision": 21`)
+	require.Contains(t, errOut.String(), "1 of 2 instances")
+	require.Equal(t, int(exitUsage), run(t.Context(), []string{"chivemast", "edge"}, nil, &out, &errOut))
+}
--- a/cmd/chivemast/exit.go
+++ b/cmd/chivemast/exit.go
@@ -144,7 +144,7 @@
 		return exitOK
 	case is[*usageError](err):
 		return exitUsage
-	case is[*unconfirmedError](err), is[*uncheckedError](err), is[*reuseBlockedError](err):
+	case is[*unconfirmedError](err), is[*uncheckedError](err), is[*reuseBlockedError](err), is[*edgeSilentError](err):
 		return exitUnconfirmed
 	case is[*differentError](err):
 		return exitDifferent
--- a/cmd/chivemast/main.go
+++ b/cmd/chivemast/main.go
@@ -59,7 +59,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), statusCommand(),
-			domainCommand(), upstreamCommand(), instanceCommand(), validateCommand(),
+			domainCommand(), upstreamCommand(), instanceCommand(), validateCommand(), edgeCommand(),
 		},
 		EnableShellCompletion: true,
 		Metadata:              map[string]any{},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -310,56 +309,6 @@
 	_, _ = w.Write([]byte("ready\n")) // The prober sees a failed write itself.
 }
 
-// Status is what /status shows.
-type Status struct {
-	Instance         string           `json:"instance"`
-	FailureDomain    string           `json:"failure_domain"`
-	Ready            bool             `json:"ready"`
-	Leaving          bool             `json:"leaving"`
-	ConfigVersion    uint64           `json:"config_version"`
-	UpstreamRevision uint64           `json:"upstreams_revision"`
-	AgeMS            map[string]int64 `json:"age_ms"`
-	Upstreams        []UpstreamStatus `json:"upstreams"`
-}
-
-// UpstreamStatus is one upstream in Status.
-type UpstreamStatus struct {
-	ID            string `json:"id"`
-	Service       string `json:"service"`
-	FailureDomain string `json:"failure_domain"`
-	Address       string `json:"address"`
-	State         string `json:"state"`
-}
-
-func (i *Instance) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(i.status(time.Now())); err != nil {
-		i.log.Event(logrus.WarnLevel, "status_not_sent", logrus.Fields{"error": err})
-	}
-}
-
-func (i *Instance) status(now time.Time) Status {
-	s := Status{
-		Instance: i.settings.Instance, FailureDomain: i.settings.FailureDomain,
-		Ready: i.ready.Load(), Leaving: i.leaving.Load(), AgeMS: map[string]int64{},
-	}
-	view := i.view.Load()
-	if view == nil {
-		return s
-	}
-	s.ConfigVersion, s.UpstreamRevision = view.Version, view.Revisions[catalog.KindUpstreams]
-	for kind, confirmed := range view.Confirmed {
-		s.AgeMS[catalog.Kind(kind).String()] = now.Sub(confirmed).Milliseconds()
-	}
-	for _, entry := range view.All() {
-		s.Upstreams = append(s.Upstreams, UpstreamStatus{
-			ID: entry.ID, Service: entry.Service, FailureDomain: entry.FailureDomain,
-			Address: entry.Address.String(), State: entry.State(now),
-		})
-	}
-	return s
-}
-
 // relayObserver counts and logs what the relay reports.
 type relayObserver struct{ instance *Instance }
 
--- a/internal/telemetry/operations_test.go
+++ b/internal/telemetry/operations_test.go
@@ -12,7 +12,7 @@
 // Guards against a reason on the metrics page that the operators' page does
 // not explain. Equal labels of different counters need a row each.
 func TestOperatorsPageExplainsEveryReason(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for heading, labels := range map[string][]string{
 		"### Refusals":        refusalLabels(),
