--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,17 @@
 # Targets: build, test (formatter, linter, vet, generated code, tests), demo,
-# up, measure, slopes, generate.
+# up, measure, slopes, soak, generate.
 
 TOOLS := .cache/tools
 # The linter and the generators are pinned in modules of their own, so that
 # users of the product do not download them.
 TOOL_MODULES := tools/gen tools/lint
 
-.PHONY: build test demo up measure slopes generate tools
+.PHONY: build test demo up measure slopes soak generate tools
+
+# The fault soak: make soak SEEDS=50 SEED=1 JOBS=4.
+SEEDS ?= 8
+SEED ?= 1
+JOBS ?= 4
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +37,9 @@
 up: build
 	DEMO_KEEP=1 ./scripts/demo.sh
 
+soak: build
+	bin/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS)
+
 measure:
 	go run ./cmd/measure
 
