Keep one process per instance in the soak

Ruled out: the relay, whose messages named another store's revisions. Ending and restarting an instance is now serialized.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,12 +14,9 @@
 )
 
 // lapseAfter is how long the store lists an upstream that has crashed: three
-// missed reports.
+// missed reports. Its address is used again after that.
 const lapseAfter = 2300 * time.Millisecond
 
-// reuseAfter is how long the address of an ended upstream stays unused.
-const reuseAfter = 2 * time.Second
-
 // chaos injects faults by a seeded schedule.
 type chaos struct {
 	fleet   *fleet
@@ -86,9 +83,12 @@
 // endInstance ends a process and starts it again.
 func (c *chaos) endInstance(ctx context.Context, signal syscall.Signal) {
 	i := c.instance()
+	i.turn.Lock()
+	defer i.turn.Unlock()
 	c.ledger.disturb(anyInstance, time.Now().Add(terminationGrace))
 	i.stop(signal)
-	if !c.sleep(ctx, restartDelay, 2*restartDelay) {
+	c.sleep(ctx, restartDelay, 2*restartDelay)
+	if ctx.Err() != nil {
 		return
 	}
 	if err := i.start(c.fleet.binary); err != nil {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,6 +48,9 @@
 	log     *os.File
 	proxy   *proxy
 
+	// turn is held while the process is ended and started again, so that there
+	// is never more than one.
+	turn     sync.Mutex
 	mu       sync.Mutex
 	process  *exec.Cmd
 	stopped  chan struct{}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -84,12 +84,12 @@
 
 func (u *upstream) handle(s standin.Segment) {
 	u.mu.Lock()
-	isn, known := u.flows[s.Source]
+	_, known := u.flows[s.Source]
 	u.mu.Unlock()
 	answer := standin.Segment{Source: s.Destination, Destination: s.Source, Ack: true, Checked: true, Cookie: s.Cookie}
 	switch {
 	case s.Open:
-		isn = s.Seq ^ uint32(u.Token)
+		isn := s.Seq ^ uint32(u.Token)
 		u.mu.Lock()
 		u.flows[s.Source] = isn
 		u.mu.Unlock()
