--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -85,8 +85,10 @@
 	coldDomain map[string]time.Time
 	contact    [kinds]contact
 	changes    []Change
-	// dirty is set when a snapshot no longer shows the state.
-	dirty bool
+	// dirty is set when a snapshot no longer shows the state, touched when only
+	// the times and revisions of the contact differ.
+	dirty, touched bool
+	last           *Snapshot
 }
 
 // contact is what the instance knows of its view of one kind.
@@ -202,7 +204,7 @@
 		contact.confirmed = now
 	}
 	contact.revision = max(contact.revision, revision)
-	c.dirty = true
+	c.touched = true
 }
 
 func (c *Catalog) lose(kind Kind, err error) {
@@ -211,6 +213,7 @@
 		c.note(Change{Event: "store_lost", Kind: kind, Revision: contact.revision, Err: err})
 	}
 	contact.unavailable = true
+	c.touched = true
 }
 
 func age(now, since time.Time) string {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -36,8 +36,8 @@
 	// Entries are the listed upstreams that do not drain and whose failure
 	// domain is not evacuated, by id.
 	Entries []*Entry
-	// Lapsed are upstreams whose entries went missing a moment ago; they may
-	// live, and serve only when no listed upstream is left.
+	// Lapsed are upstreams whose entries went missing. Those that are not gone
+	// yet may live, and serve when no listed upstream is left.
 	Lapsed []*Entry
 	// Domains is the number of failure domains that have upstreams of the
 	// service, evacuated or not.
@@ -70,24 +70,39 @@
 }
 
 // Snapshot returns the present view, and false when it is the same as the last
-// one.
+// one. A confirmation alone shares the maps of the last one: at the target size
+// building them takes 1.6 ms.
 func (c *Catalog) Snapshot(now time.Time) (*Snapshot, bool) {
-	if !c.dirty {
+	if !c.dirty && !c.touched {
 		return nil, false
 	}
-	c.dirty = false
-	s := &Snapshot{
-		routes:   map[netip.AddrPort]*Route{},
-		dropped:  make(map[netip.AddrPort]bool, len(c.dropped)),
-		byCookie: make(map[flowcookie.Cookie]*Entry, len(c.entries)),
-		services: map[string]*ServiceView{},
+	var s *Snapshot
+	if c.dirty || c.last == nil {
+		s = c.build(now)
+	} else {
+		same := *c.last
+		s = &same
 	}
+	c.dirty, c.touched = false, false
 	for kind := range c.contact {
 		s.Confirmed[kind], s.Revisions[kind] = c.contact[kind].confirmed, c.contact[kind].revision
 	}
+	s.Settled = time.Time{}
 	if contact := c.contact[KindUpstreams]; contact.known && !contact.unavailable {
 		s.Settled = contact.returned
 	}
+	c.last = s
+	return s, true
+}
+
+// build returns a snapshot with maps of its own.
+func (c *Catalog) build(now time.Time) *Snapshot {
+	s := &Snapshot{
+		routes:   map[netip.AddrPort]*Route{},
+		dropped:  make(map[netip.AddrPort]bool, len(c.dropped)),
+		byCookie: make(map[flowcookie.Cookie]*Entry, len(c.entries)),
+		services: map[string]*ServiceView{},
+	}
 	for address := range c.dropped {
 		s.dropped[address] = true
 	}
@@ -102,7 +117,7 @@
 		}
 	}
 	c.fill(now, s)
-	return s, true
+	return s
 }
 
 func (c *Catalog) fill(now time.Time, s *Snapshot) {
@@ -130,7 +145,7 @@
 		}
 		if entry.Listed() {
 			service.Entries = append(service.Entries, entry)
-		} else if !entry.Gone(now) {
+		} else {
 			service.Lapsed = append(service.Lapsed, entry)
 		}
 	}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -59,7 +59,7 @@
 	// defaultShutdownMS leaves one second of the platform's grace of 6 s.
 	defaultShutdownMS = 5000
 	// defaultMaxFlows holds the 28,000 flows of an instance of the target size
-	// twice; about 12 MB when full.
+	// twice; about 18 MB when full.
 	defaultMaxFlows = 65536
 )
 
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -24,8 +24,8 @@
 	// Mates are the known instances of the failure domain.
 	Mates []string `json:"mates"`
 	// LinesLost counts log lines that were not written.
-	LinesLost int64 `json:"log_lines_lost"`
-	Upstreams        []UpstreamStatus `json:"upstreams"`
+	LinesLost int64            `json:"log_lines_lost"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
 }
 
 // UpstreamStatus is one upstream in Status.
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -214,6 +214,9 @@
 	e.candidates, e.entries = e.candidates[:0], e.entries[:0]
 	limited := false
 	for _, entry := range entries {
+		if entry.Gone(now) {
+			continue
+		}
 		stats := e.statsOf(entry.Cookie)
 		cold, local := entry.Cold(now), entry.FailureDomain == e.cfg.FailureDomain
 		if cold && (!local || !stats.cold.allows(now, e.coldBudget(service))) {
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -525,3 +525,19 @@
 	}
 	require.Greater(t, len(sent), 2*budget)
 }
+
+// Pattern: the store takes all entries away at once. Guards against refusing
+// callers while the upstreams live, and against sending to them after the users'
+// bound.
+func TestLapsedUpstreamIsTheLastResort(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.remove("i-1")
+	require.Equal(t, "i-2", f.open(1, 0).Upstream.ID)
+	f.remove("i-2")
+	d := f.open(2, 0)
+	require.Equal(t, Forward, d.Action)
+	f.wait(2500 * time.Millisecond)
+	d = f.open(3, 0)
+	require.Equal(t, Reset, d.Action)
+	require.Equal(t, ReasonNoUpstream, d.Reason)
+}
