Give slow upstreams no new flows while others can take them

At this layer a slow upstream shows in the time from a request to a bare acknowledgement of its answer.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -19,6 +19,8 @@
 	Local bool
 	// Cold upstreams take flows only when no other upstream can.
 	Cold bool
+	// Slow upstreams answer much later than the service usually does.
+	Slow bool
 	// Suspect upstreams did not answer recent flows.
 	Suspect bool
 	// Flows is the number of open flows and unanswered opens that this instance
@@ -50,6 +52,7 @@
 const (
 	Local Tier = iota
 	Remote
+	Slow
 	Cold
 	Suspect
 	Repeat
@@ -57,7 +60,7 @@
 )
 
 func (t Tier) String() string {
-	return [...]string{"local", "remote", "cold", "suspect", "repeat", "none"}[t]
+	return [...]string{"local", "remote", "slow", "cold", "suspect", "repeat", "none"}[t]
 }
 
 // Pick returns the index of the upstream that takes the flow. The tier is None
@@ -79,7 +82,7 @@
 func countLocal(candidates []Candidate) int {
 	n := 0
 	for i := range candidates {
-		if c := &candidates[i]; c.Local && !c.Cold && !c.Suspect {
+		if c := &candidates[i]; c.Local && !c.Cold && !c.Suspect && !c.Slow {
 			n++
 		}
 	}
@@ -114,6 +117,8 @@
 		return Suspect
 	case c.Cold:
 		return Cold
+	case c.Slow:
+		return Slow
 	case c.Local == useLocal:
 		return Local
 	}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -45,6 +45,9 @@
 	// answered and another one is opened.
 	lastOpen map[netip.Addr]*flowRecord
 
+	// delays are the times to an answer by service.
+	delays map[string]*delay
+
 	probes     []Probe
 	weights    []int
 	candidates []choice.Candidate
@@ -53,7 +56,8 @@
 
 // New returns an engine without a view: every packet waits.
 func New(cfg Config) *Engine {
-	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), stats: map[flowcookie.Cookie]*upstreamStats{}, lastOpen: map[netip.Addr]*flowRecord{}}
+	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), stats: map[flowcookie.Cookie]*upstreamStats{}, lastOpen: map[netip.Addr]*flowRecord{},
+		delays: map[string]*delay{}}
 }
 
 // Adopt makes a snapshot the view for the packets that follow.
@@ -226,7 +230,7 @@
 		e.entries = append(e.entries, entry)
 		e.candidates = append(e.candidates, choice.Candidate{
 			Cookie: entry.Cookie, Local: local, Cold: cold,
-			Suspect: stats.suspect(now), Flows: stats.flows, Capacity: entry.Capacity,
+			Suspect: stats.suspect(now), Slow: now.Before(stats.slowUntil), Flows: stats.flows, Capacity: entry.Capacity,
 		})
 	}
 	i, tier := choice.Pick(request, e.candidates)
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -541,3 +541,45 @@
 	require.Equal(t, Reset, d.Action)
 	require.Equal(t, ReasonNoUpstream, d.Reason)
 }
+
+// Pattern: slow upstream in a failure domain with few. Guards against new flows
+// that queue behind it while others of the service are idle, and against one
+// that stays out after it has recovered.
+func TestSlowUpstreamGetsNoNewFlowsWhileOthersCan(t *testing.T) {
+	remote := func(n int) catalog.Upstream { u := upstream(n); u.FailureDomain = "b"; return u }
+	f := newFixture(t, upstream(1), remote(2), remote(3))
+	cookie := flowcookie.Of("i-1", 1000)
+	answer := func(port int, round uint32, took time.Duration) {
+		f.send(port, cookie, 1+100*round, 1+400*round, 100)
+		f.now = f.now.Add(took)
+		f.send(port, cookie, 101+100*round, 401+400*round, 0)
+	}
+	require.Equal(t, "i-1", f.establish(1).ID)
+	round := uint32(0)
+	for ; round < 50; round++ {
+		answer(1, round, 25*time.Millisecond)
+	}
+	require.Equal(t, "i-1", f.open(2, 0).Upstream.ID)
+	for ; round < 60; round++ {
+		answer(1, round, 300*time.Millisecond)
+	}
+	f.wait(0)
+	require.NotEqual(t, "i-1", f.open(3, 0).Upstream.ID)
+	for ; round < 90; round++ {
+		answer(1, round, 25*time.Millisecond)
+	}
+	f.wait(slowFor)
+	require.Equal(t, "i-1", f.open(4, 0).Upstream.ID)
+}
+
+// Guards against taking a caller's pause for the time of an answer: an
+// acknowledgement may come with the next request.
+func TestPausesOfTheCallerAreNoDelay(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	cookie := f.establish(1).Cookie
+	for round := uint32(0); round < 50; round++ {
+		f.send(1, cookie, 1+100*round, 1+400*round, 100)
+		f.now = f.now.Add(time.Second)
+	}
+	require.Zero(t, f.engine.statsOf(cookie).delay.samples)
+}
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -49,6 +49,9 @@
 	// ack is the caller's last acknowledgement, sent the end of the data that
 	// it has sent.
 	ack, sent uint32
+	// asked is when the caller sent the data that waits for an answer; zero when
+	// none does.
+	asked time.Time
 	// stalled is set when the caller sent data again without an answer in
 	// between.
 	stalled bool
@@ -209,12 +212,18 @@
 	case int32(p.Ack-record.ack) > 0:
 		record.ack, record.stalled = p.Ack, false
 		e.statsOf(p.Cookie).progressed(now)
+		// An acknowledgement that comes with the next request says nothing about
+		// the time of the answer.
+		if p.Data == 0 && !record.asked.IsZero() {
+			e.measure(now, p.Cookie, now.Sub(record.asked))
+		}
+		record.asked = time.Time{}
 	case p.Data > 0 && int32(end-record.sent) <= 0 && !record.stalled:
 		record.stalled = true
 		e.suspect(now, p.Cookie, SignStall)
 	}
 	if int32(end-record.sent) > 0 {
-		record.sent = end
+		record.sent, record.asked = end, now
 	}
 }
 
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -71,6 +71,10 @@
 	answered time.Time
 	probe    probeState
 	cold     coldLimiter
+	// delay is the time to an answer, and slowUntil the end of the time in which
+	// the upstream counts as slow.
+	delay     delay
+	slowUntil time.Time
 }
 
 // suspect tells whether new flows avoid the upstream.
--- a/internal/loadsim/flow_test.go
+++ b/internal/loadsim/flow_test.go
@@ -174,7 +174,7 @@
 func (u *upstream) work(w *world, r *request, answered func()) {
 	u.running++
 	u.served++
-	work := time.Duration((0.5 + w.rng.ExpFloat64()*0.5) * float64(meanWork))
+	work := time.Duration((0.5 + w.rng.ExpFloat64()*0.5) * float64(meanWork) * max(u.factor, 1))
 	w.after(work, func() {
 		u.running--
 		if len(u.waiting) > 0 {
--- a/internal/loadsim/patterns_test.go
+++ b/internal/loadsim/patterns_test.go
@@ -225,6 +225,22 @@
 	})
 }
 
+// Pattern: slow upstreams. A seventh of them take eight times as long. Guards
+// against new flows that queue behind them.
+func TestSlowUpstreams(t *testing.T) {
+	const span, begin, end = 14 * time.Second, 4 * time.Second, 9 * time.Second
+	play(t, span, func(w *world) {
+		for n := 0; n < len(w.upstreams); n += 7 {
+			w.after(begin, func() { w.upstreams[n].factor = 8 })
+			w.after(end, func() { w.upstreams[n].factor = 1 })
+		}
+	}, func(t *testing.T, w *world) {
+		requireServed(t, w, span)
+		requireInGoal(t, w, end+time.Second, span)
+		require.Zero(t, w.resets)
+	})
+}
+
 // Shows that the checks find a policy without probes: callers of silent
 // upstreams wait for their time limit.
 func TestChecksRejectAPolicyWithoutProbes(t *testing.T) {
--- a/internal/loadsim/world_test.go
+++ b/internal/loadsim/world_test.go
@@ -114,11 +114,13 @@
 	catalog.Upstream
 	// silent upstreams answer nothing; ended ones refuse connections.
 	silent, ended bool
-	flows         map[forward.Flow]bool
-	running       int
-	waiting       []*request
-	served        int
-	opens         []time.Time
+	// factor is how much longer than usual it works; 0 counts as 1.
+	factor  float64
+	flows   map[forward.Flow]bool
+	running int
+	waiting []*request
+	served  int
+	opens   []time.Time
 }
 
 // user sends requests over one long flow at a time.
