Keep one error type for sockets that cannot be opened; split the engine's tests by duty

traffic, peer, daemon and edge each had a copy of the same error; internal/listen has it now, with the network in it. No behaviour changes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/listen"
 	"github.com/chivemast/chivemast/internal/membership"
 	"github.com/chivemast/chivemast/internal/node"
 	"github.com/chivemast/chivemast/internal/peer"
@@ -58,8 +59,7 @@
 	ready    readiness
 }
 
-// New opens the sockets of an instance. It fails with *traffic.ListenError,
-// *peer.ListenError, *ListenError or *telemetry.SetupError.
+// New opens the sockets of an instance. It fails with *listen.Error or *telemetry.SetupError.
 func New(s *settings.Settings, log *logrus.Entry) (*Daemon, error) {
 	metrics, err := telemetry.New()
 	if err != nil {
@@ -95,7 +95,7 @@
 		return err
 	}
 	if d.admin, err = net.Listen("tcp", s.AdminAddress.String()); err != nil {
-		return &ListenError{Address: s.AdminAddress, Err: err}
+		return &listen.Error{Network: "tcp", Address: s.AdminAddress, Err: err}
 	}
 	if d.platform, err = platform.New(platform.FromSettings(s, d.metrics.Meter())); err != nil {
 		return fmt.Errorf("platform client: %w", err)
@@ -104,17 +104,6 @@
 	return nil
 }
 
-// ListenError says that the admin address could not be opened.
-type ListenError struct {
-	Address netip.AddrPort
-	Err     error
-}
-
-func (e *ListenError) Error() string { return fmt.Sprintf("listen on tcp %s: %v", e.Address, e.Err) }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 func (d *Daemon) nodeConfig(incarnation uint64) node.Config {
 	s, l := d.settings, d.settings.Limits
 	cfg := node.Config{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/chivemast/chivemast/internal/eventlog"
 	"github.com/chivemast/chivemast/internal/follow"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/listen"
 	"github.com/chivemast/chivemast/internal/relay"
 )
 
@@ -63,7 +64,7 @@
 	handler  http.Handler
 }
 
-// New opens the sockets of an instance. It fails with *ListenError, or with an
+// New opens the sockets of an instance. It fails with *listen.Error, or with an
 // error of the metrics library.
 func New(s *Settings, codec Codec, store follow.Store, log *eventlog.Log) (*Instance, error) {
 	metrics, err := NewMetrics()
@@ -107,7 +108,7 @@
 		Observer:  relayObserver{i},
 	})
 	if err != nil {
-		return &ListenError{Network: "udp", Address: s.PeerAddress, Err: err}
+		return &listen.Error{Network: "udp", Address: s.PeerAddress, Err: err}
 	}
 	i.traffic.silent, i.traffic.sharing = i.relay.ReportSilent, i.relay.Sharing
 	i.follower = follow.New(store, i.relay, i.events)
@@ -143,7 +144,7 @@
 			for _, open := range i.servers {
 				err = errors.Join(err, open.listener.Close())
 			}
-			return &ListenError{Network: "tcp", Address: server.address, Err: err}
+			return &listen.Error{Network: "tcp", Address: server.address, Err: err}
 		}
 		i.servers = append(i.servers, httpServer{listener: listener, handler: server.handler})
 	}
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -14,6 +14,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/listen"
 	"github.com/chivemast/chivemast/internal/relay"
 )
 
@@ -53,20 +54,6 @@
 	AppendReset(b []byte, p *forward.Packet) []byte
 }
 
-// ListenError says that a socket could not be opened.
-type ListenError struct {
-	Network string
-	Address netip.AddrPort
-	Err     error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("listen on %s %s: %v", e.Network, e.Address, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // traffic owns the packet socket and the engine. Its goroutine shares nothing
 // with the control goroutine but the snapshot.
 type traffic struct {
@@ -108,7 +95,7 @@
 func listenTraffic(address netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, &ListenError{Network: "udp", Address: address, Err: err}
+		return nil, &listen.Error{Network: "udp", Address: address, Err: err}
 	}
 	// The kernel may cap the size; a smaller buffer only drops earlier.
 	_ = conn.SetReadBuffer(socketBuffer)
--- /dev/null
+++ b/internal/forward/choice_test.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+// Pattern: upstream silent. Guards against copies of an opening packet that go
+// to the upstream that did not answer the first.
+func TestCopiesOfAnOpeningPacketGoToOtherUpstreams(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	seen := map[string]bool{}
+	for n := range 3 {
+		d := f.open(1, n)
+		require.Equal(t, Forward, d.Action)
+		seen[d.Upstream.ID] = true
+		f.wait(200 * time.Millisecond)
+	}
+	require.Len(t, seen, 3)
+}
+
+// Pattern: calm wave. Guards against uneven load: plain hashing gave the
+// busiest upstream 1.3 to 1.4 times the mean.
+func TestNewFlowsSpreadEvenly(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3), upstream(4))
+	flows := map[string]int{}
+	for port := 1; port <= 400; port++ {
+		flows[f.establish(port).ID]++
+	}
+	for id, n := range flows {
+		require.Equal(t, 100, n, id)
+	}
+}
+
+// Pattern: whole service cold. Guards against instances that send more to a cold
+// upstream together than it sustains, for every number of instances.
+func TestColdBudgetsAddUpToTheLimit(t *testing.T) {
+	for _, rate := range []float64{0, 0.5, 3, 8, 40, 300} {
+		for _, count := range []int{1, 2, 3, 9, 18, 70} {
+			total := 0
+			for rank := range count {
+				total += coldBudget(rate, 1.5, 5, Sharing{Rank: rank, Count: count})
+			}
+			limit := rate*1.5 + 5
+			require.LessOrEqual(t, float64(total), limit, "rate %g, %d instances", rate, count)
+			require.Positive(t, total)
+		}
+	}
+}
+
+// Guards against flows to cold upstreams while others can take them, and against
+// a burst that is spread over two windows.
+func TestColdUpstreamsAreUsedLastAndWithinTheirLimit(t *testing.T) {
+	cold := func(n int) catalog.Upstream { u := upstream(n); u.ColdFor = time.Minute; return u }
+	f := newFixture(t, cold(1), upstream(2))
+	for port := 1; port <= 50; port++ {
+		require.Equal(t, "i-2", f.establish(port).ID)
+	}
+
+	f = newFixture(t, cold(1))
+	budget := coldBudget(10, 1.5, 5, Sharing{})
+	var sent []time.Time
+	for port := 1; port <= 400; port++ {
+		if f.open(port, 0).Action == Forward {
+			sent = append(sent, f.now)
+		}
+		f.wait(17 * time.Millisecond)
+	}
+	for i := range sent {
+		if i >= budget {
+			require.Greater(t, sent[i].Sub(sent[i-budget]), time.Second)
+		}
+	}
+	require.Greater(t, len(sent), 2*budget)
+}
+
+// Pattern: the store takes all entries away at once. Guards against refusing
+// callers while the upstreams live, and against sending to them after the users'
+// bound.
+func TestLapsedUpstreamIsTheLastResort(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.remove("i-1")
+	require.Equal(t, "i-2", f.open(1, 0).Upstream.ID)
+	f.remove("i-2")
+	d := f.open(2, 0)
+	require.Equal(t, Forward, d.Action)
+	f.wait(2500 * time.Millisecond)
+	d = f.open(3, 0)
+	require.Equal(t, Reset, d.Action)
+	require.Equal(t, ReasonNoUpstream, d.Reason)
+}
+
+// Pattern: slow upstream in a failure domain with few. Guards against new flows
+// that queue behind it while others of the service are idle, and against one
+// that stays out after it has recovered.
+func TestSlowUpstreamGetsNoNewFlowsWhileOthersCan(t *testing.T) {
+	remote := func(n int) catalog.Upstream { u := upstream(n); u.FailureDomain = "b"; return u }
+	f := newFixture(t, upstream(1), remote(2), remote(3))
+	cookie := flowcookie.Of("i-1", 1000)
+	answer := func(port int, round uint32, took time.Duration) {
+		f.send(port, cookie, 1+100*round, 1+400*round, 100)
+		f.now = f.now.Add(took)
+		f.send(port, cookie, 101+100*round, 401+400*round, 0)
+	}
+	require.Equal(t, "i-1", f.establish(1).ID)
+	round := uint32(0)
+	for ; round < 50; round++ {
+		answer(1, round, 25*time.Millisecond)
+	}
+	require.Equal(t, "i-1", f.open(2, 0).Upstream.ID)
+	for ; round < 60; round++ {
+		answer(1, round, 300*time.Millisecond)
+	}
+	f.wait(0)
+	require.NotEqual(t, "i-1", f.open(3, 0).Upstream.ID)
+	for ; round < 90; round++ {
+		answer(1, round, 25*time.Millisecond)
+	}
+	f.wait(slowFor)
+	require.Equal(t, "i-1", f.open(4, 0).Upstream.ID)
+}
+
+// Guards against taking a caller's pause for the time of an answer: an
+// acknowledgement may come with the next request.
+func TestPausesOfTheCallerAreNoDelay(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	cookie := f.establish(1).Cookie
+	for round := uint32(0); round < 50; round++ {
+		f.send(1, cookie, 1+100*round, 1+400*round, 100)
+		f.now = f.now.Add(time.Second)
+	}
+	require.Zero(t, f.engine.statsOf(cookie).delay.samples)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,6 +20,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
+	"github.com/chivemast/chivemast/internal/listen"
 	"github.com/chivemast/chivemast/internal/telemetry"
 )
 
@@ -55,20 +55,6 @@
 	DropSendFailed = "peer_send_failed"
 )
 
-// ListenError says that the peer address could not be opened.
-type ListenError struct {
-	Network string
-	Address netip.AddrPort
-	Err     error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("listen on %s %s: %v", e.Network, e.Address, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // Transport sends and receives peer messages.
 type Transport struct {
 	udp      *net.UDPConn
@@ -89,15 +75,15 @@
 
 // Listen opens the peer address for UDP and TCP. Received messages go to in;
 // a message that finds it full is dropped and counted. It fails with
-// *ListenError.
+// *listen.Error.
 func Listen(address netip.AddrPort, in chan<- *pb.PeerMessage, observer Observer) (*Transport, error) {
 	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, &ListenError{Network: "udp", Address: address, Err: err}
+		return nil, &listen.Error{Network: "udp", Address: address, Err: err}
 	}
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, errors.Join(&ListenError{Network: "tcp", Address: address, Err: err}, udp.Close())
+		return nil, errors.Join(&listen.Error{Network: "tcp", Address: address, Err: err}, udp.Close())
 	}
 	return &Transport{
 		udp:      udp,
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/listen"
 	"github.com/chivemast/chivemast/internal/telemetry"
 )
 
@@ -80,6 +81,6 @@
 func TestListenFailsOnAnAddressInUse(t *testing.T) {
 	_, address, _, _ := run(t)
 	_, err := Listen(address, nil, observed{})
-	var target *ListenError
+	var target *listen.Error
 	require.ErrorAs(t, err, &target)
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/listen"
 )
 
 const (
@@ -60,19 +60,6 @@
 	Source netip.AddrPort
 }
 
-// ListenError says that a socket could not be opened.
-type ListenError struct {
-	Address netip.AddrPort
-	Err     error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("listen on udp %s: %v", e.Address, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // Config sets up a Server.
 type Config struct {
 	// CallerAddress receives packets of callers from the fabric.
@@ -96,7 +83,7 @@
 
 // Listen opens the sockets. Packets that need a decision go to control; a
 // packet that finds it full is refused and counted. It fails with
-// *ListenError.
+// *listen.Error.
 func Listen(cfg Config, control chan<- Inbound, observer Observer) (*Server, error) {
 	callers, err := listenUDP(cfg.CallerAddress)
 	if err != nil {
@@ -119,7 +106,7 @@
 func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, &ListenError{Address: address, Err: err}
+		return nil, &listen.Error{Network: "udp", Address: address, Err: err}
 	}
 	// The kernel may cap the size; a smaller buffer only drops earlier.
 	_ = conn.SetReadBuffer(socketBuffer)
