--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -108,7 +108,7 @@
 
 func (e *Engine) established(now time.Time, p *Packet) Decision {
 	if e.view.Dropped(p.Flow.Service) {
-		return e.end(p, Decision{Action: Reset, Reason: ReasonRouteRemoved})
+		return e.reset(p, ReasonRouteRemoved, nil)
 	}
 	if p.Cookie == flowcookie.None {
 		return Decision{Action: Drop, Reason: ReasonNoCookie}
@@ -116,12 +116,12 @@
 	entry := e.view.Resolve(p.Cookie)
 	if entry == nil {
 		if e.view.Complete(now) && !p.Reset {
-			return e.end(p, Decision{Action: Reset, Reason: ReasonUnknownCookie})
+			return e.reset(p, ReasonUnknownCookie, nil)
 		}
 		return Decision{Action: Wait, Reason: ReasonUnknownCookie}
 	}
 	if reason, ended := e.ended(now, entry); ended && !p.Reset {
-		return e.end(p, Decision{Action: Reset, Reason: reason, Upstream: entry})
+		return e.reset(p, reason, entry)
 	}
 	return Decision{Action: Forward, Reason: ReasonEstablished, Upstream: entry, Answer: e.observe(now, p)}
 }
@@ -145,12 +145,10 @@
 	return ReasonUpstreamGone, gone && !stats.probe.alive(now) && !stats.probe.pending
 }
 
-// end forgets a flow that is reset.
-func (e *Engine) end(p *Packet, decision Decision) Decision {
-	if record := e.flows.remove(p.Flow); record != nil {
-		e.forget(record)
-	}
-	return decision
+// reset forgets a flow and returns the decision to reset it.
+func (e *Engine) reset(p *Packet, reason Reason, entry *catalog.Entry) Decision {
+	e.discard(p.Flow)
+	return Decision{Action: Reset, Reason: reason, Upstream: entry}
 }
 
 func (e *Engine) open(now time.Time, p *Packet) Decision {
@@ -162,7 +160,7 @@
 	record := e.flows.get(p.Flow)
 	if record != nil && record.seq != p.Seq {
 		// The caller uses the port again for another flow.
-		e.end(p, Decision{})
+		e.discard(p.Flow)
 		record = nil
 	}
 	service := e.service(route, hash)
@@ -200,6 +198,8 @@
 	return e.view.Service(route.Split[i].Service)
 }
 
+// assign chooses the upstream of a new flow; record is that of earlier copies,
+// or nil.
 func (e *Engine) assign(now time.Time, p *Packet, hash uint64, service *catalog.ServiceView, record *flowRecord) Decision {
 	request := choice.Request{
 		Hash:          hash,
@@ -211,12 +211,34 @@
 	} else {
 		request.Exclude = e.failedBefore(now, p)
 	}
+	limited := e.collect(now, service)
+	i, tier := choice.Pick(request, e.candidates)
+	switch {
+	case i < 0 && limited:
+		return Decision{Action: Drop, Reason: ReasonColdLimit}
+	case i < 0:
+		return Decision{Action: Reset, Reason: ReasonNoUpstream}
+	}
+	chosen := e.entries[i]
+	if e.candidates[i].Cold {
+		e.statsOf(chosen.Cookie).cold.take(now)
+	}
+	e.remember(now, p, chosen, record)
+	reason := ReasonOpened
+	if p.Copy > 0 {
+		reason = ReasonOpenRepeated
+	}
+	return Decision{Action: Forward, Reason: reason, Upstream: chosen, Detail: tier.String()}
+}
+
+// collect sets the candidates for a new flow of a service. It tells whether cold
+// upstreams were left out because of their limit.
+func (e *Engine) collect(now time.Time, service *catalog.ServiceView) (limited bool) {
 	entries := service.Entries
 	if len(entries) == 0 {
 		entries = service.Lapsed
 	}
 	e.candidates, e.entries = e.candidates[:0], e.entries[:0]
-	limited := false
 	for _, entry := range entries {
 		if entry.Gone(now) {
 			continue
@@ -233,23 +255,7 @@
 			Suspect: stats.suspect(now), Slow: now.Before(stats.slowUntil), Flows: stats.flows, Capacity: entry.Capacity,
 		})
 	}
-	i, tier := choice.Pick(request, e.candidates)
-	if i < 0 {
-		if limited {
-			return Decision{Action: Drop, Reason: ReasonColdLimit}
-		}
-		return Decision{Action: Reset, Reason: ReasonNoUpstream}
-	}
-	chosen := e.entries[i]
-	if e.candidates[i].Cold {
-		e.statsOf(chosen.Cookie).cold.take(now)
-	}
-	e.remember(now, p, chosen, record)
-	reason := ReasonOpened
-	if p.Copy > 0 {
-		reason = ReasonOpenRepeated
-	}
-	return Decision{Action: Forward, Reason: reason, Upstream: chosen, Detail: tier.String()}
+	return limited
 }
 
 // coldBudget returns the limit of this instance for a cold upstream.
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -39,8 +39,7 @@
 type flowRecord struct {
 	flow Flow
 	// seq is the sequence number of the opening packet.
-	seq    uint32
-	copies uint32
+	seq uint32
 	// targets are the upstreams that the opening packet and its copies went to;
 	// after the first packet that follows, targets[0] is the flow's upstream.
 	targets  [maxCopies]flowcookie.Cookie
@@ -123,7 +122,6 @@
 		record.opened, record.sent = now, p.Seq
 	}
 	record.lastSeen = now
-	record.copies = max(record.copies, p.Copy)
 	for _, target := range record.tried() {
 		if target == chosen.Cookie {
 			return
@@ -197,8 +195,7 @@
 	}
 	e.compare(now, p, record)
 	if p.Fin || p.Reset {
-		e.flows.remove(p.Flow)
-		e.forget(record)
+		e.discard(p.Flow)
 	}
 	return answer
 }
@@ -235,6 +232,13 @@
 	record.attempts, record.answered = 1, true
 }
 
+// discard forgets a flow, if it is remembered.
+func (e *Engine) discard(flow Flow) {
+	if record := e.flows.remove(flow); record != nil {
+		e.forget(record)
+	}
+}
+
 // forget takes a flow off the load of its upstreams.
 func (e *Engine) forget(record *flowRecord) {
 	for _, target := range record.tried() {
