--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -68,6 +70,24 @@
 	require.Equal(t, document.Unreadable, invalid.Kind)
 }
 
+// Guards against a key that the settings page lacks, and against one that it
+// names although the daemon does not know it.
+func TestSettingsPageListsEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings-edge.md")
+	require.NoError(t, err)
+	var listed []string
+	for line := range strings.Lines(string(page)) {
+		if cells := strings.Split(line, "|"); len(cells) == 7 && strings.HasPrefix(strings.TrimSpace(cells[1]), "`") {
+			listed = append(listed, strings.Trim(cells[1], " `"))
+		}
+	}
+	var keys []string
+	for i := range reflect.TypeFor[Settings]().NumField() {
+		keys = append(keys, document.FieldKey(reflect.TypeFor[Settings]().Field(i)))
+	}
+	require.ElementsMatch(t, keys, listed)
+}
+
 // removeKey removes a string key and its value.
 func removeKey(text, key string) string {
 	begin := strings.Index(text, `"`+key+`"`)
