--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -49,4 +49,4 @@
 # A short run of the fault soak with fixed seeds, which have failed before; see
 # internal/soak/regressions.go.
 go build -o "$work/" ./cmd/chivemast-edge ./cmd/soak
-"$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak" --seed 112 --seeds 3 --jobs 3 --faults 4s
+"$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak-logs" --seed 112 --seeds 3 --jobs 3 --faults 4s
