Report a passed deadline of a platform call as such

Ruled out: the budget, which had 20 calls left. A deadline that has passed is now an unreachable platform, as when the connection takes too long. TestPassedDeadlineIsNoUsedUpBudget fails before the change.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -116,12 +116,17 @@
 	}), sent
 }
 
-// admit waits for the budget of a kind.
+// admit waits for the budget of a kind. A deadline that has passed is not the
+// budget's fault, although the limiter reports it in the same way.
 func (c *Client) admit(ctx context.Context, kind Call) error {
-	if err := c.limiters[kind].Wait(ctx); err != nil {
-		return &BudgetError{Err: err}
+	err := c.limiters[kind].Wait(ctx)
+	if err == nil {
+		return nil
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
 	}
-	return nil
+	return &BudgetError{Err: err}
 }
 
 // finish counts a call, records it for the backoff and types its error.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -196,6 +196,22 @@
 	})
 }
 
+// Guards against a call whose deadline has passed, as on a busy machine, and
+// that is reported as one that its budget refused.
+func TestPassedDeadlineIsNoUsedUpBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newFake().connect(t, Config{})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		time.Sleep(20 * time.Millisecond)
+		_, _, err := client.Get(ctx, "k")
+		var call *CallError
+		require.ErrorAs(t, err, &call)
+		require.Equal(t, OutcomeUnreachable, call.Outcome)
+		require.False(t, call.Sent)
+	})
+}
+
 // Guards against waits beyond the cap and against repetitions at once.
 func TestBackoffBounds(t *testing.T) {
 	b := &backoff{base: 50 * time.Millisecond, limit: 2 * time.Second}
