Let all instances probe a silent upstream at the same time

After four upstreams crash at 24.0 s an instance needs 0.40 to 0.49 s to end its flows, and the others learn of it only from its verdict, 0.63 s after the crash: requests that must not be repeated go on to be sent there. Change: a probe without an answer for 30 ms takes its upstream out of the choice, probes its failure domain and is told to the others at once; what was heard is not told again. A request on a flow whose answers are acknowledged by themselves is a sign after 100 ms, or four times the usual delay. Requests that fail through flows that no instance remembers remain.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -29,6 +29,10 @@
 type prober struct {
 	wanted  chan forward.Probe
 	results chan forward.ProbeResult
+	// unanswered are probes that have had no answer for a while.
+	unanswered chan forward.Probe
+	// try makes one attempt.
+	try func(context.Context, forward.Probe) forward.Verdict
 	// wake interrupts the traffic goroutine after a result.
 	wake     func()
 	identify Identifier
@@ -41,11 +45,14 @@
 }
 
 func newProber(identify Identifier, wake func()) *prober {
-	return &prober{
+	p := &prober{
 		identify: identify,
 		wanted:   make(chan forward.Probe, maxProbes), results: make(chan forward.ProbeResult, maxProbes),
-		wake: wake, slot: make(chan struct{}, maxProbes),
+		unanswered: make(chan forward.Probe, maxProbes),
+		wake:       wake, slot: make(chan struct{}, maxProbes),
 	}
+	p.try = p.connect
+	return p
 }
 
 // request starts a probe; false when too many are under way.
@@ -78,10 +85,12 @@
 }
 
 func (p *prober) attempt(ctx context.Context, probe forward.Probe) {
+	late := time.AfterFunc(forward.UnansweredAfter, func() { p.late(probe) })
+	defer late.Stop()
 	result := forward.ProbeResult{Upstream: probe.Upstream, Sign: probe.Sign, Started: time.Now()}
 	for range maxProbeAttempts {
 		began := time.Now()
-		result.Verdict = p.connect(ctx, probe)
+		result.Verdict = p.try(ctx, probe)
 		if result.Verdict != forward.VerdictSilent || time.Since(began) < probeTimeout+probeLateness {
 			break
 		}
@@ -96,6 +105,16 @@
 	}
 }
 
+// late reports a probe without an answer. The outcome follows in any case, so
+// that a full queue may lose it.
+func (p *prober) late(probe forward.Probe) {
+	select {
+	case p.unanswered <- probe:
+		p.wake()
+	default:
+	}
+}
+
 // connect attempts a connection and closes it.
 func (p *prober) connect(ctx context.Context, probe forward.Probe) forward.Verdict {
 	address := probe.Upstream.Address
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -38,6 +38,28 @@
 	require.Equal(t, forward.VerdictSilent, verdictOf(context.DeadlineExceeded))
 }
 
+// Pattern: upstream silent. Guards against word of a probe without an answer
+// that comes only with its outcome.
+func TestProberTellsOfAnUnansweredProbeFirst(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	p := newProber(namer("i-1"), func() {})
+	end := make(chan struct{})
+	p.try = func(context.Context, forward.Probe) forward.Verdict {
+		<-end
+		return forward.VerdictSilent
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- p.run(ctx) }()
+	require.True(t, p.request(forward.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-7"}}}))
+	require.Equal(t, "i-7", (<-p.unanswered).Upstream.ID)
+	require.Empty(t, p.results)
+	close(end)
+	require.Equal(t, forward.VerdictSilent, (<-p.results).Verdict)
+	cancel()
+	require.NoError(t, <-done)
+}
+
 // Guards against results that are lost or that do not wake the reader, against
 // a request that blocks the traffic goroutine, and against leaked goroutines.
 func TestProberReportsAndStops(t *testing.T) {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -174,6 +174,8 @@
 		select {
 		case result := <-t.prober.results:
 			t.takeResult(now, result)
+		case probe := <-t.prober.unanswered:
+			t.takeUnanswered(now, probe)
 		case report := <-t.reports:
 			t.engine.Reported(now, report.ID, report.Born)
 		default:
@@ -186,8 +188,8 @@
 	abandoned := t.engine.Probed(now, result)
 	t.log.probed(now, result, len(abandoned.Flows))
 	t.metrics.probed(result.Verdict, now.Sub(result.Started))
-	if abandoned.New {
-		t.silent(relay.SilentUpstream{ID: result.Upstream.ID, Born: result.Upstream.Born})
+	if abandoned.Report {
+		t.report(result.Upstream)
 	}
 	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamSilent, Upstream: result.Upstream}
 	for i := range abandoned.Flows {
@@ -197,6 +199,20 @@
 	}
 }
 
+// takeUnanswered acts on a probe that has had no answer for a while.
+func (t *traffic) takeUnanswered(now time.Time, probe forward.Probe) {
+	report := t.engine.Unanswered(now, probe)
+	t.log.unanswered(probe, report)
+	if report {
+		t.report(probe.Upstream)
+	}
+}
+
+// report tells the mates of an upstream that does not answer.
+func (t *traffic) report(upstream *catalog.Entry) {
+	t.silent(relay.SilentUpstream{ID: upstream.ID, Born: upstream.Born})
+}
+
 // reported takes in a mate's word on an upstream. It never blocks; a mate
 // reports again when its next probe of another upstream fails.
 func (t *traffic) reported(upstream relay.SilentUpstream) {
@@ -351,6 +367,16 @@
 	})
 }
 
+// unanswered logs a probe that has had no answer for a while.
+func (l flowLog) unanswered(probe forward.Probe, reported bool) {
+	l.events.Flow(logrus.InfoLevel, "probe_unanswered", func() logrus.Fields {
+		return logrus.Fields{
+			"upstream": probe.Upstream.ID, "sign": probe.Sign.String(), "upstream_revision": probe.Upstream.Revision,
+			"after_ms": forward.UnansweredAfter.Milliseconds(), "reported": reported,
+		}
+	})
+}
+
 // flowFields identifies a flow: its two ends and the sequence number of the
 // packet, which for an opening packet is that of the flow.
 func flowFields(p *forward.Packet) logrus.Fields {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -41,6 +41,10 @@
 
 	// pending are opening packets by the time at which they were sent.
 	pending []pendingOpen
+	// asks are requests without an answer by the time at which they were sent,
+	// one for each upstream; askSigned is when one was last taken as a sign.
+	asks      []pendingAsk
+	askSigned time.Time
 	// lastOpen is the last flow that each caller address opened, until it is
 	// answered and another one is opened.
 	lastOpen map[netip.Addr]*flowRecord
@@ -100,10 +104,15 @@
 		return Decision{Action: Wait, Reason: ReasonNotSynchronized}
 	}
 	e.checkPending(now)
+	var decision Decision
 	if p.Open {
-		return e.open(now, p)
+		decision = e.open(now, p)
+	} else {
+		decision = e.established(now, p)
 	}
-	return e.established(now, p)
+	// The packet itself may show that an upstream answers.
+	e.checkAsks(now)
+	return decision
 }
 
 func (e *Engine) established(now time.Time, p *Packet) Decision {
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -105,3 +105,10 @@
 		Flow: caller(port), Cookie: cookie, Seq: uint32(port)*1000 + seq, Ack: ack, Data: data,
 	})
 }
+
+// answer sends a flow's first request and acknowledges its answer.
+func (f *fixture) answer(port int, cookie flowcookie.Cookie) {
+	f.send(port, cookie, 1, 1, 100)
+	f.now = f.now.Add(time.Millisecond)
+	f.send(port, cookie, 101, 400, 0)
+}
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -26,8 +26,22 @@
 	// minAnswer is the least time in which a caller can have been reset: one
 	// round trip. Flows that are opened closer together are unrelated.
 	minAnswer = time.Millisecond
+	// askTimeout is the least time without an answer from which a request is a
+	// sign, half of the time after which its caller sends it again; askFactor
+	// is the least multiple of the usual time to an answer.
+	askTimeout = 100 * time.Millisecond
+	askFactor  = 4
+	// askSignInterval is the time between two such signs of one instance: a
+	// service whose answers have just become slow gives them for all upstreams.
+	askSignInterval = 100 * time.Millisecond
 )
 
+// pendingAsk is the first request to an upstream since its last answer.
+type pendingAsk struct {
+	target flowcookie.Cookie
+	sent   time.Time
+}
+
 // pendingOpen is an opening packet that waits for the packet that follows it.
 type pendingOpen struct {
 	record *flowRecord
@@ -51,6 +65,9 @@
 	// asked is when the caller sent the data that waits for an answer; zero when
 	// none does.
 	asked time.Time
+	// prompt is set when the last request's answer was acknowledged before the
+	// next request, so that its absence says something.
+	prompt bool
 	// stalled is set when the caller sent data again without an answer in
 	// between.
 	stalled bool
@@ -148,6 +165,48 @@
 	}
 }
 
+// ask records that a request was sent to an upstream.
+func (e *Engine) ask(now time.Time, cookie flowcookie.Cookie) {
+	if stats := e.statsOf(cookie); stats.asked.IsZero() {
+		stats.asked = now
+		e.asks = append(e.asks, pendingAsk{target: cookie, sent: now})
+	}
+}
+
+// checkAsks takes requests without an answer as signs.
+func (e *Engine) checkAsks(now time.Time) {
+	for left := len(e.asks); left > 0 && now.Sub(e.asks[0].sent) >= askTimeout; left-- {
+		ask := e.asks[0]
+		e.asks = e.asks[1:]
+		stats := e.stats[ask.target]
+		if stats == nil || !stats.asked.Equal(ask.sent) {
+			continue
+		}
+		if now.Sub(ask.sent) < e.askLimit(ask.target, stats) {
+			e.asks = append(e.asks, ask)
+			continue
+		}
+		// The next request begins anew.
+		stats.asked = time.Time{}
+		if now.Sub(e.askSigned) >= askSignInterval {
+			e.askSigned = now
+			e.wantProbe(now, ask.target, SignUnanswered)
+		}
+	}
+}
+
+// askLimit is the time without an answer from which a request to an upstream is
+// a sign.
+func (e *Engine) askLimit(cookie flowcookie.Cookie, stats *upstreamStats) time.Duration {
+	usual := stats.delay.mean
+	if entry := e.view.Resolve(cookie); entry != nil {
+		if base := e.delays[entry.Service]; base != nil {
+			usual = max(usual, base.mean)
+		}
+	}
+	return max(askTimeout, askFactor*usual)
+}
+
 // failedBefore returns the upstreams that an earlier flow of the same caller
 // got no answer from: a caller that opens the next flow at once was reset.
 func (e *Engine) failedBefore(now time.Time, p *Packet) []flowcookie.Cookie {
@@ -184,6 +243,7 @@
 		record.ack, record.sent = p.Ack, p.Seq
 		e.statsOf(p.Cookie).flows++
 	}
+	idle := now.Sub(record.lastSeen)
 	record.lastSeen = now
 	if !record.answered {
 		answer = now.Sub(record.opened)
@@ -193,7 +253,7 @@
 	if !record.answered || record.targets[0] != p.Cookie {
 		e.settle(record, p.Cookie)
 	}
-	e.compare(now, p, record)
+	e.compare(now, p, record, idle)
 	if p.Fin || p.Reset {
 		e.discard(p.Flow)
 	}
@@ -202,16 +262,22 @@
 
 // compare tells from the sequence numbers whether the upstream answers: a
 // higher acknowledgement shows that it does, data that is sent again without
-// one that it may not.
-func (e *Engine) compare(now time.Time, p *Packet, record *flowRecord) {
+// one that it may not. An acknowledgement that comes with the next request may
+// be as old as the flow's last packet, idle ago.
+func (e *Engine) compare(now time.Time, p *Packet, record *flowRecord, idle time.Duration) {
 	end := p.Seq + uint32(p.Data)
 	switch {
 	case int32(p.Ack-record.ack) > 0:
 		record.ack, record.stalled = p.Ack, false
-		e.statsOf(p.Cookie).progressed(now)
+		if p.Data == 0 || idle < answerWindow {
+			e.statsOf(p.Cookie).progressed(now)
+		}
+		if !record.asked.IsZero() {
+			record.prompt = p.Data == 0
+		}
 		// An acknowledgement that comes with the next request says nothing about
 		// the time of the answer.
-		if p.Data == 0 && !record.asked.IsZero() {
+		if record.prompt && !record.asked.IsZero() {
 			e.measure(now, p.Cookie, now.Sub(record.asked))
 		}
 		record.asked = time.Time{}
@@ -221,6 +287,9 @@
 	}
 	if int32(end-record.sent) > 0 {
 		record.sent, record.asked = end, now
+		if record.prompt {
+			e.ask(now, p.Cookie)
+		}
 	}
 }
 
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -19,6 +19,10 @@
 	// aliveFor is how long a successful probe keeps the flows of an upstream
 	// that the store no longer lists.
 	aliveFor = 2 * time.Second
+	// UnansweredAfter is the time without an answer from which a probe under way
+	// counts against its upstream, and others are told: ten times the users'
+	// longest round trip.
+	UnansweredAfter = 30 * time.Millisecond
 	// reportContradicted is how recent an answer of the upstream outweighs the
 	// word of another instance, which takes a millisecond.
 	reportContradicted = 20 * time.Millisecond
@@ -64,7 +68,7 @@
 }
 
 // Reported takes in another instance's word that its probe of an upstream
-// failed. This instance probes the upstream itself.
+// failed or has had no answer. This instance probes the upstream itself.
 func (e *Engine) Reported(now time.Time, id string, born int64) {
 	cookie := flowcookie.Of(id, born)
 	if e.view == nil || now.Sub(e.statsOf(cookie).answered) < reportContradicted {
@@ -76,6 +80,8 @@
 // probeState is what an engine knows from probes of one upstream.
 type probeState struct {
 	pending bool
+	// late is set while the pending probe has had no answer for UnansweredAfter.
+	late    bool
 	asked   time.Time
 	verdict Verdict
 	decided time.Time
@@ -92,6 +98,9 @@
 	s.verdict, s.decided, s.retryAfter = verdict, now, retry
 }
 
+// ended records that no probe is under way any more.
+func (s *probeState) ended() { s.pending, s.late = false, false }
+
 // failed tells whether the last probe found no process.
 func (s *probeState) failed() bool {
 	return s.verdict == VerdictRefused || s.verdict == VerdictSilent || s.verdict == VerdictOther
@@ -104,6 +113,7 @@
 
 // answered withdraws a failed probe: a packet shows that the upstream lives.
 func (s *probeState) answered() {
+	s.late = false
 	if s.failed() {
 		s.verdict = 0
 	}
@@ -137,7 +147,23 @@
 }
 
 // Unprobed takes back a probe that could not be started.
-func (e *Engine) Unprobed(probe Probe) { e.statsOf(probe.Upstream.Cookie).probe.pending = false }
+func (e *Engine) Unprobed(probe Probe) { e.statsOf(probe.Upstream.Cookie).probe.ended() }
+
+// Unanswered takes in that a probe has had no answer for UnansweredAfter. Until
+// its outcome new flows go elsewhere. It tells whether other instances should
+// hear of it, so that all probe at the same time.
+func (e *Engine) Unanswered(now time.Time, probe Probe) (report bool) {
+	stats := e.statsOf(probe.Upstream.Cookie)
+	if !stats.probe.pending || stats.answered.After(stats.probe.asked) {
+		return false
+	}
+	stats.probe.late = true
+	if stats.probe.failed() {
+		return false
+	}
+	e.probeNeighbours(now, probe.Upstream.Cookie, probe.Sign)
+	return probe.Sign != SignReport
+}
 
 // Reprobe asks again for upstreams whose last probe failed, so that one that
 // returns is used again.
@@ -159,6 +185,8 @@
 type Abandoned struct {
 	// New is set when the probe before did not fail.
 	New bool
+	// Report is set when other instances should hear of it.
+	Report bool
 	// Flows are packets to answer with a reset, one for each remembered flow.
 	Flows []Packet
 }
@@ -167,7 +195,7 @@
 // be reached it forgets and returns its flows.
 func (e *Engine) Probed(now time.Time, result ProbeResult) Abandoned {
 	stats := e.statsOf(result.Upstream.Cookie)
-	stats.probe.pending = false
+	stats.probe.ended()
 	if result.Verdict != VerdictAlive && stats.answered.After(result.Started) {
 		// A packet that arrived meanwhile is the better evidence.
 		return Abandoned{}
@@ -178,12 +206,20 @@
 		return Abandoned{}
 	}
 	stats.trial = true
-	// Whoever reported the failure probes the domain and reports what it finds.
-	own := result.Sign != SignDomain && result.Sign != SignReport
-	if entry := e.view.Resolve(result.Upstream.Cookie); first && own && entry != nil && entry.Listed() && !entry.Draining {
+	if first {
+		e.probeNeighbours(now, result.Upstream.Cookie, result.Sign)
+	}
+	return Abandoned{New: first, Report: first && result.Sign != SignReport, Flows: e.abandon(result.Upstream.Cookie)}
+}
+
+// probeNeighbours asks for probes of the failure domain of an upstream that does
+// not answer and whose end was not announced. Whoever reported an upstream
+// probes its domain and reports what it finds.
+func (e *Engine) probeNeighbours(now time.Time, cookie flowcookie.Cookie, sign Sign) {
+	entry := e.view.Resolve(cookie)
+	if sign != SignDomain && sign != SignReport && entry != nil && entry.Listed() && !entry.Draining {
 		e.probeDomain(now, entry.FailureDomain)
 	}
-	return Abandoned{New: first, Flows: e.abandon(result.Upstream.Cookie)}
 }
 
 // probeDomain asks for probes of the upstreams of a failure domain in which one
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -48,12 +48,15 @@
 	// SignRetry: the caller opens another flow although the last one was
 	// not answered.
 	SignRetry
-	// SignReport: another instance's probe failed.
+	// SignReport: another instance's probe failed or got no answer at once.
 	SignReport
+	// SignUnanswered: a request got no answer for long, and neither did any
+	// other of the upstream since.
+	SignUnanswered
 )
 
 func (s Sign) String() string {
-	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported"}[s]
+	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported", "request_unanswered"}[s]
 }
 
 // upstreamStats is what an engine has seen of one upstream.
@@ -69,8 +72,10 @@
 	nextTrial time.Time
 	// answered is when a packet last showed that the upstream answers.
 	answered time.Time
-	probe    probeState
-	cold     coldLimiter
+	// asked is when the first request since then was sent; zero when none was.
+	asked time.Time
+	probe probeState
+	cold  coldLimiter
 	// delay is the time to an answer, and slowUntil the end of the time in which
 	// the upstream counts as slow.
 	delay     delay
@@ -79,7 +84,7 @@
 
 // suspect tells whether new flows avoid the upstream.
 func (s *upstreamStats) suspect(now time.Time) bool {
-	return now.Before(s.suspectUntil) || s.probe.failed() || (s.trial && now.Before(s.nextTrial))
+	return now.Before(s.suspectUntil) || s.probe.failed() || s.probe.late || (s.trial && now.Before(s.nextTrial))
 }
 
 // chosen records that the upstream gets a new flow.
@@ -94,7 +99,7 @@
 func (s *upstreamStats) progressed(now time.Time) {
 	s.answered = now
 	s.signs, s.trial = 0, false
-	s.suspectUntil = time.Time{}
+	s.suspectUntil, s.asked = time.Time{}, time.Time{}
 	s.probe.answered()
 }
 
--- a/internal/loadsim/flow_test.go
+++ b/internal/loadsim/flow_test.go
@@ -150,6 +150,9 @@
 				delay = remoteDelay
 			}
 			if target.silent || !w.reach(i.domain, target.FailureDomain) {
+				if !p.Open {
+					w.lost = append(w.lost, w.now)
+				}
 				return
 			}
 			w.after(delay, func() { delivered(d.Upstream, target) })
--- a/internal/loadsim/patterns_test.go
+++ b/internal/loadsim/patterns_test.go
@@ -95,6 +95,31 @@
 	})
 }
 
+// maxDetection is how long after a crash packets may go to the upstream: twice
+// the time after which a caller sends data again. Until then requests that must
+// not be repeated are lost.
+const maxDetection = 400 * time.Millisecond
+
+// Pattern: most upstreams of a failure domain silent at once. Guards against
+// instances that learn one upstream, or one instance, at a time that they
+// crashed.
+func TestCrashIsKnownToAllInstancesSoon(t *testing.T) {
+	const span, crash = 8 * time.Second, 5 * time.Second
+	play(t, span, func(w *world) {
+		w.after(crash, func() {
+			for n := 0; n < 3*len(w.upstreams)/4; n += len(domains) {
+				w.upstreams[n].silent = true
+			}
+		})
+	}, func(t *testing.T, w *world) {
+		requireServed(t, w, span)
+		require.NotEmpty(t, w.lost)
+		last := w.lost[len(w.lost)-1].Sub(w.begin) - crash
+		t.Logf("%d packets to silent upstreams, the last %s after the crash", len(w.lost), last)
+		require.LessOrEqual(t, last, maxDetection)
+	})
+}
+
 // Pattern: upstreams end at once and their machines refuse. Guards against
 // retries that all go to the upstream that has just ended.
 func TestUpstreamsRefuse(t *testing.T) {
--- a/internal/loadsim/world_test.go
+++ b/internal/loadsim/world_test.go
@@ -60,6 +60,9 @@
 	requests []*request
 	resets   int
 	broken   int
+	// lost are the times at which packets of established flows went to silent
+	// upstreams.
+	lost []time.Time
 }
 
 // size is a fleet: the number of instances and upstreams, and requests a second
@@ -312,6 +315,14 @@
 			result.Verdict = forward.VerdictRefused
 		}
 		engine := i.engine
+		if delay > forward.UnansweredAfter {
+			w.after(forward.UnansweredAfter, func() {
+				if i.alive && i.engine == engine && engine.Unanswered(w.now, p) {
+					w.report(i, u)
+				}
+				i.probe()
+			})
+		}
 		w.after(delay, func() {
 			if !i.alive || i.engine != engine {
 				return
@@ -321,7 +332,7 @@
 				w.resets++
 				w.reset(packet.Flow)
 			}
-			if abandoned.New {
+			if abandoned.Report {
 				w.report(i, u)
 			}
 			i.probe()
