Notice acknowledgements in the upper half of the sequence numbers

Cause: the acknowledgement of a flow started at 0, and a first one above 2^31 compares as older than that. For half of all flows no answer was ever noticed: their upstreams seemed silent, their delays were not measured, and the resets of a crashed upstream's flows had sequence number 0, which lies outside of the caller's window. Ruled out: lost resets (each flow has one in the log) and stale acknowledgements of flows that moved (the distance is the whole number). Change: the first packet after the opening one sets it. The test fails before.

--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -147,3 +147,24 @@
 	require.False(t, abandoned.Report)
 	require.Empty(t, f.engine.TakeProbes())
 }
+
+// Guards against flows whose acknowledgements are never noticed because the
+// upstream began with a sequence number in the upper half of the range: their
+// upstream seemed not to answer, and their resets lay outside of the caller's
+// window.
+func TestSequenceNumbersInTheUpperHalf(t *testing.T) {
+	const first = 3_000_000_000
+	f := newFixture(t, upstream(1))
+	require.Equal(t, Forward, f.open(1, 0).Action)
+	cookie := flowcookie.Of("i-1", 1000)
+	f.send(1, cookie, 1, first, 0)
+	f.send(1, cookie, 1, first, 100)
+	f.now = f.now.Add(time.Millisecond)
+	f.send(1, cookie, 101, first+400, 0)
+	require.Equal(t, 1, f.engine.statsOf(cookie).delay.samples)
+	require.Equal(t, f.now, f.engine.statsOf(cookie).answered)
+	f.wait(time.Second)
+	abandoned := f.engine.Probed(f.now, ProbeResult{Upstream: f.engine.view.Resolve(cookie), Verdict: VerdictSilent, Started: f.now})
+	require.Len(t, abandoned.Flows, 1)
+	require.EqualValues(t, uint32(first+400), abandoned.Flows[0].Ack)
+}
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -247,7 +247,7 @@
 	record.lastSeen = now
 	if !record.answered {
 		answer = now.Sub(record.opened)
-		record.sent = p.Seq
+		record.ack, record.sent = p.Ack, p.Seq
 		e.statsOf(p.Cookie).progressed(now)
 	}
 	if !record.answered || record.targets[0] != p.Cookie {
