Hand the remembered flows of a leaving instance to another

Cause: after rolling restarts nobody remembers the flows whose callers were idle meanwhile. Change: an instance that leaves gives its remembered flows (28 bytes each, at most 8,192, the latest first) to one of its failure domain, after the routers have stopped sending and within 0.5 s. The other keeps what it has seen later itself. A malformed list changes nothing and is counted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,9 @@
 	quietToLeave = 300 * time.Millisecond
 	// leavePoll is the time between two looks at a leaving instance.
 	leavePoll = 50 * time.Millisecond
+	// handoverTimeout bounds how long a leaving instance hands its flows over.
+	// With the longest wait before (5 s) it ends within the users' grace (6 s).
+	handoverTimeout = 500 * time.Millisecond
 )
 
 // Instance is one running instance.
@@ -84,6 +87,7 @@
 	}
 	i.traffic.prober = newProber(codec, i.traffic.wake)
 	i.traffic.reports = make(chan relay.SilentUpstream, reportQueue)
+	i.traffic.imports, i.traffic.exports = make(chan []forward.FlowState, importQueue), make(chan chan<- []forward.FlowState, 1)
 	if err := i.listenRelay(store); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
@@ -105,6 +109,7 @@
 		},
 		Silent:    i.traffic.reported,
 		Knowledge: i.knowledge,
+		Flows:     i.takeFlows,
 		Observer:  relayObserver{i},
 	})
 	if err != nil {
@@ -195,12 +200,38 @@
 			return
 		}
 	}
+	i.handOver(stop)
 	i.log.Event(logrus.InfoLevel, "shutdown_finished", logrus.Fields{
 		"after_ms": time.Since(began).Milliseconds(), "probes_refused": i.refused.Load(),
 		"quiet_ms": time.Since(i.traffic.lastPacket()).Milliseconds(), "flows_remembered": i.metrics.flows.Load(),
 	})
 }
 
+// handOver gives the remembered flows to another instance of the failure domain.
+func (i *Instance) handOver(stop context.Context) {
+	ctx, cancel := context.WithTimeout(stop, handoverTimeout)
+	defer cancel()
+	flows := i.traffic.exportFlows(ctx)
+	if len(flows) == 0 {
+		return
+	}
+	mate, err := i.relay.HandOver(ctx, flows)
+	if err != nil {
+		i.log.Event(logrus.WarnLevel, "flows_not_handed_over", logrus.Fields{"flows": len(flows), "error": err})
+		return
+	}
+	i.log.Event(logrus.InfoLevel, "flows_handed_over", logrus.Fields{"flows": len(flows), "member": mate.Name})
+}
+
+// takeFlows takes flows over from an instance that leaves.
+func (i *Instance) takeFlows(flows []forward.FlowState) bool {
+	if i.leaving.Load() || i.view.Load() == nil || !i.traffic.importFlows(flows) {
+		return false
+	}
+	i.log.Event(logrus.InfoLevel, "flows_taken_over", logrus.Fields{"flows": len(flows)})
+	return true
+}
+
 // mayExit tells whether the routers have taken a leaving instance out of the
 // rotation. They go on sending while too few instances are left.
 func (i *Instance) mayExit(now, began time.Time) bool {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -37,6 +37,8 @@
 	readTimeout = reachInterval
 	// reportQueue is the number of words of mates that may wait.
 	reportQueue = 64
+	// importQueue is the number of mates whose flows may wait.
+	importQueue = 4
 )
 
 // Codec translates packets between their wire format and forward.Packet.
@@ -64,6 +66,10 @@
 	// reports are upstreams that mates found silent; silent tells the mates.
 	reports chan relay.SilentUpstream
 	silent  func(relay.SilentUpstream)
+	// imports are flows of mates that left; exports ask for the flows that this
+	// instance remembers.
+	imports chan []forward.FlowState
+	exports chan chan<- []forward.FlowState
 	// sharing returns this instance's place among those of its failure domain,
 	// and their number.
 	sharing func(time.Time) (rank, count int)
@@ -178,6 +184,10 @@
 			t.takeUnanswered(now, probe)
 		case report := <-t.reports:
 			t.engine.Reported(now, report.ID, report.Born)
+		case flows := <-t.imports:
+			t.engine.Import(now, flows)
+		case answer := <-t.exports:
+			answer <- t.engine.Export(now)
 		default:
 			return
 		}
@@ -223,6 +233,36 @@
 	}
 }
 
+// importFlows hands flows of a mate to the traffic goroutine; false when too
+// many wait.
+func (t *traffic) importFlows(flows []forward.FlowState) bool {
+	select {
+	case t.imports <- flows:
+		t.wake()
+		return true
+	default:
+		return false
+	}
+}
+
+// exportFlows returns the flows that the engine remembers; none when ctx ends
+// before the traffic goroutine answers.
+func (t *traffic) exportFlows(ctx context.Context) []forward.FlowState {
+	answer := make(chan []forward.FlowState, 1)
+	select {
+	case t.exports <- answer:
+		t.wake()
+	default:
+		return nil
+	}
+	select {
+	case flows := <-answer:
+		return flows
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // lastPacket returns when the last packet arrived.
 func (t *traffic) lastPacket() time.Time { return time.Unix(0, t.arrived.Load()) }
 
--- a/internal/loadsim/flow_test.go
+++ b/internal/loadsim/flow_test.go
@@ -142,6 +142,9 @@
 			if !p.Open {
 				w.resets++
 			}
+			if p.Data > 0 {
+				w.late = append(w.late, w.now)
+			}
 			w.after(callerDelay, reset)
 		case forward.Forward:
 			target := w.find(d.Upstream.ID)
--- a/internal/loadsim/patterns_test.go
+++ b/internal/loadsim/patterns_test.go
@@ -120,6 +120,43 @@
 	})
 }
 
+// Pattern: rolling restart of all instances, then an upstream silent in each
+// failure domain. Guards against flows that nobody remembers after a restart:
+// their callers learn of the crash only when the next request is lost.
+func TestRollingRestartThenCrash(t *testing.T) {
+	t.Parallel()
+	lost := func(forgetful bool, s size) int {
+		const restarts, turns, crash, span = 3 * time.Second, 6 * time.Second, 12 * time.Second, 20 * time.Second
+		s.callers = 12
+		w := newWorld(1, s)
+		w.forgetful = forgetful
+		w.load(span)
+		for _, i := range w.instances {
+			w.after(restarts+turns*time.Duration(i.rank)/time.Duration(i.count), i.restart)
+		}
+		w.after(crash, func() {
+			for _, u := range w.upstreams[:len(domains)] {
+				u.silent = true
+			}
+		})
+		w.run(span + timeLimit)
+		require.Zero(t, w.broken)
+		late := 0
+		for _, at := range w.late {
+			if at.Sub(w.begin) > crash+maxDetection {
+				late++
+			}
+		}
+		return late
+	}
+	for name, s := range sizes {
+		without, with := lost(true, s), lost(false, s)
+		t.Logf("%s: %d requests lost on forgotten flows, %d with handover", name, without, with)
+		require.NotZero(t, without)
+		require.LessOrEqual(t, with, without/5, name)
+	}
+}
+
 // Pattern: upstreams end at once and their machines refuse. Guards against
 // retries that all go to the upstream that has just ended.
 func TestUpstreamsRefuse(t *testing.T) {
--- a/internal/loadsim/world_test.go
+++ b/internal/loadsim/world_test.go
@@ -54,6 +54,8 @@
 	users     []*user
 	// blind leaves out all probes.
 	blind bool
+	// forgetful instances hand no flows over when they leave.
+	forgetful bool
 	// cut is a failure domain without a path to others and to the store.
 	cut string
 
@@ -63,6 +65,8 @@
 	// lost are the times at which packets of established flows went to silent
 	// upstreams.
 	lost []time.Time
+	// late are the times at which requests on established flows met a reset.
+	late []time.Time
 }
 
 // size is a fleet: the number of instances and upstreams, and requests a second
@@ -70,10 +74,13 @@
 type size struct {
 	instances, upstreams int
 	rate                 float64
+	// callers is how many times more callers share the rate, which leaves their
+	// flows idle for longer; 0 counts as 1.
+	callers int
 }
 
 // The users' deployment and the grown one.
-var sizes = map[string]size{"9 instances": {9, 14, 400}, "70 instances": {70, 120, 1500}}
+var sizes = map[string]size{"9 instances": {9, 14, 400, 0}, "70 instances": {70, 120, 1500, 0}}
 
 var domains = []string{"a", "b", "c", "d"}
 
@@ -106,6 +113,8 @@
 	count  int
 	engine *forward.Engine
 	alive  bool
+	// leaving is set from the begin of a planned restart to its end.
+	leaving bool
 	// rotation is set while the routers send to it.
 	rotation bool
 	started  int
@@ -178,7 +187,7 @@
 		w.instances = append(w.instances, i)
 		i.start()
 	}
-	for n := range 30 * len(domains) * max(1, s.instances/9) {
+	for n := range 30 * len(domains) * max(1, s.instances/9) * max(1, s.callers) {
 		w.users = append(w.users, &user{domain: domains[n%len(domains)], n: n, port: 1024})
 	}
 	w.publish()
@@ -296,6 +305,28 @@
 	})
 }
 
+// restart ends an instance as planned: it leaves the rotation, hands its flows
+// over and starts again.
+func (i *instance) restart() {
+	w := i.world
+	i.leaving = true
+	w.after(time.Second, func() { i.rotation = false })
+	w.after(1300*time.Millisecond, func() {
+		for _, mate := range w.instances {
+			if !w.forgetful && mate.domain == i.domain && mate != i && mate.alive && !mate.leaving {
+				mate.engine.Import(w.now, i.engine.Export(w.now))
+				break
+			}
+		}
+		i.alive = false
+	})
+	w.after(1900*time.Millisecond, func() {
+		i.start()
+		w.publish()
+		w.after(500*time.Millisecond, func() { i.rotation, i.leaving = true, false })
+	})
+}
+
 // reach tells whether packets pass between two failure domains.
 func (w *world) reach(a, b string) bool { return a == b || (w.cut != a && w.cut != b) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,8 +1,9 @@
 // Package relay passes changes between the instances of a failure domain: two
 // of them watch the store and pass on what it says, any of them reports
-// upstreams that its probes found silent, and one that starts while the store
-// is away borrows the knowledge of another. Losing any message costs a call to
-// the store and nothing else.
+// upstreams that its probes found silent, one that starts while the store is
+// away borrows the knowledge of another, and one that leaves hands over the
+// flows that it remembers. Losing a message costs a call to the store, or lets
+// callers find out themselves that an upstream has ended.
 package relay
 
 import (
@@ -23,6 +24,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/follow"
+	"github.com/chivemast/chivemast/internal/forward"
 )
 
 const (
@@ -64,7 +66,9 @@
 	Silent func(SilentUpstream)
 	// Knowledge returns what this instance knows of a kind, and its age.
 	Knowledge func(catalog.Kind) (update follow.Update, age time.Duration, known bool)
-	Observer  Observer
+	// Flows takes flows over from a mate that leaves; false when it cannot.
+	Flows    func([]forward.FlowState) bool
+	Observer Observer
 }
 
 // Relay exchanges messages with the other instances. It implements
@@ -342,9 +346,10 @@
 	return k, nil
 }
 
-// Handler serves this instance's knowledge to others.
+// Handler serves this instance's knowledge to others and takes flows over.
 func (r *Relay) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc(flowsPath, r.serveFlows)
 	for _, kind := range catalog.Kinds() {
 		mux.HandleFunc(knowledgePath+kind.String(), func(w http.ResponseWriter, _ *http.Request) {
 			update, age, known := r.cfg.Knowledge(kind)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/follow"
+	"github.com/chivemast/chivemast/internal/forward"
 )
 
 var start = time.Date(2026, 5, 8, 14, 56, 0, 0, time.UTC)
@@ -188,6 +189,8 @@
 	mu       sync.Mutex
 	updates  []follow.Update
 	silent   []SilentUpstream
+	flows    []forward.FlowState
+	leaving  bool
 	found    map[string]bool
 	rejected int
 }
@@ -221,6 +224,14 @@
 			return follow.Update{Kind: kind, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
 				2 * time.Second, kind == catalog.KindEvacuations
 		},
+		Flows: func(flows []forward.FlowState) bool {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if !r.leaving {
+				r.flows = flows
+			}
+			return !r.leaving
+		},
 		Observer: r,
 	})
 	require.NoError(t, err)
@@ -259,16 +270,22 @@
 	require.Empty(t, otherRecord.updates)
 }
 
-// Guards against a start without the store that learns nothing, and against an
-// answer of an instance that does not know yet.
-func TestKnowledgeIsBorrowedFromASeed(t *testing.T) {
-	seed, _ := startRelay(t, "a-1", "a")
-	server := &http.Server{Handler: seed.Handler(), Addr: seed.cfg.Self.Address.String(), ReadHeaderTimeout: time.Second}
+// serve answers requests of other instances.
+func serve(t *testing.T, r *Relay) {
+	t.Helper()
+	server := &http.Server{Handler: r.Handler(), Addr: r.cfg.Self.Address.String(), ReadHeaderTimeout: time.Second}
 	listener, err := net.Listen("tcp4", server.Addr)
 	require.NoError(t, err)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	defer func() { require.NoError(t, server.Close()); require.ErrorIs(t, <-served, http.ErrServerClosed) }()
+	t.Cleanup(func() { require.NoError(t, server.Close()); require.ErrorIs(t, <-served, http.ErrServerClosed) })
+}
+
+// Guards against a start without the store that learns nothing, and against an
+// answer of an instance that does not know yet.
+func TestKnowledgeIsBorrowedFromASeed(t *testing.T) {
+	seed, _ := startRelay(t, "a-1", "a")
+	serve(t, seed)
 	starting, _ := startRelay(t, "a-2", "a", netip.MustParseAddrPort("127.0.0.1:1"), seed.cfg.Self.Address)
 
 	update, age, err := starting.Knowledge(t.Context(), catalog.KindEvacuations)
