Believe silence of an upstream only while another is in reach

Change: a probe without an answer counts only when an upstream answered a probe that began no earlier; while one has no answer for 30 ms, the two upstreams that answered last are probed for that. Otherwise the outcome is inconclusive, nothing is reset, new flows avoid the upstream and the probe is repeated. Reports of silent upstreams are batched and bounded to 50 a second, because when a failure domain is lost every instance sees signs of its own. Tests of a silent upstream that had no other in reach now say that another one was.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -89,6 +89,8 @@
 	// the times and revisions of the contact differ.
 	dirty, touched bool
 	last           *Snapshot
+	// builds counts the snapshots that were not shared.
+	builds uint64
 }
 
 // contact is what the instance knows of its view of one kind.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -28,6 +28,8 @@
 	services  map[string]*ServiceView
 	config    *Configuration
 	evacuated []string
+	// build counts the snapshots with maps of their own.
+	build uint64
 }
 
 // ServiceView is a service with the upstreams that may get new flows.
@@ -61,6 +63,10 @@
 // Services returns the services by name. The result must not be changed.
 func (s *Snapshot) Services() map[string]*ServiceView { return s.services }
 
+// SameUpstreams tells whether nothing but confirmations and revisions has
+// changed since another snapshot, which may be nil.
+func (s *Snapshot) SameUpstreams(other *Snapshot) bool { return other != nil && s.build == other.build }
+
 // Known returns the number of upstream incarnations that cookies resolve to.
 func (s *Snapshot) Known() int { return len(s.byCookie) }
 
@@ -78,6 +84,7 @@
 	}
 	var s *Snapshot
 	if c.dirty || c.last == nil {
+		c.builds++
 		s = c.build(now)
 	} else {
 		same := *c.last
@@ -102,6 +109,7 @@
 		dropped:  make(map[netip.AddrPort]bool, len(c.dropped)),
 		byCookie: make(map[flowcookie.Cookie]*Entry, len(c.entries)),
 		services: map[string]*ServiceView{},
+		build:    c.builds,
 	}
 	for address := range c.dropped {
 		s.dropped[address] = true
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/eventlog"
@@ -30,6 +31,10 @@
 	// tickInterval is the time between two passes of the control goroutine
 	// without events: short against the grace of a removed entry (2 s).
 	tickInterval = 250 * time.Millisecond
+	// publishInterval is the least time between two snapshots: one of 3,700
+	// upstreams takes 1.6 ms, and the return of a failure domain changes hundreds
+	// of entries within a second.
+	publishInterval = 50 * time.Millisecond
 	// headerTimeout bounds how long an HTTP client may take for its request.
 	headerTimeout = 2 * time.Second
 	// probesToLeave is the number of refused readiness probes after which the
@@ -86,6 +91,7 @@
 		}),
 	}
 	i.traffic.prober = newProber(codec, i.traffic.wake)
+	i.traffic.reportLimit = rate.NewLimiter(reportsPerSecond, reportsAtOnce)
 	i.traffic.reports = make(chan relay.SilentUpstream, reportQueue)
 	i.traffic.imports, i.traffic.exports = make(chan []forward.FlowState, importQueue), make(chan chan<- []forward.FlowState, 1)
 	if err := i.listenRelay(store); err != nil {
@@ -246,10 +252,14 @@
 	c := catalog.New()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var pace pacer
+	var due <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-due:
+			due = nil
 		case event := <-i.events:
 			i.logChanges(c.Apply(time.Now().Add(-event.Age), event.Event))
 		case <-reload:
@@ -258,20 +268,46 @@
 		case now := <-ticker.C:
 			c.Forget(now)
 		}
-		i.publish(c)
+		if wait := pace.wait(time.Now()); wait > 0 {
+			if due == nil {
+				due = time.After(wait)
+			}
+			continue
+		}
+		if i.publish(c) {
+			pace.published(time.Now())
+		}
 		i.updateReadiness(time.Now())
 	}
 }
 
-// publish hands a changed view to the traffic goroutine.
-func (i *Instance) publish(c *catalog.Catalog) {
+// pacer spaces snapshots. What changes meanwhile is part of the next one.
+type pacer struct{ last time.Time }
+
+// wait returns how long the next snapshot has to wait.
+func (p *pacer) wait(now time.Time) time.Duration {
+	if p.last.IsZero() {
+		return 0
+	}
+	return publishInterval - now.Sub(p.last)
+}
+
+func (p *pacer) published(now time.Time) { p.last = now }
+
+// publish hands a changed view to the traffic goroutine; false when there is
+// none.
+func (i *Instance) publish(c *catalog.Catalog) bool {
+	if !c.Known() {
+		return false
+	}
 	view, changed := c.Snapshot(time.Now())
-	if !changed || !c.Known() {
-		return
+	if !changed {
+		return false
 	}
 	i.view.Store(view)
 	i.traffic.wake()
 	i.metrics.adopted(view)
+	return true
 }
 
 // updateReadiness takes the instance into the rotation while it can serve.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -55,6 +55,7 @@
 	bytes     *counters.Family
 	flows     atomic.Int64
 	upstreams atomic.Int64
+	snapshots atomic.Int64
 	version   atomic.Int64
 	confirmed [3]atomic.Int64
 	probe     metric.Float64Histogram
@@ -109,6 +110,12 @@
 	counter("chivemast_probes", "Connection attempts to upstreams that seemed silent.", m.probes)
 	counter("chivemast_relay_messages", "Messages between instances.", m.messages)
 	counter("chivemast_relay_bytes", "Bytes of messages between instances.", m.bytes)
+	_, err := meter.Int64ObservableCounter("chivemast_snapshots", metric.WithDescription("Views handed to the goroutine that forwards packets."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(m.snapshots.Load())
+			return nil
+		}))
+	errs = append(errs, err)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
 	gauge("chivemast_upstreams_known", "Upstream incarnations that cookies resolve to.", m.upstreams.Load)
 	gauge("chivemast_config_version", "Configuration version in force.", m.version.Load)
@@ -116,7 +123,6 @@
 		gauge("chivemast_"+catalog.Kind(kind).String()+"_age_ms", "Time since the store confirmed this knowledge, in ms.",
 			func() int64 { return time.Now().UnixMilli() - m.confirmed[kind].Load() })
 	}
-	var err error
 	m.answer, err = meter.Float64Histogram("chivemast_open_answer_ms",
 		metric.WithDescription("Time from an opening packet to the next packet of its flow, in ms."),
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1600))
@@ -167,6 +173,7 @@
 }
 
 func (m *Metrics) adopted(view *catalog.Snapshot) {
+	m.snapshots.Add(1)
 	m.upstreams.Store(int64(view.Known()))
 	m.version.Store(int64(view.Version))
 	for kind, confirmed := range view.Confirmed {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/forward"
@@ -39,6 +40,12 @@
 	reportQueue = 64
 	// importQueue is the number of mates whose flows may wait.
 	importQueue = 4
+	// reportsPerSecond and reportsAtOnce bound the silent upstreams that an
+	// instance reports. What fits into a datagram covers a rack; when a whole
+	// failure domain is lost every instance sees signs of its own, and reports
+	// of all its upstreams by all instances would fill their links.
+	reportsPerSecond = 50
+	reportsAtOnce    = relay.MaxSilent
 )
 
 // Codec translates packets between their wire format and forward.Packet.
@@ -65,7 +72,10 @@
 	prober *prober
 	// reports are upstreams that mates found silent; silent tells the mates.
 	reports chan relay.SilentUpstream
-	silent  func(relay.SilentUpstream)
+	silent  func([]relay.SilentUpstream)
+	// unreported are silent upstreams that the mates do not know yet.
+	unreported  []relay.SilentUpstream
+	reportLimit *rate.Limiter
 	// imports are flows of mates that left; exports ask for the flows that this
 	// instance remembers.
 	imports chan []forward.FlowState
@@ -176,6 +186,7 @@
 
 // takeResults acts on the outcomes of probes and the words of mates.
 func (t *traffic) takeResults(now time.Time) {
+	defer t.sendReports()
 	for {
 		select {
 		case result := <-t.prober.results:
@@ -196,10 +207,10 @@
 
 func (t *traffic) takeResult(now time.Time, result forward.ProbeResult) {
 	abandoned := t.engine.Probed(now, result)
-	t.log.probed(now, result, len(abandoned.Flows))
+	t.log.probed(now, result, abandoned)
 	t.metrics.probed(result.Verdict, now.Sub(result.Started))
 	if abandoned.Report {
-		t.report(result.Upstream)
+		t.report(now, result.Upstream)
 	}
 	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamSilent, Upstream: result.Upstream}
 	for i := range abandoned.Flows {
@@ -211,16 +222,26 @@
 
 // takeUnanswered acts on a probe that has had no answer for a while.
 func (t *traffic) takeUnanswered(now time.Time, probe forward.Probe) {
-	report := t.engine.Unanswered(now, probe)
+	report := t.engine.Unanswered(now, probe) && t.report(now, probe.Upstream)
 	t.log.unanswered(probe, report)
-	if report {
-		t.report(probe.Upstream)
+}
+
+// report notes an upstream that does not answer for the mates; false when too
+// many were reported lately.
+func (t *traffic) report(now time.Time, upstream *catalog.Entry) bool {
+	if !t.reportLimit.AllowN(now, 1) {
+		return false
 	}
+	t.unreported = append(t.unreported, relay.SilentUpstream{ID: upstream.ID, Born: upstream.Born})
+	return true
 }
 
-// report tells the mates of an upstream that does not answer.
-func (t *traffic) report(upstream *catalog.Entry) {
-	t.silent(relay.SilentUpstream{ID: upstream.ID, Born: upstream.Born})
+// sendReports tells the mates of the upstreams that do not answer.
+func (t *traffic) sendReports() {
+	if len(t.unreported) > 0 {
+		t.silent(t.unreported)
+		t.unreported = t.unreported[:0]
+	}
 }
 
 // reported takes in a mate's word on an upstream. It never blocks; a mate
@@ -398,11 +419,12 @@
 }
 
 // probed logs the outcome of a probe.
-func (l flowLog) probed(now time.Time, result forward.ProbeResult, flows int) {
+func (l flowLog) probed(now time.Time, result forward.ProbeResult, ended forward.Abandoned) {
 	l.events.Flow(logrus.InfoLevel, "upstream_probed", func() logrus.Fields {
 		return logrus.Fields{
 			"upstream": result.Upstream.ID, "verdict": result.Verdict.String(), "sign": result.Sign.String(), "upstream_revision": result.Upstream.Revision,
-			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": flows,
+			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": len(ended.Flows),
+			"inconclusive": ended.Inconclusive,
 		}
 	})
 }
--- /dev/null
+++ b/internal/forward/control_test.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+)
+
+// Pattern: own link congested while a large failure domain is lost. Guards
+// against resets of flows whose upstreams live: with 100 instances and 1,000
+// upstreams an instance whose link was full for 200 ms found all of them silent.
+func TestSilenceOfAllUpstreamsIsInconclusive(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	entries := map[string]*catalog.Entry{}
+	for port := 1; port <= 30; port++ {
+		entry := f.establish(port)
+		entries[entry.ID] = entry
+	}
+	require.Len(t, entries, 3)
+	f.wait(time.Second)
+	suspect := entries["i-1"]
+	f.engine.suspect(f.now, suspect.Cookie, SignStall)
+	probe := f.engine.TakeProbes()[0]
+	began := f.now
+	f.wait(UnansweredAfter)
+	f.engine.Unanswered(f.now, probe)
+	others := f.engine.TakeProbes()
+	require.Len(t, others, 2)
+	for _, other := range others {
+		require.Equal(t, SignControl, other.Sign)
+	}
+	f.wait(170 * time.Millisecond)
+	for id, entry := range entries {
+		abandoned := f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictSilent, Started: began})
+		require.True(t, abandoned.Inconclusive, id)
+		require.Empty(t, abandoned.Flows)
+	}
+	require.Equal(t, Forward, f.send(1, entries["i-1"].Cookie, 1, 1, 100).Action)
+
+	f.wait(time.Second)
+	f.engine.Reprobe(f.now)
+	require.Len(t, f.engine.TakeProbes(), 3)
+	f.reach(2)
+	abandoned := f.engine.Probed(f.now, ProbeResult{Upstream: suspect, Verdict: VerdictSilent, Started: f.now})
+	require.NotEmpty(t, abandoned.Flows, "another upstream was reached")
+}
+
+// Guards against a service of one upstream whose flows never end, because no
+// other can show that the instance is in reach.
+func TestOnlyUpstreamNeedsNoControl(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	entry := f.establish(1)
+	f.wait(time.Second)
+	f.engine.suspect(f.now, entry.Cookie, SignStall)
+	f.engine.TakeProbes()
+	require.Len(t, f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictSilent, Started: f.now}).Flows, 1)
+}
+
+// Guards against a control that answered before the probe began: the trouble of
+// this instance may have come in between.
+func TestControlMustBeginAfterTheProbe(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.establish(1)
+	f.establish(2)
+	f.wait(time.Second)
+	f.reach(2)
+	f.wait(10 * time.Millisecond)
+	f.engine.suspect(f.now, f.engine.view.Service("s").Entries[0].Cookie, SignStall)
+	probe := f.engine.TakeProbes()[0]
+	require.True(t, f.engine.Probed(f.now, ProbeResult{Upstream: probe.Upstream, Verdict: VerdictSilent, Started: f.now}).Inconclusive)
+}
--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -120,7 +120,7 @@
 	f.engine.suspect(f.now, cookie, SignStall)
 	probe := f.engine.TakeProbes()[0]
 	require.True(t, f.engine.Unanswered(f.now, probe))
-	require.Len(t, f.engine.TakeProbes(), 2, "the failure domain may be cut off")
+	require.Len(t, f.engine.TakeProbes(), 2, "the failure domain may be cut off, or this instance")
 	for port := 1; port < 20; port++ {
 		require.NotEqual(t, "i-1", f.open(port, 0).Upstream.ID)
 	}
@@ -142,6 +142,10 @@
 	f.engine.Reported(f.now, "i-1", 1000)
 	probe := f.engine.TakeProbes()[0]
 	require.False(t, f.engine.Unanswered(f.now, probe))
+	for _, other := range f.engine.TakeProbes() {
+		require.Equal(t, SignControl, other.Sign)
+	}
+	f.reach(2)
 	abandoned := f.engine.Probed(f.now, ProbeResult{Upstream: probe.Upstream, Verdict: VerdictSilent, Sign: probe.Sign, Started: f.now})
 	require.True(t, abandoned.New)
 	require.False(t, abandoned.Report)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -52,7 +52,11 @@
 	// delays are the times to an answer by service.
 	delays map[string]*delay
 
-	probes     []Probe
+	probes []Probe
+	// reached is when the last probe began that an upstream answered, controlled
+	// when upstreams were last probed to find out.
+	reached, controlled time.Time
+
 	weights    []int
 	candidates []choice.Candidate
 	entries    []*catalog.Entry
@@ -66,7 +70,11 @@
 
 // Adopt makes a snapshot the view for the packets that follow.
 func (e *Engine) Adopt(view *catalog.Snapshot) {
+	same := view.SameUpstreams(e.view)
 	e.view = view
+	if same {
+		return
+	}
 	e.probeRemoved()
 	for cookie := range e.stats {
 		if view.Resolve(cookie) == nil {
@@ -293,7 +301,7 @@
 	}
 	for _, service := range e.view.Services() {
 		for _, entry := range service.Entries {
-			if stats := e.stats[entry.Cookie]; stats == nil || !stats.probe.failed() {
+			if stats := e.stats[entry.Cookie]; stats == nil || !(stats.probe.failed() || stats.probe.late) {
 				return true
 			}
 		}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -112,3 +112,12 @@
 	f.now = f.now.Add(time.Millisecond)
 	f.send(port, cookie, 101, 400, 0)
 }
+
+// reach lets an upstream answer a probe that begins now, which shows that the
+// instance itself is not cut off.
+func (f *fixture) reach(n int) {
+	f.t.Helper()
+	entry := f.engine.view.Resolve(flowcookie.Of(upstream(n).ID, 1000))
+	require.NotNil(f.t, entry)
+	require.Empty(f.t, f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictAlive, Started: f.now}).Flows)
+}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -23,6 +23,11 @@
 	// counts against its upstream, and others are told: ten times the users'
 	// longest round trip.
 	UnansweredAfter = 30 * time.Millisecond
+	// controlInterval is the time between two rounds of control probes: shorter
+	// than UnansweredAfter, so that a round begins after every probe it is for.
+	controlInterval = 20 * time.Millisecond
+	// controls is the number of upstreams probed in a round; one may be down.
+	controls = 2
 	// reportContradicted is how recent an answer of the upstream outweighs the
 	// word of another instance, which takes a millisecond.
 	reportContradicted = 20 * time.Millisecond
@@ -80,7 +85,8 @@
 // probeState is what an engine knows from probes of one upstream.
 type probeState struct {
 	pending bool
-	// late is set while the pending probe has had no answer for UnansweredAfter.
+	// late is set from when a probe has had no answer for UnansweredAfter until
+	// a conclusive outcome.
 	late    bool
 	asked   time.Time
 	verdict Verdict
@@ -95,12 +101,9 @@
 	if s.failed() {
 		retry = min(2*s.retryAfter, reprobeMax)
 	}
-	s.verdict, s.decided, s.retryAfter = verdict, now, retry
+	s.verdict, s.decided, s.retryAfter, s.late = verdict, now, retry, false
 }
 
-// ended records that no probe is under way any more.
-func (s *probeState) ended() { s.pending, s.late = false, false }
-
 // failed tells whether the last probe found no process.
 func (s *probeState) failed() bool {
 	return s.verdict == VerdictRefused || s.verdict == VerdictSilent || s.verdict == VerdictOther
@@ -147,7 +150,7 @@
 }
 
 // Unprobed takes back a probe that could not be started.
-func (e *Engine) Unprobed(probe Probe) { e.statsOf(probe.Upstream.Cookie).probe.ended() }
+func (e *Engine) Unprobed(probe Probe) { e.statsOf(probe.Upstream.Cookie).probe.pending = false }
 
 // Unanswered takes in that a probe has had no answer for UnansweredAfter. Until
 // its outcome new flows go elsewhere. It tells whether other instances should
@@ -161,18 +164,70 @@
 	if stats.probe.failed() {
 		return false
 	}
+	e.control(now, probe.Upstream.Cookie, stats.probe.asked)
 	e.probeNeighbours(now, probe.Upstream.Cookie, probe.Sign)
-	return probe.Sign != SignReport
+	return probe.Sign != SignReport && probe.Sign != SignControl
+}
+
+// control probes the upstreams that answered last, unless one has answered a
+// probe that began after the given time. Without an answer from them, this
+// instance cannot tell a silent upstream from its own trouble.
+func (e *Engine) control(now time.Time, except flowcookie.Cookie, began time.Time) {
+	if !e.reached.Before(began) || now.Sub(e.controlled) < controlInterval {
+		return
+	}
+	e.controlled = now
+	for _, entry := range e.lastAnswered(except) {
+		stats := e.statsOf(entry.Cookie)
+		stats.probe.pending, stats.probe.asked = true, now
+		e.probes = append(e.probes, Probe{Upstream: entry, Sign: SignControl})
+	}
+}
+
+// lastAnswered returns the listed upstreams that answered last and are not
+// probed already.
+func (e *Engine) lastAnswered(except flowcookie.Cookie) []*catalog.Entry {
+	var last []*catalog.Entry
+	answered := func(entry *catalog.Entry) time.Time { return e.statsOf(entry.Cookie).answered }
+	for _, service := range e.view.Services() {
+		for _, entry := range service.Entries {
+			if stats := e.statsOf(entry.Cookie); entry.Cookie == except || stats.probe.pending || stats.suspect(e.controlled) {
+				continue
+			}
+			at, _ := slices.BinarySearchFunc(last, entry, func(a, b *catalog.Entry) int { return answered(b).Compare(answered(a)) })
+			if at < controls {
+				last = slices.Insert(last, at, entry)[:min(len(last)+1, controls)]
+			}
+		}
+	}
+	return last
+}
+
+// conclusive tells whether a probe without an answer shows that its upstream is
+// silent: this instance reached another upstream meanwhile, or there is none.
+func (e *Engine) conclusive(result ProbeResult) bool {
+	if !e.reached.Before(result.Started) {
+		return true
+	}
+	for _, service := range e.view.Services() {
+		for _, entry := range service.Entries {
+			if entry.Cookie != result.Upstream.Cookie && !e.statsOf(entry.Cookie).probe.failed() {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // Reprobe asks again for upstreams whose last probe failed, so that one that
-// returns is used again.
+// returns is used again, or had no conclusive outcome.
 func (e *Engine) Reprobe(now time.Time) {
 	if e.view == nil {
 		return
 	}
 	for cookie, stats := range e.stats {
-		if !stats.probe.failed() || stats.probe.verdict == VerdictOther || now.Sub(stats.probe.decided) < stats.probe.retryAfter {
+		failed := stats.probe.failed() && stats.probe.verdict != VerdictOther && now.Sub(stats.probe.decided) >= stats.probe.retryAfter
+		if !failed && !stats.probe.late {
 			continue
 		}
 		if entry := e.view.Resolve(cookie); entry != nil && entry.RemovedAt.IsZero() {
@@ -183,6 +238,9 @@
 
 // Abandoned is what a failed probe ends.
 type Abandoned struct {
+	// Inconclusive is set when no upstream answered a probe meanwhile, so that
+	// this instance itself may be out of reach or slow.
+	Inconclusive bool
 	// New is set when the probe before did not fail.
 	New bool
 	// Report is set when other instances should hear of it.
@@ -195,11 +253,19 @@
 // be reached it forgets and returns its flows.
 func (e *Engine) Probed(now time.Time, result ProbeResult) Abandoned {
 	stats := e.statsOf(result.Upstream.Cookie)
-	stats.probe.ended()
+	stats.probe.pending = false
+	if result.Verdict != VerdictSilent && result.Started.After(e.reached) {
+		e.reached = result.Started
+	}
 	if result.Verdict != VerdictAlive && stats.answered.After(result.Started) {
 		// A packet that arrived meanwhile is the better evidence.
+		stats.probe.late = false
 		return Abandoned{}
 	}
+	if result.Verdict == VerdictSilent && !e.conclusive(result) {
+		stats.probe.late = true
+		return Abandoned{Inconclusive: true}
+	}
 	first := !stats.probe.failed()
 	stats.probe.decide(now, result.Verdict)
 	if !stats.probe.failed() {
@@ -209,7 +275,8 @@
 	if first {
 		e.probeNeighbours(now, result.Upstream.Cookie, result.Sign)
 	}
-	return Abandoned{New: first, Report: first && result.Sign != SignReport, Flows: e.abandon(result.Upstream.Cookie)}
+	report := first && result.Sign != SignReport && result.Sign != SignControl
+	return Abandoned{New: first, Report: report, Flows: e.abandon(result.Upstream.Cookie)}
 }
 
 // probeNeighbours asks for probes of the failure domain of an upstream that does
@@ -217,7 +284,7 @@
 // probes its domain and reports what it finds.
 func (e *Engine) probeNeighbours(now time.Time, cookie flowcookie.Cookie, sign Sign) {
 	entry := e.view.Resolve(cookie)
-	if sign != SignDomain && sign != SignReport && entry != nil && entry.Listed() && !entry.Draining {
+	if sign != SignDomain && sign != SignReport && sign != SignControl && entry != nil && entry.Listed() && !entry.Draining {
 		e.probeDomain(now, entry.FailureDomain)
 	}
 }
--- a/internal/forward/probe_test.go
+++ b/internal/forward/probe_test.go
@@ -33,6 +33,7 @@
 			require.Len(t, probes, 1)
 			require.Equal(t, "i-1", probes[0].Upstream.ID)
 
+			f.reach(2)
 			reset := f.engine.Probed(f.now, ProbeResult{Upstream: probes[0].Upstream, Verdict: verdict, Started: f.now})
 			require.True(t, reset.New)
 			require.Len(t, reset.Flows, len(byUpstream["i-1"]))
@@ -220,6 +221,7 @@
 	f.engine.suspect(f.now, flowcookie.Of("i-2", 1000), SignStall)
 	first := f.engine.TakeProbes()
 	require.Len(t, first, 1)
+	f.reach(1)
 	f.engine.Probed(f.now, ProbeResult{Upstream: first[0].Upstream, Verdict: VerdictSilent, Started: f.now})
 	probed := map[string]bool{}
 	for _, probe := range f.engine.TakeProbes() {
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -53,10 +53,13 @@
 	// SignUnanswered: a request got no answer for long, and neither did any
 	// other of the upstream since.
 	SignUnanswered
+	// SignControl: not a sign; the probe shows whether this instance reaches
+	// anything while others have no answer.
+	SignControl
 )
 
 func (s Sign) String() string {
-	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported", "request_unanswered"}[s]
+	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported", "request_unanswered", "control"}[s]
 }
 
 // upstreamStats is what an engine has seen of one upstream.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -14,6 +14,10 @@
 // announced without its events, and the receivers ask the store.
 const MaxDatagram = 1400
 
+// MaxSilent is the number of silent upstreams that fit into a message with the
+// longest names.
+const MaxSilent = 12
+
 // Member is an instance of the fleet.
 type Member struct {
 	Name          string         `json:"name"`
@@ -30,8 +34,8 @@
 	Members []Member `json:"members,omitempty"`
 	// Update is what the store told the sender.
 	Update *wireUpdate `json:"update,omitempty"`
-	// Silent names an upstream that the sender's probe found gone or silent.
-	Silent *SilentUpstream `json:"silent,omitempty"`
+	// Silent names upstreams that the sender's probes found gone or silent.
+	Silent []SilentUpstream `json:"silent,omitempty"`
 }
 
 // SilentUpstream names an incarnation of an upstream.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -149,8 +149,8 @@
 		r.mu.Unlock()
 		r.cfg.Passed(update)
 	}
-	if m.Silent != nil {
-		r.cfg.Silent(*m.Silent)
+	for _, upstream := range m.Silent {
+		r.cfg.Silent(upstream)
 	}
 }
 
@@ -255,9 +255,10 @@
 	}
 }
 
-// ReportSilent tells the mates of an upstream that a probe found silent.
-func (r *Relay) ReportSilent(upstream SilentUpstream) {
-	m := &message{From: r.cfg.Self, Silent: &upstream}
+// ReportSilent tells the mates of at most MaxSilent upstreams that do not
+// answer probes.
+func (r *Relay) ReportSilent(upstreams []SilentUpstream) {
+	m := &message{From: r.cfg.Self, Silent: upstreams}
 	for _, mate := range r.Mates() {
 		r.send(mate.Address, m)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -256,7 +256,7 @@
 		large.Domains = append(large.Domains, fmt.Sprintf("domain-%d", i))
 	}
 	first.Pass(follow.Update{Kind: catalog.KindEvacuations, Base: 3, Revision: 5, Events: []catalog.Event{large}})
-	first.ReportSilent(SilentUpstream{ID: "i-1", Born: 7})
+	first.ReportSilent([]SilentUpstream{{ID: "i-1", Born: 7}})
 	_, err := first.conn.WriteToUDPAddrPort([]byte("not a message"), seed.cfg.Self.Address)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
