Forward established flows before the configuration is read

Flows that were open when all instances lost power need only the upstreams. Change: the first view is published with the upstreams alone; new flows wait, the instance is not ready, nothing unknown is lent to others, and probes without an answer are inconclusive until all is known.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -154,15 +154,9 @@
 	return c.changes
 }
 
-// Known tells whether every kind has been read at least once.
-func (c *Catalog) Known() bool {
-	for _, contact := range c.contact {
-		if !contact.known {
-			return false
-		}
-	}
-	return true
-}
+// KnowsUpstreams tells whether the upstreams have been read, so that cookies
+// resolve.
+func (c *Catalog) KnowsUpstreams() bool { return c.contact[KindUpstreams].known }
 
 // Forget drops upstreams that ended long ago.
 func (c *Catalog) Forget(now time.Time) {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -63,6 +63,16 @@
 // Services returns the services by name. The result must not be changed.
 func (s *Snapshot) Services() map[string]*ServiceView { return s.services }
 
+// Ready tells whether every kind is known, so that new flows can be placed.
+func (s *Snapshot) Ready() bool {
+	for _, confirmed := range s.Confirmed {
+		if confirmed.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // SameUpstreams tells whether nothing but confirmations and revisions has
 // changed since another snapshot, which may be nil.
 func (s *Snapshot) SameUpstreams(other *Snapshot) bool { return other != nil && s.build == other.build }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,6 +37,9 @@
 	publishInterval = 50 * time.Millisecond
 	// headerTimeout bounds how long an HTTP client may take for its request.
 	headerTimeout = 2 * time.Second
+	// changeLines bounds the lines about the changes of one update, which pass
+	// the rate limit; /status shows all upstreams.
+	changeLines = 64
 	// probesToLeave is the number of refused readiness probes after which the
 	// routers stop sending to an instance.
 	probesToLeave = 2
@@ -129,7 +132,7 @@
 // knowledge returns what this instance knows of a kind.
 func (i *Instance) knowledge(kind catalog.Kind) (follow.Update, time.Duration, bool) {
 	view := i.view.Load()
-	if view == nil {
+	if view == nil || view.Confirmed[kind].IsZero() {
 		return follow.Update{}, 0, false
 	}
 	update := follow.Update{Kind: kind, Revision: view.Revisions[kind]}
@@ -231,7 +234,7 @@
 
 // takeFlows takes flows over from an instance that leaves.
 func (i *Instance) takeFlows(flows []forward.FlowState) bool {
-	if i.leaving.Load() || i.view.Load() == nil || !i.traffic.importFlows(flows) {
+	if i.leaving.Load() || !i.ready.Load() || !i.traffic.importFlows(flows) {
 		return false
 	}
 	i.log.Event(logrus.InfoLevel, "flows_taken_over", logrus.Fields{"flows": len(flows)})
@@ -254,6 +257,7 @@
 	defer ticker.Stop()
 	var pace pacer
 	var due <-chan time.Time
+	var unlogged []catalog.Change
 	for {
 		select {
 		case <-ctx.Done():
@@ -261,23 +265,24 @@
 		case <-due:
 			due = nil
 		case event := <-i.events:
-			i.logChanges(c.Apply(time.Now().Add(-event.Age), event.Event))
+			unlogged = append(unlogged, c.Apply(time.Now().Add(-event.Age), event.Event)...)
 		case <-reload:
 			i.reload(load)
 			continue
 		case now := <-ticker.C:
 			c.Forget(now)
 		}
-		if wait := pace.wait(time.Now()); wait > 0 {
-			if due == nil {
-				due = time.After(wait)
-			}
-			continue
+		wait := pace.wait(time.Now())
+		if wait > 0 && due == nil {
+			due = time.After(wait)
 		}
-		if i.publish(c) {
+		if wait <= 0 && i.publish(c) && i.view.Load().Ready() {
 			pace.published(time.Now())
 		}
 		i.updateReadiness(time.Now())
+		// Lines take longer than the snapshot that callers wait for.
+		i.logChanges(unlogged)
+		unlogged = unlogged[:0]
 	}
 }
 
@@ -295,9 +300,10 @@
 func (p *pacer) published(now time.Time) { p.last = now }
 
 // publish hands a changed view to the traffic goroutine; false when there is
-// none.
+// none. The upstreams alone let it forward established flows, while the
+// configuration is still being read at a start.
 func (i *Instance) publish(c *catalog.Catalog) bool {
-	if !c.Known() {
+	if !c.KnowsUpstreams() {
 		return false
 	}
 	view, changed := c.Snapshot(time.Now())
@@ -313,7 +319,7 @@
 // updateReadiness takes the instance into the rotation while it can serve.
 func (i *Instance) updateReadiness(now time.Time) {
 	view := i.view.Load()
-	ready := view != nil && !i.leaving.Load() && !i.traffic.cutOff.Load()
+	ready := view != nil && view.Ready() && !i.leaving.Load() && !i.traffic.cutOff.Load()
 	if i.ready.Swap(ready) == ready || view == nil {
 		return
 	}
@@ -325,8 +331,13 @@
 }
 
 func (i *Instance) logChanges(changes []catalog.Change) {
-	for _, change := range changes {
+	unwritten := map[string]int{}
+	for n, change := range changes {
 		i.metrics.changed(change.Event)
+		if n >= changeLines {
+			unwritten[change.Event]++
+			continue
+		}
 		level := logrus.InfoLevel
 		fields := logrus.Fields{"kind": change.Kind.String(), "revision": change.Revision}
 		if change.Subject != "" {
@@ -341,6 +352,11 @@
 		}
 		i.log.Event(level, change.Event, fields)
 	}
+	for event, count := range unwritten {
+		i.log.Event(logrus.InfoLevel, "changes_summarized", logrus.Fields{
+			"change": event, "count": count, "revision": changes[len(changes)-1].Revision,
+		})
+	}
 }
 
 // reload applies the log level of changed settings; other keys need a restart.
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -65,6 +65,9 @@
 	}
 	s.ConfigVersion, s.UpstreamRevision = view.Version, view.Revisions[catalog.KindUpstreams]
 	for kind, confirmed := range view.Confirmed {
+		if confirmed.IsZero() {
+			continue
+		}
 		s.AgeMS[catalog.Kind(kind).String()] = now.Sub(confirmed).Milliseconds()
 	}
 	for _, entry := range view.All() {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -169,6 +169,9 @@
 }
 
 func (e *Engine) open(now time.Time, p *Packet) Decision {
+	if !e.view.Ready() {
+		return Decision{Action: Wait, Reason: ReasonNotSynchronized}
+	}
 	route := e.view.Route(p.Flow.Service)
 	if route == nil {
 		return e.noRoute(now, p)
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -103,3 +103,24 @@
 		f.engine.Decide(f.now, &p)
 	}
 }
+
+// Pattern: all instances lose power. Guards against established flows that wait
+// for the configuration at a start, which takes longer to read than the
+// upstreams, and against new flows that are placed or refused without it.
+func TestEstablishedFlowsNeedOnlyTheUpstreams(t *testing.T) {
+	c := catalog.New()
+	c.Apply(start, catalog.UpstreamsListed{Revision: 100, Entries: []catalog.UpstreamChange{{Upstream: upstream(1)}}})
+	view, changed := c.Snapshot(start)
+	require.True(t, changed)
+	require.False(t, view.Ready())
+	engine := New(Config{FailureDomain: "a", MaxFlows: 1000})
+	engine.Adopt(view)
+	cookie := flowcookie.Of("i-1", 1000)
+	d := engine.Decide(start, &Packet{Flow: caller(1), Cookie: cookie, Seq: 1, Ack: 1, Data: 100})
+	require.Equal(t, Forward, d.Action)
+	d = engine.Decide(start, &Packet{Flow: caller(2), Open: true, Seq: 1})
+	require.Equal(t, Wait, d.Action)
+	require.Equal(t, ReasonNotSynchronized, d.Reason)
+	abandoned := engine.Probed(start, ProbeResult{Upstream: view.Resolve(cookie), Verdict: VerdictSilent, Started: start})
+	require.True(t, abandoned.Inconclusive, "other upstreams are not known yet")
+}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -209,6 +209,9 @@
 	if !e.reached.Before(result.Started) {
 		return true
 	}
+	if !e.view.Ready() {
+		return false
+	}
 	for _, service := range e.view.Services() {
 		for _, entry := range service.Entries {
 			if entry.Cookie != result.Upstream.Cookie && !e.statsOf(entry.Cookie).probe.failed() {
