Authenticate messages between instances

A message names the random sessions of both ends and its place among those of the sender, so that neither an earlier incarnation's messages nor replays are accepted, without clocks and without anything kept. What is forged, replayed, malformed or unbound is counted by reason and changes nothing. Without keys the same checks hold but for the secret, and a line says so at the start.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -120,10 +120,14 @@
 		Knowledge: i.knowledge,
 		Flows:     i.takeFlows,
 		Observer:  relayObserver{i},
+		Keys:      s.keys(),
 	})
 	if err != nil {
 		return &listen.Error{Network: "udp", Address: s.PeerAddress, Err: err}
 	}
+	if len(s.PeerKeys) == 0 {
+		i.log.Event(logrus.WarnLevel, "peers_not_authenticated", logrus.Fields{"setting": "peer_keys"})
+	}
 	i.traffic.silent, i.traffic.sharing = i.relay.ReportSilent, i.relay.Sharing
 	i.follower = follow.New(store, i.relay, i.events)
 	return nil
@@ -359,7 +363,8 @@
 	}
 }
 
-// reload applies the log level of changed settings; other keys need a restart.
+// reload applies the log level and the keys of changed settings; other settings
+// need a restart.
 func (i *Instance) reload(load func() (*Settings, error)) {
 	next, err := load()
 	if err != nil {
@@ -367,10 +372,11 @@
 		return
 	}
 	i.log.SetLevel(next.Level())
+	i.relay.SetKeys(next.keys())
 	applied := *i.settings
-	applied.LogLevel = next.LogLevel
+	applied.LogLevel, applied.PeerKeys = next.LogLevel, next.PeerKeys
 	i.log.Event(logrus.InfoLevel, "reloaded", logrus.Fields{
-		"log_level": next.LogLevel, "restart_needed": !applied.equal(next),
+		"log_level": next.LogLevel, "peer_keys": len(next.PeerKeys), "restart_needed": !applied.equal(next),
 	})
 }
 
@@ -404,7 +410,7 @@
 
 // Rejected implements relay.Observer.
 func (o relayObserver) Rejected(source netip.AddrPort, err error) {
-	o.instance.metrics.relayed(relayRejected, 0)
+	o.instance.metrics.relayRefused(err)
 	o.instance.log.Flow(logrus.WarnLevel, "message_rejected", func() logrus.Fields {
 		return logrus.Fields{"source": source.String(), "error": err}
 	})
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/counters"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 const scope = "github.com/chivemast/chivemast/internal/edge"
@@ -35,10 +37,15 @@
 const (
 	relaySent = iota
 	relayReceived
-	relayRejected
 )
 
-var relayLabels = []string{"sent", "received", "rejected"}
+var relayLabels = []string{"sent", "received"}
+
+// relayOther counts messages that the guard accepted and that cannot be used,
+// and errors of the network.
+var relayOther = len(peerauth.Reasons)
+
+var refusalLabels = append(slices.Clone(peerauth.Reasons), "other")
 
 var actionLabels = []string{"drop", "forward", "reset", "wait"}
 
@@ -53,6 +60,7 @@
 	probes    *counters.Family
 	messages  *counters.Family
 	bytes     *counters.Family
+	refused   *counters.Family
 	flows     atomic.Int64
 	upstreams atomic.Int64
 	snapshots atomic.Int64
@@ -86,6 +94,7 @@
 		probes:    counters.NewFamily("verdict", forward.Verdicts),
 		messages:  counters.NewFamily("direction", relayLabels),
 		bytes:     counters.NewFamily("direction", relayLabels),
+		refused:   counters.NewFamily("reason", refusalLabels),
 	}
 	return m, m.register(m.provider.Meter(scope))
 }
@@ -109,6 +118,7 @@
 	counter("chivemast_belief_changes", "Changes of what the instance knows.", m.events)
 	counter("chivemast_probes", "Connection attempts to upstreams that seemed silent.", m.probes)
 	counter("chivemast_relay_messages", "Messages between instances.", m.messages)
+	counter("chivemast_relay_refused", "Messages of instances that were not accepted.", m.refused)
 	counter("chivemast_relay_bytes", "Bytes of messages between instances.", m.bytes)
 	_, err := meter.Int64ObservableCounter("chivemast_snapshots", metric.WithDescription("Views handed to the goroutine that forwards packets."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -160,6 +170,16 @@
 	m.bytes.Add(direction, int64(bytes))
 }
 
+// relayRefused counts a message that was not accepted.
+func (m *Metrics) relayRefused(err error) {
+	reason := relayOther
+	var unaccepted *peerauth.Error
+	if errors.As(err, &unaccepted) {
+		reason = int(unaccepted.Reason)
+	}
+	m.refused.Add(reason, 1)
+}
+
 func (m *Metrics) setFlows(n int) { m.flows.Store(int64(n)) }
 
 func (m *Metrics) changed(event string) {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chivemast/chivemast/internal/document"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 // Settings is the settings file of an instance: JSON with comments.
@@ -34,8 +35,13 @@
 	// Peers are the peer addresses to ask at a start; this instance's own is
 	// skipped. Default none.
 	Peers []netip.AddrPort `json:"peers"`
+	// PeerKeys are the secrets that the instances share, 32 bytes in base64, at
+	// most two: the first one signs messages to other instances, both are
+	// accepted. A reload changes them. Default none: anybody who reaches the peer
+	// address can send messages.
+	PeerKeys []string `json:"peer_keys"`
 	// LogLevel is the least severe level to log: error, warn, info or debug.
-	// Default info. It is the only key that a reload changes.
+	// A reload changes it. Default info.
 	LogLevel string `json:"log_level"`
 	// ColdFactor and ColdSlack bound the flows that a cold upstream gets in a
 	// second over all instances: its own rate times the factor, plus the slack.
@@ -111,6 +117,7 @@
 	for i, peer := range s.Peers {
 		checks = append(checks, doc.CheckAddress(document.Index("peers", i), peer, false))
 	}
+	checks = append(checks, s.checkKeys(doc))
 	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
 		checks = append(checks, doc.Errorf("log_level", document.OutOfRange, "error, warn, info, debug", "unknown level %q", s.LogLevel))
 	}
@@ -125,6 +132,30 @@
 	return nil
 }
 
+func (s *Settings) checkKeys(doc *document.Document) error {
+	if len(s.PeerKeys) > peerauth.MaxKeys {
+		return doc.Errorf("peer_keys", document.OutOfRange, fmt.Sprintf("at most %d keys", peerauth.MaxKeys), "%d keys", len(s.PeerKeys))
+	}
+	for i, text := range s.PeerKeys {
+		if _, err := peerauth.ParseKey(text); err != nil {
+			return doc.Errorf(document.Index("peer_keys", i), document.OutOfRange, fmt.Sprintf("%d bytes in base64", peerauth.KeySize), "%w", err)
+		}
+	}
+	return nil
+}
+
+// keys returns the parsed keys.
+func (s *Settings) keys() []peerauth.Key {
+	var keys []peerauth.Key
+	for _, text := range s.PeerKeys {
+		// ParseSettings accepts no others.
+		if key, err := peerauth.ParseKey(text); err == nil {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func checkFloat(doc *document.Document, path string, value, high float64) error {
 	if value < 0 || value > high {
 		return doc.Errorf(path, document.OutOfRange, fmt.Sprintf("0 to %g", high), "%g is outside the range", value)
--- a/internal/edge/settings_test.go
+++ b/internal/edge/settings_test.go
@@ -39,6 +39,8 @@
 		"store_address":   `"store_address": "10.0.0.1:0"`,
 		"peers[1]":        `"peers": ["10.0.0.1:80", "10.0.0.1:0"]`,
 		"log_level":       `"log_level": "loud"`,
+		"peer_keys":       `"peer_keys": ["", "", ""]`,
+		"peer_keys[0]":    `"peer_keys": ["c2hvcnQ="]`,
 		"readiness_path":  `"readiness_path": "ready"`,
 		"cold_factor":     `"cold_factor": -1`,
 		"cold_slack":      `"cold_slack": 1e9`,
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivemast/chivemast/internal/flowcookie"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 const (
@@ -43,15 +44,16 @@
 	rand.Shuffle(len(mates), func(i, j int) { mates[i], mates[j] = mates[j], mates[i] })
 	err := ErrNoMate
 	for _, mate := range mates[:min(len(mates), handoverAttempts)] {
-		if err = r.giveFlows(ctx, mate.Address, flows); err == nil {
+		if err = r.giveFlows(ctx, mate, flows); err == nil {
 			return mate, nil
 		}
 	}
 	return Member{}, fmt.Errorf("hand over flows: %w", err)
 }
 
-func (r *Relay) giveFlows(ctx context.Context, address netip.AddrPort, flows []forward.FlowState) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+flowsPath, bytes.NewReader(encodeFlows(flows)))
+func (r *Relay) giveFlows(ctx context.Context, mate Member, flows []forward.FlowState) error {
+	address, sealed := mate.Address, r.guard.Seal(r.sessionOf(mate), encodeFlows(flows))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+flowsPath, bytes.NewReader(sealed))
 	if err != nil {
 		return err
 	}
@@ -77,15 +79,10 @@
 		http.Error(w, "flows are posted", http.StatusMethodNotAllowed)
 		return
 	}
-	source, _ := netip.ParseAddrPort(request.RemoteAddr) // The zero value is logged as invalid.
-	data, err := io.ReadAll(io.LimitReader(request.Body, maxFlows*flowSize+1))
-	var flows []forward.FlowState
-	if err == nil {
-		flows, err = decodeFlows(data)
-	}
+	flows, err := r.readFlows(request.Body)
 	if err != nil {
-		r.cfg.Observer.Rejected(source, err)
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		r.cfg.Observer.Rejected(sourceOf(request), err)
+		http.Error(w, err.Error(), statusOf(err))
 		return
 	}
 	if !r.cfg.Flows(flows) {
@@ -95,6 +92,27 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// readFlows fails with *peerauth.Error, *MessageError or an error of the network.
+func (r *Relay) readFlows(body io.Reader) ([]forward.FlowState, error) {
+	sealed, err := io.ReadAll(io.LimitReader(body, maxFlows*flowSize+peerauth.Overhead+1))
+	if err != nil {
+		return nil, err
+	}
+	_, payload, err := r.guard.Open(sealed)
+	if err != nil {
+		return nil, err
+	}
+	return decodeFlows(payload)
+}
+
+func statusOf(err error) int {
+	var rejected *peerauth.Error
+	if errors.As(err, &rejected) {
+		return http.StatusForbidden
+	}
+	return http.StatusBadRequest
+}
+
 func encodeFlows(flows []forward.FlowState) []byte {
 	flows = flows[:min(len(flows), maxFlows)]
 	b := make([]byte, 0, len(flows)*flowSize)
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -53,11 +54,23 @@
 	mate, record := startRelay(t, "a-1", "a")
 	serve(t, mate)
 	url := "http://" + mate.cfg.Self.Address.String() + flowsPath
-	for _, body := range []string{"x", strings.Repeat("x", flowSize+1), strings.Repeat("x", (maxFlows+1)*flowSize)} {
-		response, err := http.Post(url, flowsType, strings.NewReader(body))
-		require.NoError(t, err)
-		require.NoError(t, response.Body.Close())
-		require.Equal(t, http.StatusBadRequest, response.StatusCode)
+	sender, _ := startRelay(t, "a-2", "a", mate.cfg.Self.Address)
+	require.Eventually(t, func() bool { return len(sender.Mates()) == 1 }, 5*time.Second, 10*time.Millisecond)
+	session := sender.sessionOf(mate.cfg.Self)
+	for n, body := range []string{"x", strings.Repeat("x", flowSize+1), strings.Repeat("x", (maxFlows+1)*flowSize)} {
+		for _, post := range []struct {
+			body   []byte
+			status int
+		}{{[]byte(body), http.StatusForbidden}, {sender.guard.Seal(session, []byte(body)), http.StatusBadRequest}} {
+			if n == 2 {
+				// A list that is too long is cut, and the rest does not fit its sum.
+				post.status = http.StatusForbidden
+			}
+			response, err := http.Post(url, flowsType, bytes.NewReader(post.body))
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, post.status, response.StatusCode)
+		}
 	}
 	response, err := http.Get(url)
 	require.NoError(t, err)
@@ -66,5 +79,5 @@
 	record.mu.Lock()
 	defer record.mu.Unlock()
 	require.Empty(t, record.flows)
-	require.Equal(t, 3, record.rejected)
+	require.Equal(t, 6, record.rejected)
 }
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 const (
@@ -41,6 +42,9 @@
 type memberState struct {
 	member Member
 	heard  time.Time
+	// session is that of the incarnation heard last; 0 for a member that was only
+	// mentioned.
+	session peerauth.Session
 	// watched is when the member last passed on an update of each kind.
 	watched [3]time.Time
 }
@@ -49,17 +53,22 @@
 	return &members{self: self, heard: map[string]memberState{}}
 }
 
-// hear records a message of a member, or the mention of one.
-func (m *members) hear(now time.Time, member Member, direct bool) {
+// hear records a message of a member's incarnation.
+func (m *members) hear(now time.Time, member Member, session peerauth.Session) {
 	if member.Name == m.self.Name {
 		return
 	}
 	state := m.heard[member.Name]
-	if !direct && !state.heard.IsZero() {
+	state.member, state.heard, state.session = member, now, session
+	m.heard[member.Name] = state
+}
+
+// mention records that another member has heard of a member.
+func (m *members) mention(now time.Time, member Member) {
+	if _, known := m.heard[member.Name]; known || member.Name == m.self.Name {
 		return
 	}
-	state.member, state.heard = member, now
-	m.heard[member.Name] = state
+	m.heard[member.Name] = memberState{member: member, heard: now}
 }
 
 // watching records that a member passed on an update.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,12 +7,10 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,10 +19,12 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/follow"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 const (
@@ -34,14 +34,12 @@
 	// firstHello is the time between greetings to the seeds until a mate has
 	// answered.
 	firstHello = 300 * time.Millisecond
-	// knowledgeTimeout bounds a request for another instance's knowledge.
-	knowledgeTimeout = 500 * time.Millisecond
-	// knowledgePath is the path of such requests, followed by the kind.
-	knowledgePath = "/v1/knowledge/"
-	// maxKnowledge bounds the answer in bytes: 3,700 upstreams take 1 MB.
-	maxKnowledge = 8 << 20
-	// readSlack makes a message above MaxDatagram visible as a syntax error.
+	// readSlack makes a message above MaxDatagram visible as an error.
 	readSlack = 1
+	// answersPerSecond bounds the answers to messages for other incarnations,
+	// which may be replayed: all instances of the target size greet a new one
+	// within this rate.
+	answersPerSecond = 200
 )
 
 // Observer receives what the relay does. It is called from several goroutines.
@@ -49,7 +47,8 @@
 	// Sent and Received count messages and their bytes.
 	Sent(bytes int)
 	Received(bytes int)
-	// Rejected reports a message that cannot be used.
+	// Rejected reports a message that cannot be used, with *peerauth.Error or
+	// *MessageError, or an error of the network.
 	Rejected(source netip.AddrPort, err error)
 	// MemberChanged reports a member that was found or lost.
 	MemberChanged(member Member, found bool)
@@ -67,7 +66,9 @@
 	// Knowledge returns what this instance knows of a kind, and its age.
 	Knowledge func(catalog.Kind) (update follow.Update, age time.Duration, known bool)
 	// Flows takes flows over from a mate that leaves; false when it cannot.
-	Flows    func([]forward.FlowState) bool
+	Flows func([]forward.FlowState) bool
+	// Keys authenticate the messages; without any, anybody can send them.
+	Keys     []peerauth.Key
 	Observer Observer
 }
 
@@ -77,6 +78,9 @@
 	cfg    Config
 	conn   *net.UDPConn
 	client *http.Client
+	guard  *peerauth.Guard
+	// answers bounds the answers to messages for other incarnations.
+	answers *rate.Limiter
 
 	mu      sync.Mutex
 	members *members
@@ -90,10 +94,14 @@
 	}
 	return &Relay{
 		cfg: cfg, conn: conn, members: newMembers(cfg.Self),
+		guard: peerauth.NewGuard(cfg.Keys), answers: rate.NewLimiter(answersPerSecond, answersPerSecond),
 		client: &http.Client{Timeout: knowledgeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}, nil
 }
 
+// SetKeys changes the keys: the first one signs, all are accepted.
+func (r *Relay) SetKeys(keys []peerauth.Key) { r.guard.SetKeys(keys) }
+
 // Close closes the socket of a relay that does not run.
 func (r *Relay) Close() error { return r.conn.Close() }
 
@@ -121,19 +129,44 @@
 			continue
 		}
 		r.cfg.Observer.Received(n)
-		m, err := decodeMessage(buffer[:n])
-		if err != nil {
+		if err := r.open(time.Now(), buffer[:n], source); err != nil {
 			r.cfg.Observer.Rejected(source, err)
-			continue
 		}
-		r.handle(time.Now(), m, source)
 	}
 }
 
-func (r *Relay) handle(now time.Time, m *message, source netip.AddrPort) {
-	r.hear(now, m)
+// open opens a message and acts on it. One that is meant for another incarnation
+// only shows its sender this instance's session. It fails with *peerauth.Error
+// or *MessageError.
+func (r *Relay) open(now time.Time, datagram []byte, source netip.AddrPort) error {
+	session, payload, err := r.guard.Open(datagram)
+	var unaccepted *peerauth.Error
+	unbound := errors.As(err, &unaccepted) && unaccepted.Reason == peerauth.Unbound
+	if err != nil && !unbound {
+		return err
+	}
+	m, decodeErr := decodeMessage(payload)
+	if decodeErr != nil {
+		return decodeErr
+	}
+	if !unbound {
+		r.handle(now, m, session, source)
+		return nil
+	}
+	if r.answers.AllowN(now, 1) {
+		r.send(m.From.Address, session, &message{From: r.cfg.Self, Hello: true, Members: r.listFor(m.From.FailureDomain)})
+	}
+	if m.Hello {
+		// The first message of an incarnation cannot name this one's session.
+		return nil
+	}
+	return err
+}
+
+func (r *Relay) handle(now time.Time, m *message, session peerauth.Session, source netip.AddrPort) {
+	r.hear(now, m, session)
 	if m.Hello {
-		r.send(m.From.Address, &message{From: r.cfg.Self, Members: r.listFor(m.From.FailureDomain)})
+		r.send(m.From.Address, session, &message{From: r.cfg.Self, Members: r.listFor(m.From.FailureDomain)})
 	}
 	if m.From.FailureDomain != r.cfg.Self.FailureDomain {
 		return
@@ -154,14 +187,14 @@
 	}
 }
 
-func (r *Relay) hear(now time.Time, m *message) {
+func (r *Relay) hear(now time.Time, m *message, session peerauth.Session) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := len(r.members.heard)
 	_, known := r.members.heard[m.From.Name]
-	r.members.hear(now, m.From, true)
+	r.members.hear(now, m.From, session)
 	for _, member := range m.Members {
-		r.members.hear(now, member, false)
+		r.members.mention(now, member)
 	}
 	if !known && len(r.members.heard) > before {
 		r.cfg.Observer.MemberChanged(m.From, true)
@@ -180,12 +213,13 @@
 		wait := helloInterval
 		hello := &message{From: r.cfg.Self, Hello: true}
 		if mates := r.Mates(); len(mates) > 0 {
-			r.send(mates[rand.IntN(len(mates))].Address, hello)
+			mate := mates[rand.IntN(len(mates))]
+			r.send(mate.Address, r.sessionOf(mate), hello)
 		} else {
 			wait = firstHello
 			for _, seed := range r.cfg.Seeds {
 				if seed != r.cfg.Self.Address {
-					r.send(seed, hello)
+					r.send(seed, 0, hello)
 				}
 			}
 		}
@@ -241,7 +275,7 @@
 func (r *Relay) Pass(update follow.Update) {
 	m := &message{From: r.cfg.Self, Update: encodeUpdate(update)}
 	data, err := json.Marshal(m)
-	if err == nil && len(data) > MaxDatagram {
+	if err == nil && len(data)+peerauth.Overhead > MaxDatagram {
 		// A base that nobody has makes the receivers ask the store.
 		m.Update = &wireUpdate{Kind: update.Kind, Base: update.Revision, Revision: update.Revision}
 		data, err = json.Marshal(m)
@@ -251,7 +285,7 @@
 		return
 	}
 	for _, mate := range r.Mates() {
-		r.write(mate.Address, data)
+		r.write(mate.Address, r.sessionOf(mate), data)
 	}
 }
 
@@ -260,112 +294,32 @@
 func (r *Relay) ReportSilent(upstreams []SilentUpstream) {
 	m := &message{From: r.cfg.Self, Silent: upstreams}
 	for _, mate := range r.Mates() {
-		r.send(mate.Address, m)
+		r.send(mate.Address, r.sessionOf(mate), m)
 	}
 }
 
-func (r *Relay) send(to netip.AddrPort, m *message) {
+// sessionOf returns the session of a member's present incarnation, 0 when this
+// instance has not heard of it itself.
+func (r *Relay) sessionOf(member Member) peerauth.Session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members.heard[member.Name].session
+}
+
+func (r *Relay) send(to netip.AddrPort, session peerauth.Session, m *message) {
 	data, err := json.Marshal(m)
 	if err != nil {
 		r.cfg.Observer.Rejected(to, err)
 		return
 	}
-	r.write(to, data)
+	r.write(to, session, data)
 }
 
-func (r *Relay) write(to netip.AddrPort, data []byte) {
-	if _, err := r.conn.WriteToUDPAddrPort(data, to); err != nil {
+func (r *Relay) write(to netip.AddrPort, session peerauth.Session, data []byte) {
+	sealed := r.guard.Seal(session, data)
+	if _, err := r.conn.WriteToUDPAddrPort(sealed, to); err != nil {
 		r.cfg.Observer.Rejected(to, err)
 		return
 	}
-	r.cfg.Observer.Sent(len(data))
-}
-
-// knowledge is the answer to a request for an instance's knowledge.
-type knowledge struct {
-	Update *wireUpdate `json:"update"`
-	AgeMS  int64       `json:"age_ms"`
-}
-
-// ErrNoMate says that no instance can be asked for its knowledge.
-var ErrNoMate = errors.New("no instance with knowledge is known")
-
-// Knowledge implements follow.Mates.
-func (r *Relay) Knowledge(ctx context.Context, kind catalog.Kind) (follow.Update, time.Duration, error) {
-	addresses := r.askable()
-	err := ErrNoMate
-	for _, address := range addresses {
-		var k *knowledge
-		if k, err = r.ask(ctx, address, kind); err != nil {
-			continue
-		}
-		update, decodeErr := k.Update.decode()
-		if decodeErr == nil {
-			return update, time.Duration(k.AgeMS) * time.Millisecond, nil
-		}
-		err = decodeErr
-	}
-	return follow.Update{}, 0, fmt.Errorf("knowledge of %s: %w", kind, err)
-}
-
-// askable returns the addresses to ask: a few mates, then the seeds.
-func (r *Relay) askable() []netip.AddrPort {
-	var addresses []netip.AddrPort
-	mates := r.Mates()
-	rand.Shuffle(len(mates), func(i, j int) { mates[i], mates[j] = mates[j], mates[i] })
-	for _, mate := range mates[:min(len(mates), 2)] {
-		addresses = append(addresses, mate.Address)
-	}
-	for _, seed := range r.cfg.Seeds {
-		if seed != r.cfg.Self.Address {
-			addresses = append(addresses, seed)
-		}
-	}
-	return addresses
-}
-
-func (r *Relay) ask(ctx context.Context, address netip.AddrPort, kind catalog.Kind) (*knowledge, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+knowledgePath+kind.String(), nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }() // Reading is over; an error here has no effect.
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("instance at %s: status %d", address, response.StatusCode)
-	}
-	k := &knowledge{}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxKnowledge)).Decode(k); err != nil {
-		return nil, err
-	}
-	if k.Update == nil {
-		return nil, &MessageError{Err: errors.New("no update")}
-	}
-	return k, nil
-}
-
-// Handler serves this instance's knowledge to others and takes flows over.
-func (r *Relay) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(flowsPath, r.serveFlows)
-	for _, kind := range catalog.Kinds() {
-		mux.HandleFunc(knowledgePath+kind.String(), func(w http.ResponseWriter, _ *http.Request) {
-			update, age, known := r.cfg.Knowledge(kind)
-			if !known {
-				http.Error(w, "not known yet", http.StatusServiceUnavailable)
-				return
-			}
-			var body bytes.Buffer
-			if err := json.NewEncoder(&body).Encode(knowledge{Update: encodeUpdate(update), AgeMS: age.Milliseconds()}); err != nil {
-				http.Error(w, err.Error(), http.StatusInternalServerError)
-				return
-			}
-			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(body.Bytes()) // The asking instance sees a failed write itself.
-		})
-	}
-	return mux
+	r.cfg.Observer.Sent(len(sealed))
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/follow"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 var start = time.Date(2026, 5, 8, 14, 56, 0, 0, time.UTC)
@@ -50,7 +52,7 @@
 	for _, w := range watching {
 		for i, view := range f.views {
 			if i != w && f.alive[i] {
-				view.hear(now, f.views[w].self, true)
+				view.hear(now, f.views[w].self, 1)
 				view.watching(now, f.views[w].self.Name, kind)
 			}
 		}
@@ -107,8 +109,8 @@
 // dead member alive.
 func TestMembersExpire(t *testing.T) {
 	m := newMembers(member(0, "a"))
-	m.hear(start, member(1, "a"), true)
-	m.hear(start.Add(9*time.Second), member(1, "a"), false)
+	m.hear(start, member(1, "a"), 1)
+	m.mention(start.Add(9*time.Second), member(1, "a"))
 	m.expire(start.Add(memberTimeout + time.Second))
 	require.Empty(t, m.mates())
 }
@@ -118,8 +120,8 @@
 func TestShareDoesNotGrowWhenMembersAreLost(t *testing.T) {
 	m := newMembers(member(5, "a"))
 	for n := range 9 {
-		m.hear(start, member(n, "a"), true)
-		m.hear(start, member(n, "b"), true)
+		m.hear(start, member(n, "a"), 1)
+		m.hear(start, member(n, "b"), 1)
 	}
 	rank, count := m.sharing(start)
 	require.Equal(t, 5, rank)
@@ -193,14 +195,19 @@
 	leaving  bool
 	found    map[string]bool
 	rejected int
+	reasons  map[peerauth.Reason]int
 }
 
 func (r *recorder) Sent(int)     {}
 func (r *recorder) Received(int) {}
-func (r *recorder) Rejected(netip.AddrPort, error) {
+func (r *recorder) Rejected(_ netip.AddrPort, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rejected++
+	var unaccepted *peerauth.Error
+	if errors.As(err, &unaccepted) {
+		r.reasons[unaccepted.Reason]++
+	}
 }
 
 func (r *recorder) MemberChanged(m Member, found bool) {
@@ -209,13 +216,18 @@
 	r.found[m.Name] = found
 }
 
-func startRelay(t *testing.T, name, domain string, seeds ...netip.AddrPort) (*Relay, *recorder) {
+func unusedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	address := netip.MustParseAddrPort(probe.LocalAddr().String())
-	require.NoError(t, probe.Close())
-	r := &recorder{found: map[string]bool{}}
+	defer func() { require.NoError(t, probe.Close()) }()
+	return netip.MustParseAddrPort(probe.LocalAddr().String())
+}
+
+func startRelay(t *testing.T, name, domain string, seeds ...netip.AddrPort) (*Relay, *recorder) {
+	t.Helper()
+	address := unusedAddress(t)
+	r := &recorder{found: map[string]bool{}, reasons: map[peerauth.Reason]int{}}
 	relay, err := Listen(Config{
 		Self: Member{Name: name, FailureDomain: domain, Address: address}, Seeds: seeds,
 		Passed: func(u follow.Update) { r.mu.Lock(); r.updates = append(r.updates, u); r.mu.Unlock() },
@@ -232,7 +244,7 @@
 			}
 			return !r.leaving
 		},
-		Observer: r,
+		Observer: r, Keys: []peerauth.Key{{1}},
 	})
 	require.NoError(t, err)
 	done := make(chan error, 1)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
 // lapseAfter is how long the store lists an upstream that has crashed: three
@@ -43,7 +45,7 @@
 	{"kill", func(ctx context.Context, c *chaos) { c.endInstance(ctx, syscall.SIGKILL) }},
 	{"terminate", func(ctx context.Context, c *chaos) { c.endInstance(ctx, syscall.SIGTERM) }},
 	{"pause", func(ctx context.Context, c *chaos) { c.pause(ctx) }},
-	{"reload", func(_ context.Context, c *chaos) { c.instance().signal(syscall.SIGHUP) }},
+	{"reload", func(_ context.Context, c *chaos) { c.instance().reload() }},
 	{"proxy", func(ctx context.Context, c *chaos) { c.cutStore(ctx) }},
 	{"store_down", func(ctx context.Context, c *chaos) { c.storeDown(ctx) }},
 	{"store_history", func(_ context.Context, c *chaos) {
@@ -55,6 +57,8 @@
 	{"drain", func(ctx context.Context, c *chaos) { c.drain(ctx) }},
 	{"evacuate", func(ctx context.Context, c *chaos) { c.evacuate(ctx) }},
 	{"configure", func(_ context.Context, c *chaos) { c.configure() }},
+	{"rotate_keys", func(ctx context.Context, c *chaos) { c.rotateKeys(ctx) }},
+	{"forge", func(_ context.Context, c *chaos) { c.forge() }},
 	{"corrupt_entry", func(_ context.Context, c *chaos) { c.fleet.store.Corrupt(fmt.Sprintf("i-%x", 0xdead00+c.rng.IntN(9))) }},
 }
 
@@ -97,6 +101,45 @@
 	c.ledger.disturb(anyInstance, time.Now())
 }
 
+// rotateKeys changes the key of the instances in three steps, one instance after
+// the other, while other faults go on.
+func (c *chaos) rotateKeys(ctx context.Context) {
+	c.fleet.rotation.Lock()
+	defer c.fleet.rotation.Unlock()
+	before, after := c.fleet.key, newKey(c.rng)
+	for _, keys := range [][]string{{before, after}, {after, before}, {after}} {
+		for n, i := range c.fleet.instances {
+			if err := c.fleet.writeSettings(n, i, keys); err != nil {
+				c.ledger.violate("settings of %s: %v", i.name, err)
+			}
+			i.reload()
+			if !c.sleep(ctx, 10*time.Millisecond, 100*time.Millisecond) {
+				return
+			}
+		}
+	}
+	c.fleet.key = after
+}
+
+// forge sends an instance bytes, and a report that its sender signed with a key
+// of its own.
+func (c *chaos) forge() {
+	to := netip.AddrPortFrom(c.instance().address, peerPort)
+	conn, err := net.Dial("udp4", to.String())
+	if err != nil {
+		c.log("forge: %v", err)
+		return
+	}
+	defer func() { _ = conn.Close() }() // Nothing waits to be sent.
+	guard := peerauth.NewGuard([]peerauth.Key{{byte(c.rng.Uint32())}})
+	report := fmt.Sprintf(`{"from":{"name":"edge-x","domain":"a","address":%q},"silent":[{"id":"i-1","born":1}]}`, to)
+	for _, message := range [][]byte{[]byte(report), guard.Seal(peerauth.Session(c.rng.Uint64()), []byte(report))} {
+		if _, err := conn.Write(message); err != nil {
+			c.log("forge: %v", err)
+		}
+	}
+}
+
 // cutStore disturbs the connections of one instance to the store.
 func (c *chaos) cutStore(ctx context.Context) {
 	i, mode := c.instance(), Mode(1+c.rng.IntN(4))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chivemast/chivemast/internal/peerauth"
 	"github.com/chivemast/chivemast/platform/standin"
 )
 
@@ -35,6 +38,8 @@
 	missesOut         = 2
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 500 * time.Millisecond
+	// signalsAfter is how long a process may take until it handles signals.
+	signalsAfter = 500 * time.Millisecond
 	// terminationGrace is how long a process may take to leave.
 	terminationGrace = 6 * time.Second
 )
@@ -54,6 +59,7 @@
 	mu       sync.Mutex
 	process  *exec.Cmd
 	stopped  chan struct{}
+	begun    time.Time
 	rotation bool
 	misses   int
 }
@@ -68,6 +74,10 @@
 	conn      *net.UDPConn
 	instances []*instance
 
+	// rotation is held while the key of the instances changes.
+	rotation sync.Mutex
+	key      string
+
 	mu        sync.Mutex
 	upstreams []*upstream
 }
@@ -105,8 +115,28 @@
 	return nil
 }
 
-// configure writes the settings of an instance.
+// configure opens the log of an instance and writes its settings.
 func (f *fleet) configure(n int, i *instance) error {
+	var err error
+	i.config = filepath.Join(f.folder, i.name+".json")
+	if i.log, err = os.Create(filepath.Join(f.folder, i.name+".log")); err != nil {
+		return err
+	}
+	return f.writeSettings(n, i, []string{f.key})
+}
+
+// newKey returns a key as the settings have it.
+func newKey(rng *rand.Rand) string {
+	key := make([]byte, peerauth.KeySize)
+	for i := range key {
+		key[i] = byte(rng.Uint32())
+	}
+	return base64.StdEncoding.EncodeToString(key)
+}
+
+// writeSettings writes the settings of an instance with the given keys. A
+// process that starts meanwhile reads the old or the new ones.
+func (f *fleet) writeSettings(n int, i *instance, keys []string) error {
 	seeds := []string{}
 	for _, seed := range f.instances[:min(len(f.instances), 3)] {
 		seeds = append(seeds, netip.AddrPortFrom(seed.address, peerPort).String())
@@ -118,16 +148,15 @@
 		"metrics_address":   netip.AddrPortFrom(i.address, metricsPort).String(),
 		"peer_address":      netip.AddrPortFrom(i.address, peerPort).String(),
 		"store_address":     netip.AddrPortFrom(f.ip(groupProxy, n+1), storePort).String(),
-		"peers":             seeds, "cold_factor": 1.5, "cold_slack": 5,
+		"peers":             seeds, "cold_factor": 1.5, "cold_slack": 5, "peer_keys": keys,
 	})
 	if err != nil {
 		return err
 	}
-	i.config = filepath.Join(f.folder, i.name+".json")
-	if i.log, err = os.Create(filepath.Join(f.folder, i.name+".log")); err != nil {
+	if err := os.WriteFile(i.config+".new", data, 0o600); err != nil {
 		return err
 	}
-	return os.WriteFile(i.config, data, 0o600)
+	return os.Rename(i.config+".new", i.config)
 }
 
 // start begins a process of an instance.
@@ -140,7 +169,7 @@
 		return err
 	}
 	process, stopped := i.process, make(chan struct{})
-	i.stopped = stopped
+	i.stopped, i.begun = stopped, time.Now()
 	go func() {
 		_ = process.Wait() // How it ended stands in its log.
 		close(stopped)
@@ -157,6 +186,18 @@
 	}
 }
 
+// reload makes the process read its settings again. A process that has just
+// started may not take the signal yet, and would end.
+func (i *instance) reload() {
+	i.mu.Lock()
+	wait := time.Until(i.begun.Add(signalsAfter))
+	i.mu.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	i.signal(syscall.SIGHUP)
+}
+
 // stop ends the process with a signal and waits for its end.
 func (i *instance) stop(signal syscall.Signal) {
 	i.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -90,6 +90,7 @@
 	l := newLedger()
 	f := &fleet{ledger: l, binary: cfg.Binary, folder: cfg.Folder, slot: cfg.Slot, store: standin.NewStore()}
 	c := &chaos{fleet: f, ledger: l, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), log: cfg.Log}
+	f.key = newKey(c.rng)
 	defer f.end()
 	if err := f.begin(ctx, c); err != nil {
 		return nil, err
