Keep new flows from upstreams that fail a part of their requests

Cause: an upstream that resets 45% of its requests with a good health answer accepts every flow at once and loses its flows, so that it looks idle and attracts new ones. Change: a request on a flow whose answers are acknowledged by themselves counts as lost after 400 ms without one. Instances tell each other of lost requests, because each sees 0.7 requests a second of an upstream there. Lost requests decay with a half-life of 1 s; an upstream whose weight exceeds 2.5 and twice the average of its neighbours, over 0.5 s at least, gets no new flows for 2 s while others can take them. Draining upstreams, which end their flows, are left out. Nothing is reset.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -19,7 +19,8 @@
 	Local bool
 	// Cold upstreams take flows only when no other upstream can.
 	Cold bool
-	// Slow upstreams answer much later than the service usually does.
+	// Slow upstreams answer much later than the service usually does, or leave
+	// requests without an answer.
 	Slow bool
 	// Suspect upstreams did not answer recent flows.
 	Suspect bool
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,7 +95,7 @@
 	}
 	i.traffic.prober = newProber(codec, i.traffic.wake)
 	i.traffic.reportLimit = rate.NewLimiter(reportsPerSecond, reportsAtOnce)
-	i.traffic.reports = make(chan relay.SilentUpstream, reportQueue)
+	i.traffic.reports = make(chan report, reportQueue)
 	i.traffic.imports, i.traffic.exports = make(chan []forward.FlowState, importQueue), make(chan chan<- []forward.FlowState, 1)
 	if err := i.listenRelay(store); err != nil {
 		return nil, errors.Join(err, conn.Close())
@@ -116,7 +116,8 @@
 		Passed: func(update follow.Update) {
 			i.follower.Passed(update)
 		},
-		Silent:    i.traffic.reported,
+		Silent:    func(u relay.UpstreamName) { i.traffic.reported(report{upstream: u}) },
+		Lost:      func(u relay.UpstreamName) { i.traffic.reported(report{upstream: u, lost: true}) },
 		Knowledge: i.knowledge,
 		Flows:     i.takeFlows,
 		Observer:  relayObserver{i},
@@ -128,7 +129,7 @@
 	if len(s.PeerKeys) == 0 {
 		i.log.Event(logrus.WarnLevel, "peers_not_authenticated", logrus.Fields{"setting": "peer_keys"})
 	}
-	i.traffic.silent, i.traffic.sharing = i.relay.ReportSilent, i.relay.Sharing
+	i.traffic.silent, i.traffic.lost, i.traffic.sharing = i.relay.ReportSilent, i.relay.ReportLost, i.relay.Sharing
 	i.follower = follow.New(store, i.relay, i.events)
 	return nil
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -61,6 +61,8 @@
 	messages  *counters.Family
 	bytes     *counters.Family
 	refused   *counters.Family
+	lost      atomic.Int64
+	failing   atomic.Int64
 	flows     atomic.Int64
 	upstreams atomic.Int64
 	snapshots atomic.Int64
@@ -120,12 +122,17 @@
 	counter("chivemast_relay_messages", "Messages between instances.", m.messages)
 	counter("chivemast_relay_refused", "Messages of instances that were not accepted.", m.refused)
 	counter("chivemast_relay_bytes", "Bytes of messages between instances.", m.bytes)
-	_, err := meter.Int64ObservableCounter("chivemast_snapshots", metric.WithDescription("Views handed to the goroutine that forwards packets."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(m.snapshots.Load())
-			return nil
-		}))
-	errs = append(errs, err)
+	total := func(name, description string, value *atomic.Int64) {
+		_, err := meter.Int64ObservableCounter(name, metric.WithDescription(description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value.Load())
+				return nil
+			}))
+		errs = append(errs, err)
+	}
+	total("chivemast_snapshots", "Views handed to the goroutine that forwards packets.", &m.snapshots)
+	total("chivemast_lost_requests", "Requests that an upstream left without an answer.", &m.lost)
+	total("chivemast_upstreams_failing", "Times that an upstream was found to fail a part of its requests.", &m.failing)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
 	gauge("chivemast_upstreams_known", "Upstream incarnations that cookies resolve to.", m.upstreams.Load)
 	gauge("chivemast_config_version", "Configuration version in force.", m.version.Load)
@@ -133,6 +140,7 @@
 		gauge("chivemast_"+catalog.Kind(kind).String()+"_age_ms", "Time since the store confirmed this knowledge, in ms.",
 			func() int64 { return time.Now().UnixMilli() - m.confirmed[kind].Load() })
 	}
+	var err error
 	m.answer, err = meter.Float64Histogram("chivemast_open_answer_ms",
 		metric.WithDescription("Time from an opening packet to the next packet of its flow, in ms."),
 		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1600))
@@ -170,6 +178,16 @@
 	m.bytes.Add(direction, int64(bytes))
 }
 
+// lostRequest counts a request that an upstream left without an answer.
+func (m *Metrics) lostRequest(f forward.Failure) {
+	if f.Own {
+		m.lost.Add(1)
+	}
+	if f.Failing {
+		m.failing.Add(1)
+	}
+}
+
 // relayRefused counts a message that was not accepted.
 func (m *Metrics) relayRefused(err error) {
 	reason := relayOther
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -45,9 +45,16 @@
 	// failure domain is lost every instance sees signs of its own, and reports
 	// of all its upstreams by all instances would fill their links.
 	reportsPerSecond = 50
-	reportsAtOnce    = relay.MaxSilent
+	reportsAtOnce    = relay.MaxNames
 )
 
+// report is a mate's word on an upstream: that it does not answer probes, or
+// that it lost a request.
+type report struct {
+	upstream relay.UpstreamName
+	lost     bool
+}
+
 // Codec translates packets between their wire format and forward.Packet.
 type Codec interface {
 	Identifier
@@ -70,11 +77,11 @@
 	codec  Codec
 	engine *forward.Engine
 	prober *prober
-	// reports are upstreams that mates found silent; silent tells the mates.
-	reports chan relay.SilentUpstream
-	silent  func([]relay.SilentUpstream)
+	// reports are the words of mates; silent and lost tell the mates.
+	reports      chan report
+	silent, lost func([]relay.UpstreamName)
 	// unreported are silent upstreams that the mates do not know yet.
-	unreported  []relay.SilentUpstream
+	unreported  []relay.UpstreamName
 	reportLimit *rate.Limiter
 	// imports are flows of mates that left; exports ask for the flows that this
 	// instance remembers.
@@ -194,7 +201,7 @@
 		case probe := <-t.prober.unanswered:
 			t.takeUnanswered(now, probe)
 		case report := <-t.reports:
-			t.engine.Reported(now, report.ID, report.Born)
+			t.takeReport(now, report)
 		case flows := <-t.imports:
 			t.engine.Import(now, flows)
 		case answer := <-t.exports:
@@ -232,10 +239,35 @@
 	if !t.reportLimit.AllowN(now, 1) {
 		return false
 	}
-	t.unreported = append(t.unreported, relay.SilentUpstream{ID: upstream.ID, Born: upstream.Born})
+	t.unreported = append(t.unreported, relay.UpstreamName{ID: upstream.ID, Born: upstream.Born})
 	return true
 }
 
+func (t *traffic) takeReport(now time.Time, word report) {
+	if word.lost {
+		t.engine.Lost(now, word.upstream.ID, word.upstream.Born)
+		return
+	}
+	t.engine.Reported(now, word.upstream.ID, word.upstream.Born)
+}
+
+// tellFailures logs lost requests and tells the mates of its own.
+func (t *traffic) tellFailures(now time.Time) {
+	var own []relay.UpstreamName
+	for _, failure := range t.engine.TakeFailures() {
+		t.metrics.lostRequest(failure)
+		if failure.Failing {
+			t.log.failing(failure)
+		}
+		if failure.Own && len(own) < relay.MaxNames {
+			own = append(own, relay.UpstreamName{ID: failure.Upstream.ID, Born: failure.Upstream.Born})
+		}
+	}
+	if len(own) > 0 && t.reportLimit.AllowN(now, len(own)) {
+		t.lost(own)
+	}
+}
+
 // sendReports tells the mates of the upstreams that do not answer.
 func (t *traffic) sendReports() {
 	if len(t.unreported) > 0 {
@@ -246,9 +278,9 @@
 
 // reported takes in a mate's word on an upstream. It never blocks; a mate
 // reports again when its next probe of another upstream fails.
-func (t *traffic) reported(upstream relay.SilentUpstream) {
+func (t *traffic) reported(word report) {
 	select {
-	case t.reports <- upstream:
+	case t.reports <- word:
 		t.wake()
 	default:
 	}
@@ -309,6 +341,7 @@
 	if now.Sub(t.reached) >= reachInterval {
 		t.reached = now
 		t.cutOff.Store(t.adopted != nil && !t.engine.CanServe(now))
+		t.tellFailures(now)
 	}
 	t.requestProbes()
 }
@@ -429,6 +462,16 @@
 	})
 }
 
+// failing logs that an upstream leaves requests without an answer.
+func (l flowLog) failing(f forward.Failure) {
+	l.events.Flow(logrus.WarnLevel, "upstream_failing", func() logrus.Fields {
+		return logrus.Fields{
+			"upstream": f.Upstream.ID, "upstream_domain": f.Upstream.FailureDomain, "lost": fmt.Sprintf("%.1f", f.Weight),
+			"service_average": fmt.Sprintf("%.1f", f.Average), "own": f.Own, "upstream_revision": f.Upstream.Revision,
+		}
+	})
+}
+
 // unanswered logs a probe that has had no answer for a while.
 func (l flowLog) unanswered(probe forward.Probe, reported bool) {
 	l.events.Flow(logrus.InfoLevel, "probe_unanswered", func() logrus.Fields {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -49,6 +49,13 @@
 	// answered and another one is opened.
 	lastOpen map[netip.Addr]*flowRecord
 
+	// answers are requests without an answer by the time at which they were
+	// sent, losses those of each group that got none, failures what others do
+	// not know of them yet.
+	answers  []pendingAnswer
+	losses   map[lossGroup]*losses
+	failures []Failure
+
 	// delays are the times to an answer by service.
 	delays map[string]*delay
 
@@ -65,7 +72,7 @@
 // New returns an engine without a view: every packet waits.
 func New(cfg Config) *Engine {
 	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), stats: map[flowcookie.Cookie]*upstreamStats{}, lastOpen: map[netip.Addr]*flowRecord{},
-		delays: map[string]*delay{}}
+		delays: map[string]*delay{}, losses: map[lossGroup]*losses{}}
 }
 
 // Adopt makes a snapshot the view for the packets that follow.
@@ -120,6 +127,7 @@
 	}
 	// The packet itself may show that an upstream answers.
 	e.checkAsks(now)
+	e.checkAnswers(now)
 	return decision
 }
 
@@ -272,7 +280,7 @@
 		e.entries = append(e.entries, entry)
 		e.candidates = append(e.candidates, choice.Candidate{
 			Cookie: entry.Cookie, Local: local, Cold: cold,
-			Suspect: stats.suspect(now), Slow: now.Before(stats.slowUntil), Flows: stats.flows, Capacity: entry.Capacity,
+			Suspect: stats.suspect(now), Slow: now.Before(stats.slowUntil) || now.Before(stats.failingUntil), Flows: stats.flows, Capacity: entry.Capacity,
 		})
 	}
 	return limited
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -289,6 +289,7 @@
 		record.sent, record.asked = end, now
 		if record.prompt {
 			e.ask(now, p.Cookie)
+			e.answers = append(e.answers, pendingAnswer{record: record, sent: now})
 		}
 	}
 }
--- a/internal/forward/stats.go
+++ b/internal/forward/stats.go
@@ -83,6 +83,10 @@
 	// the upstream counts as slow.
 	delay     delay
 	slowUntil time.Time
+	// lost are requests without an answer, and failingUntil the end of the time
+	// in which the upstream counts as failing.
+	lost         losses
+	failingUntil time.Time
 }
 
 // suspect tells whether new flows avoid the upstream.
--- a/internal/loadsim/flow_test.go
+++ b/internal/loadsim/flow_test.go
@@ -115,6 +115,11 @@
 					w.broken++
 				case target.ended || !target.flows[f.Flow]:
 					w.after(callerDelay, retry)
+				case w.rng.Float64() < target.failing:
+					arrived = true
+					delete(target.flows, f.Flow)
+					w.failures = append(w.failures, w.now)
+					w.after(callerDelay, retry)
 				default:
 					arrived = true
 					target.accept(w, r, func() {
@@ -137,6 +142,7 @@
 		}
 		d := i.engine.Decide(w.now, p)
 		i.probe()
+		w.tell(i)
 		switch d.Action {
 		case forward.Reset:
 			if !p.Open {
--- a/internal/loadsim/world_test.go
+++ b/internal/loadsim/world_test.go
@@ -65,6 +65,13 @@
 	// lost are the times at which packets of established flows went to silent
 	// upstreams.
 	lost []time.Time
+	// failures are the times at which an upstream reset a request, alarms the
+	// upstreams that instances found to be failing.
+	failures []time.Time
+	alarms   []*upstream
+	// unaware instances do not tell each other of silent upstreams and lost
+	// requests.
+	unaware bool
 	// late are the times at which requests on established flows met a reset.
 	late []time.Time
 }
@@ -126,6 +133,8 @@
 	catalog.Upstream
 	// silent upstreams answer nothing; ended ones refuse connections.
 	silent, ended bool
+	// failing is the part of the requests that it resets.
+	failing float64
 	// factor is how much longer than usual it works; 0 counts as 1.
 	factor  float64
 	flows   map[forward.Flow]bool
@@ -371,10 +380,29 @@
 	}
 }
 
+// tell passes lost requests on to the instances of the failure domain.
+func (w *world) tell(from *instance) {
+	for _, failure := range from.engine.TakeFailures() {
+		u := w.find(failure.Upstream.ID)
+		if failure.Failing {
+			w.alarms = append(w.alarms, u)
+		}
+		for _, mate := range w.instances {
+			if failure.Own && !w.unaware && mate != from && mate.domain == from.domain {
+				w.after(time.Millisecond, func() {
+					if mate.alive {
+						mate.engine.Lost(w.now, u.ID, u.Born)
+					}
+				})
+			}
+		}
+	}
+}
+
 // report tells the instances of the failure domain of a failed probe.
 func (w *world) report(from *instance, u *upstream) {
 	for _, mate := range w.instances {
-		if mate != from && mate.domain == from.domain {
+		if !w.unaware && mate != from && mate.domain == from.domain {
 			w.after(time.Millisecond, func() {
 				if mate.alive {
 					mate.engine.Reported(w.now, u.ID, u.Born)
--- a/internal/relay/auth_test.go
+++ b/internal/relay/auth_test.go
@@ -28,7 +28,7 @@
 	seed, record := startRelay(t, "a-1", "a")
 	mate, _ := startRelay(t, "a-2", "a", seed.cfg.Self.Address)
 	require.Eventually(t, func() bool { return len(seed.Mates()) == 1 && len(mate.Mates()) == 1 }, 5*time.Second, 10*time.Millisecond)
-	report, err := json.Marshal(&message{From: mate.cfg.Self, Silent: []SilentUpstream{{ID: "i-1", Born: 7}}})
+	report, err := json.Marshal(&message{From: mate.cfg.Self, Silent: []UpstreamName{{ID: "i-1", Born: 7}}})
 	require.NoError(t, err)
 	write := func(data []byte) {
 		_, err := mate.conn.WriteToUDPAddrPort(data, seed.cfg.Self.Address)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -14,9 +14,9 @@
 // announced without its events, and the receivers ask the store.
 const MaxDatagram = 1400
 
-// MaxSilent is the number of silent upstreams that fit into a message with the
-// longest names.
-const MaxSilent = 12
+// MaxNames is the number of upstreams that fit into a message with the longest
+// names.
+const MaxNames = 12
 
 // Member is an instance of the fleet.
 type Member struct {
@@ -35,11 +35,14 @@
 	// Update is what the store told the sender.
 	Update *wireUpdate `json:"update,omitempty"`
 	// Silent names upstreams that the sender's probes found gone or silent.
-	Silent []SilentUpstream `json:"silent,omitempty"`
+	Silent []UpstreamName `json:"silent,omitempty"`
+	// Lost names upstreams that left a request of the sender's callers without an
+	// answer, once for each request.
+	Lost []UpstreamName `json:"lost,omitempty"`
 }
 
-// SilentUpstream names an incarnation of an upstream.
-type SilentUpstream struct {
+// UpstreamName names an incarnation of an upstream.
+type UpstreamName struct {
 	ID   string `json:"id"`
 	Born int64  `json:"born"`
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,8 +61,9 @@
 	Seeds []netip.AddrPort
 	// Passed receives the updates of mates.
 	Passed func(follow.Update)
-	// Silent receives the upstreams that mates found silent.
-	Silent func(SilentUpstream)
+	// Silent receives the upstreams that mates found silent, Lost those that left
+	// a request without an answer.
+	Silent, Lost func(UpstreamName)
 	// Knowledge returns what this instance knows of a kind, and its age.
 	Knowledge func(catalog.Kind) (update follow.Update, age time.Duration, known bool)
 	// Flows takes flows over from a mate that leaves; false when it cannot.
@@ -185,6 +186,9 @@
 	for _, upstream := range m.Silent {
 		r.cfg.Silent(upstream)
 	}
+	for _, upstream := range m.Lost {
+		r.cfg.Lost(upstream)
+	}
 }
 
 func (r *Relay) hear(now time.Time, m *message, session peerauth.Session) {
@@ -289,10 +293,19 @@
 	}
 }
 
-// ReportSilent tells the mates of at most MaxSilent upstreams that do not
-// answer probes.
-func (r *Relay) ReportSilent(upstreams []SilentUpstream) {
-	m := &message{From: r.cfg.Self, Silent: upstreams}
+// ReportSilent tells the mates of at most MaxNames upstreams that do not answer
+// probes.
+func (r *Relay) ReportSilent(upstreams []UpstreamName) {
+	r.tell(&message{From: r.cfg.Self, Silent: upstreams})
+}
+
+// ReportLost tells the mates of at most MaxNames requests without an answer.
+func (r *Relay) ReportLost(upstreams []UpstreamName) {
+	r.tell(&message{From: r.cfg.Self, Lost: upstreams})
+}
+
+// tell sends a message to all mates.
+func (r *Relay) tell(m *message) {
 	for _, mate := range r.Mates() {
 		r.send(mate.Address, r.sessionOf(mate), m)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -190,7 +190,8 @@
 type recorder struct {
 	mu       sync.Mutex
 	updates  []follow.Update
-	silent   []SilentUpstream
+	silent   []UpstreamName
+	lost     []UpstreamName
 	flows    []forward.FlowState
 	leaving  bool
 	found    map[string]bool
@@ -231,7 +232,8 @@
 	relay, err := Listen(Config{
 		Self: Member{Name: name, FailureDomain: domain, Address: address}, Seeds: seeds,
 		Passed: func(u follow.Update) { r.mu.Lock(); r.updates = append(r.updates, u); r.mu.Unlock() },
-		Silent: func(s SilentUpstream) { r.mu.Lock(); r.silent = append(r.silent, s); r.mu.Unlock() },
+		Silent: func(s UpstreamName) { r.mu.Lock(); r.silent = append(r.silent, s); r.mu.Unlock() },
+		Lost:   func(s UpstreamName) { r.mu.Lock(); r.lost = append(r.lost, s); r.mu.Unlock() },
 		Knowledge: func(kind catalog.Kind) (follow.Update, time.Duration, bool) {
 			return follow.Update{Kind: kind, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
 				2 * time.Second, kind == catalog.KindEvacuations
@@ -268,13 +270,14 @@
 		large.Domains = append(large.Domains, fmt.Sprintf("domain-%d", i))
 	}
 	first.Pass(follow.Update{Kind: catalog.KindEvacuations, Base: 3, Revision: 5, Events: []catalog.Event{large}})
-	first.ReportSilent([]SilentUpstream{{ID: "i-1", Born: 7}})
+	first.ReportSilent([]UpstreamName{{ID: "i-1", Born: 7}})
+	first.ReportLost([]UpstreamName{{ID: "i-2", Born: 8}})
 	_, err := first.conn.WriteToUDPAddrPort([]byte("not a message"), seed.cfg.Self.Address)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		seedRecord.mu.Lock()
 		defer seedRecord.mu.Unlock()
-		return len(seedRecord.updates) == 2 && len(seedRecord.silent) == 1 && seedRecord.rejected == 1
+		return len(seedRecord.updates) == 2 && len(seedRecord.silent) == 1 && len(seedRecord.lost) == 1 && seedRecord.rejected == 1
 	}, 5*time.Second, 10*time.Millisecond)
 	require.EqualValues(t, 5, seedRecord.updates[1].Base, "an update that does not fit shows a gap")
 	otherRecord.mu.Lock()
