Let probes of upstreams that are known to be silent back off

Repeated probes of upstreams that are known to be silent have no control, were taken for inconclusive and were repeated every second. Ruled out: the controls themselves (each first outcome has two answered ones next to it).

--- a/internal/forward/control_test.go
+++ b/internal/forward/control_test.go
@@ -72,3 +72,30 @@
 	probe := f.engine.TakeProbes()[0]
 	require.True(t, f.engine.Probed(f.now, ProbeResult{Upstream: probe.Upstream, Verdict: VerdictSilent, Started: f.now}).Inconclusive)
 }
+
+// Guards against probes once a second of upstreams that are known to be silent:
+// their repeated probes need no control and back off.
+func TestRepeatedProbesOfASilentUpstreamBackOff(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.establish(1)
+	f.establish(2)
+	f.wait(time.Second)
+	entry := f.engine.view.Service("s").Entries[0]
+	f.reach(2)
+	f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictSilent, Started: f.now})
+	probes := 0
+	for range 12 {
+		f.wait(time.Second)
+		f.engine.Reprobe(f.now)
+		for _, probe := range f.engine.TakeProbes() {
+			if probe.Upstream != entry {
+				continue
+			}
+			probes++
+			f.engine.Unanswered(f.now, probe)
+			abandoned := f.engine.Probed(f.now, ProbeResult{Upstream: probe.Upstream, Verdict: VerdictSilent, Started: f.now})
+			require.False(t, abandoned.Inconclusive)
+		}
+	}
+	require.LessOrEqual(t, probes, 5)
+}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -265,7 +265,7 @@
 		stats.probe.late = false
 		return Abandoned{}
 	}
-	if result.Verdict == VerdictSilent && !e.conclusive(result) {
+	if result.Verdict == VerdictSilent && !stats.probe.failed() && !e.conclusive(result) {
 		stats.probe.late = true
 		return Abandoned{Inconclusive: true}
 	}
