Give control probes room of their own

Cause: found while reading the diff. At most 64 probes are under way; when a failure domain with more upstreams is lost, the control probes wait behind 64 that have no answer, so that all of these are inconclusive and are repeated a second later, again 64 at a time. Change: control probes have a queue and 20 places of their own. The test fails before (it waits for ever).

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/chivemast/chivemast/internal/forward"
 )
 
@@ -23,12 +25,16 @@
 	// maxProbes bounds the connection attempts under way: the upstreams of one
 	// failure domain of the target size would take five rounds.
 	maxProbes = 64
+	// maxControls bounds the control probes under way: ten rounds. They have room
+	// of their own, because without them the outcomes of 64 probes of a failure
+	// domain that is lost would be inconclusive.
+	maxControls = 20
 )
 
 // prober attempts connections to upstreams that seem silent.
 type prober struct {
-	wanted  chan forward.Probe
-	results chan forward.ProbeResult
+	wanted, controls chan forward.Probe
+	results          chan forward.ProbeResult
 	// unanswered are probes that have had no answer for a while.
 	unanswered chan forward.Probe
 	// try makes one attempt.
@@ -36,7 +42,6 @@
 	// wake interrupts the traffic goroutine after a result.
 	wake     func()
 	identify Identifier
-	slot     chan struct{}
 }
 
 // Identifier asks the upstream at the other end of a connection for its id.
@@ -47,9 +52,9 @@
 func newProber(identify Identifier, wake func()) *prober {
 	p := &prober{
 		identify: identify,
-		wanted:   make(chan forward.Probe, maxProbes), results: make(chan forward.ProbeResult, maxProbes),
-		unanswered: make(chan forward.Probe, maxProbes),
-		wake:       wake, slot: make(chan struct{}, maxProbes),
+		wanted:   make(chan forward.Probe, maxProbes), controls: make(chan forward.Probe, maxControls),
+		results: make(chan forward.ProbeResult, maxProbes), unanswered: make(chan forward.Probe, maxProbes),
+		wake: wake,
 	}
 	p.try = p.connect
 	return p
@@ -57,8 +62,12 @@
 
 // request starts a probe; false when too many are under way.
 func (p *prober) request(probe forward.Probe) bool {
+	queue := p.wanted
+	if probe.Sign == forward.SignControl {
+		queue = p.controls
+	}
 	select {
-	case p.wanted <- probe:
+	case queue <- probe:
 		return true
 	default:
 		return false
@@ -66,18 +75,27 @@
 }
 
 func (p *prober) run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { p.serve(ctx, p.wanted, maxProbes); return nil })
+	group.Go(func() error { p.serve(ctx, p.controls, maxControls); return nil })
+	return group.Wait()
+}
+
+// serve makes the attempts of a queue, at most limit at a time.
+func (p *prober) serve(ctx context.Context, queue <-chan forward.Probe, limit int) {
+	slots := make(chan struct{}, limit)
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case probe := <-p.wanted:
+			return
+		case probe := <-queue:
 			select {
-			case p.slot <- struct{}{}:
+			case slots <- struct{}{}:
 			case <-ctx.Done():
-				return nil
+				return
 			}
 			go func() {
-				defer func() { <-p.slot }()
+				defer func() { <-slots }()
 				p.attempt(ctx, probe)
 			}()
 		}
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -60,6 +61,34 @@
 	require.NoError(t, <-done)
 }
 
+// Pattern: loss of a large failure domain. Guards against control probes that
+// wait behind 64 probes without an answer, whose outcomes would all be
+// inconclusive, again and again.
+func TestControlProbesHaveRoomOfTheirOwn(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	p := newProber(namer(""), func() {})
+	end := make(chan struct{})
+	p.try = func(_ context.Context, probe forward.Probe) forward.Verdict {
+		if probe.Sign == forward.SignControl {
+			return forward.VerdictAlive
+		}
+		<-end
+		return forward.VerdictSilent
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- p.run(ctx) }()
+	entry := &catalog.Entry{}
+	for n := range 2 * maxProbes {
+		require.Eventually(t, func() bool { return p.request(forward.Probe{Upstream: entry}) }, 5*time.Second, time.Millisecond, "probe %d", n)
+	}
+	require.True(t, p.request(forward.Probe{Upstream: entry, Sign: forward.SignControl}))
+	require.Equal(t, forward.SignControl, (<-p.results).Sign)
+	close(end)
+	cancel()
+	require.NoError(t, <-done)
+}
+
 // Guards against results that are lost or that do not wake the reader, against
 // a request that blocks the traffic goroutine, and against leaked goroutines.
 func TestProberReportsAndStops(t *testing.T) {
