--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -36,25 +35,8 @@
 	reachInterval = 250 * time.Millisecond
 	// readTimeout wakes the reader for its periodic work without traffic.
 	readTimeout = reachInterval
-	// reportQueue is the number of words of mates that may wait.
-	reportQueue = 64
-	// importQueue is the number of mates whose flows may wait.
-	importQueue = 4
-	// reportsPerSecond and reportsAtOnce bound the silent upstreams that an
-	// instance reports. What fits into a datagram covers a rack; when a whole
-	// failure domain is lost every instance sees signs of its own, and reports
-	// of all its upstreams by all instances would fill their links.
-	reportsPerSecond = 50
-	reportsAtOnce    = relay.MaxNames
 )
 
-// report is a mate's word on an upstream: that it does not answer probes, or
-// that it lost a request.
-type report struct {
-	upstream relay.UpstreamName
-	lost     bool
-}
-
 // Codec translates packets between their wire format and forward.Packet.
 type Codec interface {
 	Identifier
@@ -191,131 +173,6 @@
 	}
 }
 
-// takeResults acts on the outcomes of probes and the words of mates.
-func (t *traffic) takeResults(now time.Time) {
-	defer t.sendReports()
-	for {
-		select {
-		case result := <-t.prober.results:
-			t.takeResult(now, result)
-		case probe := <-t.prober.unanswered:
-			t.takeUnanswered(now, probe)
-		case report := <-t.reports:
-			t.takeReport(now, report)
-		case flows := <-t.imports:
-			t.engine.Import(now, flows)
-		case answer := <-t.exports:
-			answer <- t.engine.Export(now)
-		default:
-			return
-		}
-	}
-}
-
-func (t *traffic) takeResult(now time.Time, result forward.ProbeResult) {
-	abandoned := t.engine.Probed(now, result)
-	t.log.probed(now, result, abandoned)
-	t.metrics.probed(result.Verdict, now.Sub(result.Started))
-	if abandoned.Report {
-		t.report(now, result.Upstream)
-	}
-	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamSilent, Upstream: result.Upstream}
-	for i := range abandoned.Flows {
-		t.sendReset(&abandoned.Flows[i])
-		t.metrics.decided(decision)
-		t.log.decided(now, &abandoned.Flows[i], decision, t.adopted)
-	}
-}
-
-// takeUnanswered acts on a probe that has had no answer for a while.
-func (t *traffic) takeUnanswered(now time.Time, probe forward.Probe) {
-	report := t.engine.Unanswered(now, probe) && t.report(now, probe.Upstream)
-	t.log.unanswered(probe, report)
-}
-
-// report notes an upstream that does not answer for the mates; false when too
-// many were reported lately.
-func (t *traffic) report(now time.Time, upstream *catalog.Entry) bool {
-	if !t.reportLimit.AllowN(now, 1) {
-		return false
-	}
-	t.unreported = append(t.unreported, relay.UpstreamName{ID: upstream.ID, Born: upstream.Born})
-	return true
-}
-
-func (t *traffic) takeReport(now time.Time, word report) {
-	if word.lost {
-		t.engine.Lost(now, word.upstream.ID, word.upstream.Born)
-		return
-	}
-	t.engine.Reported(now, word.upstream.ID, word.upstream.Born)
-}
-
-// tellFailures logs lost requests and tells the mates of its own.
-func (t *traffic) tellFailures(now time.Time) {
-	var own []relay.UpstreamName
-	for _, failure := range t.engine.TakeFailures() {
-		t.metrics.lostRequest(failure)
-		if failure.Failing {
-			t.log.failing(failure)
-		}
-		if failure.Own && len(own) < relay.MaxNames {
-			own = append(own, relay.UpstreamName{ID: failure.Upstream.ID, Born: failure.Upstream.Born})
-		}
-	}
-	if len(own) > 0 && t.reportLimit.AllowN(now, len(own)) {
-		t.lost(own)
-	}
-}
-
-// sendReports tells the mates of the upstreams that do not answer.
-func (t *traffic) sendReports() {
-	if len(t.unreported) > 0 {
-		t.silent(t.unreported)
-		t.unreported = t.unreported[:0]
-	}
-}
-
-// reported takes in a mate's word on an upstream. It never blocks; a mate
-// reports again when its next probe of another upstream fails.
-func (t *traffic) reported(word report) {
-	select {
-	case t.reports <- word:
-		t.wake()
-	default:
-	}
-}
-
-// importFlows hands flows of a mate to the traffic goroutine; false when too
-// many wait.
-func (t *traffic) importFlows(flows []forward.FlowState) bool {
-	select {
-	case t.imports <- flows:
-		t.wake()
-		return true
-	default:
-		return false
-	}
-}
-
-// exportFlows returns the flows that the engine remembers; none when ctx ends
-// before the traffic goroutine answers.
-func (t *traffic) exportFlows(ctx context.Context) []forward.FlowState {
-	answer := make(chan []forward.FlowState, 1)
-	select {
-	case t.exports <- answer:
-		t.wake()
-	default:
-		return nil
-	}
-	select {
-	case flows := <-answer:
-		return flows
-	case <-ctx.Done():
-		return nil
-	}
-}
-
 // lastPacket returns when the last packet arrived.
 func (t *traffic) lastPacket() time.Time { return time.Unix(0, t.arrived.Load()) }
 
@@ -403,87 +260,3 @@
 		t.log.sendFailed(p, nil, err)
 	}
 }
-
-// flowLog writes the decisions about single flows.
-type flowLog struct{ events eventLog }
-
-// eventLog is the part of eventlog.Log that the traffic goroutine uses.
-type eventLog interface {
-	Flow(level logrus.Level, event string, fields func() logrus.Fields)
-}
-
-// decided logs a decision with the inputs that led to it and their age.
-func (l flowLog) decided(now time.Time, p *forward.Packet, d forward.Decision, view *catalog.Snapshot) {
-	level := logrus.InfoLevel
-	if d.Action != forward.Forward {
-		level = logrus.WarnLevel
-	}
-	l.events.Flow(level, "flow_"+d.Action.String(), func() logrus.Fields {
-		fields := flowFields(p)
-		fields["reason"] = d.Reason.String()
-		fields["copy"] = p.Copy
-		if d.Detail != "" {
-			fields["tier"] = d.Detail
-		}
-		if d.Upstream != nil {
-			fields["upstream"], fields["upstream_domain"] = d.Upstream.ID, d.Upstream.FailureDomain
-			fields["upstream_revision"] = d.Upstream.Revision
-		} else {
-			fields["cookie"] = fmt.Sprintf("%08x", uint32(p.Cookie))
-		}
-		if view != nil {
-			fields["config_version"], fields["upstreams_revision"] = view.Version, view.Revisions[catalog.KindUpstreams]
-			fields["upstreams_age_ms"] = now.Sub(view.Confirmed[catalog.KindUpstreams]).Milliseconds()
-			fields["config_age_ms"] = now.Sub(view.Confirmed[catalog.KindConfiguration]).Milliseconds()
-		}
-		return fields
-	})
-}
-
-func (l flowLog) sendFailed(p *forward.Packet, upstream *catalog.Entry, err error) {
-	l.events.Flow(logrus.WarnLevel, "send_failed", func() logrus.Fields {
-		fields := flowFields(p)
-		fields["error"] = err
-		if upstream != nil {
-			fields["upstream"] = upstream.ID
-		}
-		return fields
-	})
-}
-
-// probed logs the outcome of a probe.
-func (l flowLog) probed(now time.Time, result forward.ProbeResult, ended forward.Abandoned) {
-	l.events.Flow(logrus.InfoLevel, "upstream_probed", func() logrus.Fields {
-		return logrus.Fields{
-			"upstream": result.Upstream.ID, "verdict": result.Verdict.String(), "sign": result.Sign.String(), "upstream_revision": result.Upstream.Revision,
-			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": len(ended.Flows),
-			"inconclusive": ended.Inconclusive,
-		}
-	})
-}
-
-// failing logs that an upstream leaves requests without an answer.
-func (l flowLog) failing(f forward.Failure) {
-	l.events.Flow(logrus.WarnLevel, "upstream_failing", func() logrus.Fields {
-		return logrus.Fields{
-			"upstream": f.Upstream.ID, "upstream_domain": f.Upstream.FailureDomain, "lost": fmt.Sprintf("%.1f", f.Weight),
-			"service_average": fmt.Sprintf("%.1f", f.Average), "own": f.Own, "upstream_revision": f.Upstream.Revision,
-		}
-	})
-}
-
-// unanswered logs a probe that has had no answer for a while.
-func (l flowLog) unanswered(probe forward.Probe, reported bool) {
-	l.events.Flow(logrus.InfoLevel, "probe_unanswered", func() logrus.Fields {
-		return logrus.Fields{
-			"upstream": probe.Upstream.ID, "sign": probe.Sign.String(), "upstream_revision": probe.Upstream.Revision,
-			"after_ms": forward.UnansweredAfter.Milliseconds(), "reported": reported,
-		}
-	})
-}
-
-// flowFields identifies a flow: its two ends and the sequence number of the
-// packet, which for an opening packet is that of the flow.
-func flowFields(p *forward.Packet) logrus.Fields {
-	return logrus.Fields{"caller": p.Flow.Caller.String(), "service": p.Flow.Service.String(), "seq": p.Seq}
-}
