--- a/internal/forward/control_test.go
+++ b/internal/forward/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
 // Pattern: own link congested while a large failure domain is lost. Guards
@@ -99,3 +100,18 @@
 	}
 	require.LessOrEqual(t, probes, 5)
 }
+
+// Guards against resets by an instance whose link is slow: a control that takes
+// as long as almost any probe proves nothing. Hunts found a reset of a living
+// flow next to a probe that was answered after 162 ms.
+func TestLateControlProvesNothing(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	entry := f.establish(1)
+	f.establish(2)
+	f.wait(time.Second)
+	other := upstream(3 - int(entry.Token))
+	began := f.now
+	f.wait(UnansweredAfter + time.Millisecond)
+	f.engine.Probed(f.now, ProbeResult{Upstream: f.engine.view.Resolve(flowcookie.Of(other.ID, other.Born)), Verdict: VerdictAlive, Started: began})
+	require.True(t, f.engine.Probed(f.now, ProbeResult{Upstream: entry, Verdict: VerdictSilent, Started: began}).Inconclusive)
+}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -196,7 +196,9 @@
 func (e *Engine) Probed(now time.Time, result ProbeResult) Abandoned {
 	stats := e.statsOf(result.Upstream.Cookie)
 	stats.probe.pending = false
-	if result.Verdict != VerdictSilent && result.Started.After(e.reached) {
+	// A late answer shows that this instance or its link is slow.
+	prompt := now.Sub(result.Started) <= UnansweredAfter
+	if result.Verdict != VerdictSilent && prompt && result.Started.After(e.reached) {
 		e.reached = result.Started
 	}
 	if result.Verdict != VerdictAlive && stats.answered.After(result.Started) {
