Do not end flows because of a failure that is seconds old

Change: a conclusive failure ends flows for 1 s. After that a packet is forwarded and asks for a probe, whose outcome ends the flow or lets it go on; a repeated outcome without a control backs off as before and resets nothing. Ruled out: the move between files, silent connections (none of the probes was disturbed).

--- a/internal/forward/control.go
+++ b/internal/forward/control.go
@@ -14,9 +14,6 @@
 	controlInterval = 20 * time.Millisecond
 	// controls is the number of upstreams probed in a round; one may be down.
 	controls = 2
-	// reportContradicted is how recent an answer of the upstream outweighs the
-	// word of another instance, which takes a millisecond.
-	reportContradicted = 20 * time.Millisecond
 )
 
 // control probes the upstreams that answered last, unless one has answered a
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -159,9 +159,13 @@
 		return ReasonUpstreamGone, true
 	}
 	stats := e.statsOf(entry.Cookie)
-	if stats.probe.failed() {
+	if stats.probe.proven(now) {
 		return ReasonUpstreamSilent, true
 	}
+	if stats.probe.failed() {
+		// A cut may be over since. The outcome ends the flow, or lets it go on.
+		e.wantProbe(now, entry.Cookie, SignSilent)
+	}
 	if entry.RemovedAt.IsZero() || now.Sub(stats.answered) < answerWindow {
 		return 0, false
 	}
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -19,6 +19,13 @@
 	// aliveFor is how long a successful probe keeps the flows of an upstream
 	// that the store no longer lists.
 	aliveFor = 2 * time.Second
+	// provenFor is how long a conclusive failure ends flows without another
+	// probe: a quarter of the time after which the users hold an upstream that
+	// was cut off to be in reach again.
+	provenFor = time.Second
+	// reportContradicted is how recent an answer of the upstream outweighs the
+	// word of another instance, which takes a millisecond.
+	reportContradicted = 20 * time.Millisecond
 	// UnansweredAfter is the time without an answer from which a probe under way
 	// counts against its upstream, and others are told: ten times the users'
 	// longest round trip.
@@ -83,6 +90,8 @@
 	asked   time.Time
 	verdict Verdict
 	decided time.Time
+	// conclusive is when a failure was last beyond doubt.
+	conclusive time.Time
 	// retryAfter is the pause before a failed probe is repeated.
 	retryAfter time.Duration
 }
@@ -101,6 +110,12 @@
 	return s.verdict == VerdictRefused || s.verdict == VerdictSilent || s.verdict == VerdictOther
 }
 
+// proven tells whether a failure is recent and beyond doubt. Another upstream at
+// the address shows for ever that this one has ended.
+func (s *probeState) proven(now time.Time) bool {
+	return s.verdict == VerdictOther || (s.failed() && now.Sub(s.conclusive) < provenFor)
+}
+
 // alive tells whether a recent probe found the process.
 func (s *probeState) alive(now time.Time) bool {
 	return s.verdict == VerdictAlive && now.Sub(s.decided) < aliveFor
@@ -153,10 +168,10 @@
 		return false
 	}
 	stats.probe.late = true
+	e.control(now, probe.Upstream.Cookie, stats.probe.asked)
 	if stats.probe.failed() {
 		return false
 	}
-	e.control(now, probe.Upstream.Cookie, stats.probe.asked)
 	e.probeNeighbours(now, probe.Upstream.Cookie, probe.Sign)
 	return probe.Sign != SignReport && probe.Sign != SignControl
 }
@@ -206,15 +221,20 @@
 		stats.probe.late = false
 		return Abandoned{}
 	}
-	if result.Verdict == VerdictSilent && !stats.probe.failed() && !e.conclusive(result) {
-		stats.probe.late = true
+	first := !stats.probe.failed()
+	if result.Verdict == VerdictSilent && !e.conclusive(result) {
+		// What is known to be silent stays so, and its probes back off.
+		stats.probe.late = first
+		if !first {
+			stats.probe.decide(now, result.Verdict)
+		}
 		return Abandoned{Inconclusive: true}
 	}
-	first := !stats.probe.failed()
 	stats.probe.decide(now, result.Verdict)
 	if !stats.probe.failed() {
 		return Abandoned{}
 	}
+	stats.probe.conclusive = now
 	stats.trial = true
 	if first {
 		e.probeNeighbours(now, result.Upstream.Cookie, result.Sign)
