--- a/internal/loadsim/patterns_test.go
+++ b/internal/loadsim/patterns_test.go
@@ -1,7 +1,6 @@
 package loadsim
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -78,174 +77,6 @@
 	})
 }
 
-// Pattern: upstreams silent. A seventh of them crash without a word. Guards
-// against callers that wait for their time limit, and against slow detection:
-// a second later the others take everything.
-func TestUpstreamsSilent(t *testing.T) {
-	const span, crash = 12 * time.Second, 5 * time.Second
-	play(t, span, func(w *world) {
-		w.after(crash, func() {
-			for n := 0; n < len(w.upstreams); n += 7 {
-				u := w.upstreams[n]
-				u.silent = true
-				w.after(2300*time.Millisecond, func() { w.write(u, true); w.publish() })
-			}
-		})
-	}, func(t *testing.T, w *world) {
-		requireServed(t, w, span)
-		requireInGoal(t, w, crash+time.Second, span)
-	})
-}
-
-// maxDetection is how long after a crash packets may go to the upstream: twice
-// the time after which a caller sends data again. Until then requests that must
-// not be repeated are lost.
-const maxDetection = 400 * time.Millisecond
-
-// Pattern: most upstreams of a failure domain silent at once. Guards against
-// instances that learn one upstream, or one instance, at a time that they
-// crashed.
-func TestCrashIsKnownToAllInstancesSoon(t *testing.T) {
-	play(t, crashSpan, crashDomain, func(t *testing.T, w *world) {
-		requireServed(t, w, crashSpan)
-		last := w.lastLost()
-		t.Logf("%d packets to silent upstreams, the last %s after the crash", len(w.lost), last)
-		require.LessOrEqual(t, last, maxDetection)
-	})
-}
-
-// Times of the pattern.
-const crashSpan, crashTime = 8 * time.Second, 5 * time.Second
-
-// crashDomain silences three quarters of the upstreams of one failure domain.
-func crashDomain(w *world) {
-	w.after(crashTime, func() {
-		for n := 0; n < 3*len(w.upstreams)/4; n += len(domains) {
-			w.upstreams[n].silent = true
-		}
-	})
-}
-
-// lastLost returns the time from the crash to the last packet of an established
-// flow that went to a silent upstream.
-func (w *world) lastLost() time.Duration {
-	if len(w.lost) == 0 {
-		return 0
-	}
-	return w.lost[len(w.lost)-1].Sub(w.begin) - crashTime
-}
-
-// Pattern: rolling restart of all instances, then an upstream silent in each
-// failure domain. Guards against flows that nobody remembers after a restart:
-// their callers learn of the crash only when the next request is lost.
-func TestRollingRestartThenCrash(t *testing.T) {
-	t.Parallel()
-	lost := func(forgetful bool, s size) int {
-		const restarts, turns, crash, span = 3 * time.Second, 6 * time.Second, 12 * time.Second, 20 * time.Second
-		s.callers = 12
-		w := newWorld(1, s)
-		w.forgetful = forgetful
-		w.load(span)
-		for _, i := range w.instances {
-			w.after(restarts+turns*time.Duration(i.rank)/time.Duration(i.count), i.restart)
-		}
-		w.after(crash, func() {
-			for _, u := range w.upstreams[:len(domains)] {
-				u.silent = true
-			}
-		})
-		w.run(span + timeLimit)
-		require.Zero(t, w.broken)
-		late := 0
-		for _, at := range w.late {
-			if at.Sub(w.begin) > crash+maxDetection {
-				late++
-			}
-		}
-		return late
-	}
-	for name, s := range sizes {
-		without, with := lost(true, s), lost(false, s)
-		t.Logf("%s: %d requests lost on forgotten flows, %d with handover", name, without, with)
-		require.NotZero(t, without)
-		require.LessOrEqual(t, with, without/5, name)
-	}
-}
-
-// Pattern: upstreams that accept flows and reset a part of their requests, with
-// a good health answer. Guards against new flows to them while others of the
-// service answer, and against instances that keep what they see to themselves:
-// at 70 instances each sees one request a second of an upstream.
-func TestFailingUpstreams(t *testing.T) {
-	play(t, failingSpan, failUpstreams, func(t *testing.T, w *world) {
-		requireServed(t, w, failingSpan)
-		early, late := w.failureRates()
-		wrong := 0
-		for _, u := range w.alarms {
-			if slices.Index(w.upstreams, u)%everyFailing != 0 {
-				wrong++
-			}
-		}
-		t.Logf("%.1f failed requests a second at first, %.1f after 3 s, %d alarms, %d of them false", early, late, len(w.alarms), wrong)
-		require.Less(t, late, early*maxFailingRate)
-		require.Zero(t, wrong)
-	})
-}
-
-// Times of the pattern, the place of a failing upstream among others, and the
-// part of the first rate of failed requests that may remain.
-const (
-	failingSpan    = 16 * time.Second
-	failingBegin   = 4 * time.Second
-	failingSettled = failingBegin + 3*time.Second
-	failingEnd     = 14 * time.Second
-	everyFailing   = 7
-	maxFailingRate = 0.5
-)
-
-func failUpstreams(w *world) {
-	set := func(share float64) func() {
-		return func() {
-			for n := 0; n < len(w.upstreams); n += everyFailing {
-				w.upstreams[n].failing = share
-			}
-		}
-	}
-	w.after(failingBegin, set(0.45))
-	w.after(failingEnd, set(0))
-}
-
-// failureRates returns the failed requests a second before and after failing
-// upstreams must be known.
-func (w *world) failureRates() (early, late float64) {
-	for _, at := range w.failures {
-		if at.Sub(w.begin) < failingSettled {
-			early++
-		} else {
-			late++
-		}
-	}
-	return early / (failingSettled - failingBegin).Seconds(), late / (failingEnd - failingSettled).Seconds()
-}
-
-// Pattern: upstreams end at once and their machines refuse. Guards against
-// retries that all go to the upstream that has just ended.
-func TestUpstreamsRefuse(t *testing.T) {
-	const span, crash = 12 * time.Second, 5 * time.Second
-	play(t, span, func(w *world) {
-		w.after(crash, func() {
-			for n := 0; n < len(w.upstreams); n += 5 {
-				u := w.upstreams[n]
-				u.ended = true
-				w.after(2300*time.Millisecond, func() { w.write(u, true); w.publish() })
-			}
-		})
-	}, func(t *testing.T, w *world) {
-		requireServed(t, w, span)
-		requireInGoal(t, w, crash+time.Second, span)
-	})
-}
-
 // Pattern: zone cut. Guards against flows that cross failure domains without
 // need, and against waiting for upstreams behind the cut.
 func TestZoneCut(t *testing.T) {
@@ -358,22 +189,6 @@
 	})
 }
 
-// Pattern: slow upstreams. A seventh of them take eight times as long. Guards
-// against new flows that queue behind them.
-func TestSlowUpstreams(t *testing.T) {
-	const span, begin, end = 14 * time.Second, 4 * time.Second, 9 * time.Second
-	play(t, span, func(w *world) {
-		for n := 0; n < len(w.upstreams); n += 7 {
-			w.after(begin, func() { w.upstreams[n].factor = 8 })
-			w.after(end, func() { w.upstreams[n].factor = 1 })
-		}
-	}, func(t *testing.T, w *world) {
-		requireServed(t, w, span)
-		requireInGoal(t, w, end+time.Second, span)
-		require.Zero(t, w.resets)
-	})
-}
-
 // Shows that the checks find a policy without probes: callers of silent
 // upstreams wait for their time limit.
 func TestChecksRejectAPolicyWithoutProbes(t *testing.T) {
@@ -390,14 +205,3 @@
 	served, _ := w.shares(0, span)
 	require.Less(t, served, minServed)
 }
-
-// Shows that the check of a crash tells instances that act together from ones
-// that keep to themselves which upstreams are silent.
-func TestChecksRejectInstancesThatKeepToThemselves(t *testing.T) {
-	w := newWorld(1, sizes["70 instances"])
-	w.unaware = true
-	w.load(crashSpan)
-	crashDomain(w)
-	w.run(crashSpan + timeLimit)
-	require.Greater(t, w.lastLost(), maxDetection)
-}
