Fetch state from other instances while the store is unavailable

Cause: an instance that started while the store was silent waited 1.5 s for it before it asked others one after another, and only once per failed call. The instances that still held state ended in the meantime and told nobody.

Change: a starting instance looks for the state of others after 100 ms or a failed call, until the store answers. Hellos carry the revisions that an instance holds. An instance with state announces it to all members while it shuts down, while the store is quiet, and after a member has lacked state for 100 ms; its exit waits for members that fetch. State keeps its age, never replaces a newer revision and does not make the store count as available. Members are kept by the time at which any instance heard them, also those of other failure domains, and lists of members always fit into a datagram.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -121,6 +122,9 @@
 	// unavailable is set from a failed call to the store until the next
 	// confirmation.
 	unavailable bool
+	// fetched is set while the state is another instance's and has not been confirmed
+	// since.
+	fetched bool
 	// regained is the time of the first confirmation, or of the first one after
 	// the last failed call.
 	regained time.Time
@@ -139,6 +143,11 @@
 // now is the time to which the event's data applies.
 func (c *Catalog) Apply(now time.Time, event Event) []Change {
 	c.changes = nil
+	c.apply(now, event)
+	return c.changes
+}
+
+func (c *Catalog) apply(now time.Time, event Event) {
 	switch e := event.(type) {
 	case UpstreamsListed:
 		if c.isNotOlder(KindUpstreams, e.Revision) {
@@ -172,10 +181,20 @@
 		c.recordConfirmation(now, e.Kind, e.Revision)
 	case Unavailable:
 		c.recordFailedCall(e.Kind, e.Err)
-	case PeerStateUnavailable:
-		c.recordChange(Change{Event: "mate_unavailable", Kind: e.Kind, Err: e.Err})
+	case PeerStateFetched:
+		c.applyPeerState(now, e)
 	}
-	return c.changes
+}
+
+// applyPeerState applies the state of another instance. The store itself does not
+// count as available because of it.
+func (c *Catalog) applyPeerState(now time.Time, e PeerStateFetched) {
+	c.recordChange(Change{Event: "peer_state_fetched", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("from=%s age_ms=%d", e.Source, e.Age.Milliseconds())})
+	for _, event := range e.Events {
+		c.apply(now, event)
+	}
+	c.recordConfirmation(now, e.Kind, e.Revision)
+	c.status[e.Kind].fetched = true
 }
 
 // KnowsUpstreams tells whether the upstreams have been read, so that cookies can
@@ -217,11 +236,15 @@
 // recordConfirmation records that the store has confirmed a kind up to a revision.
 func (c *Catalog) recordConfirmation(now time.Time, kind Kind, revision uint64) {
 	status := &c.status[kind]
-	if status.unavailable || !status.known {
-		c.recordChange(Change{Event: "store_regained", Kind: kind, Revision: revision, Detail: ageText(now, status.confirmed)})
+	switch {
+	case !status.known:
+		c.recordChange(Change{Event: "state_known", Kind: kind, Revision: revision})
+		status.regained = now
+	case status.unavailable || status.fetched:
+		c.recordChange(Change{Event: "store_regained", Kind: kind, Revision: revision, Detail: now.Sub(status.confirmed).Round(time.Millisecond).String()})
 		status.regained = now
 	}
-	status.known, status.unavailable = true, false
+	status.known, status.unavailable, status.fetched = true, false, false
 	if now.After(status.confirmed) {
 		status.confirmed = now
 	}
@@ -238,10 +261,3 @@
 	status.unavailable = true
 	c.confirmationsChanged = true
 }
-
-func ageText(now, since time.Time) string {
-	if since.IsZero() {
-		return "never confirmed"
-	}
-	return now.Sub(since).Round(time.Millisecond).String()
-}
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -152,14 +152,19 @@
 	Err  error
 }
 
-// PeerStateUnavailable reports that no other instance could provide its state of
-// a kind.
-type PeerStateUnavailable struct {
-	Kind Kind
-	Err  error
+// PeerStateFetched carries the whole state of a kind from another instance, for an
+// instance that the store has not answered yet. The time of the event is that of the
+// last confirmation by the store.
+type PeerStateFetched struct {
+	Kind     Kind
+	Revision uint64
+	Events   []Event
+	// Source is the name of the instance, Age the time since the confirmation.
+	Source string
+	Age    time.Duration
 }
 
-func (PeerStateUnavailable) event() {}
+func (PeerStateFetched) event()     {}
 func (UpstreamsListed) event()      {}
 func (UpstreamsChanged) event()     {}
 func (ConfigurationRead) event()    {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -117,7 +117,7 @@
 		s.Confirmed[kind], s.Revisions[kind] = c.status[kind].confirmed, c.status[kind].revision
 	}
 	s.AvailableSince = time.Time{}
-	if status := c.status[KindUpstreams]; status.known && !status.unavailable {
+	if status := c.status[KindUpstreams]; status.known && !status.unavailable && !status.fetched {
 		s.AvailableSince = status.regained
 	}
 	c.lastSnapshot = s
--- a/internal/catalogsync/store.go
+++ b/internal/catalogsync/store.go
@@ -46,9 +46,17 @@
 	IsWatcher(now time.Time, kind catalog.Kind) bool
 	// SendUpdate sends an update from the store to the peers.
 	SendUpdate(update Update)
-	// FetchState fetches the whole state of a kind from another instance, for an
-	// instance that starts while the store is unavailable. The age is the time
-	// since the store confirmed the kind. It fails when no other instance
-	// provides the state.
-	FetchState(ctx context.Context, kind catalog.Kind) (update Update, age time.Duration, err error)
+	// FetchState fetches the whole state of a kind from another instance that holds a
+	// newer revision than newerThan, for an instance that starts while the store is
+	// unavailable. It waits for such an instance and fails when ctx ends.
+	FetchState(ctx context.Context, kind catalog.Kind, newerThan uint64) (PeerState, error)
+}
+
+// PeerState is the whole state of a kind from another instance.
+type PeerState struct {
+	Update Update
+	// Age is the time since the store confirmed the state.
+	Age time.Duration
+	// Source is the name of the instance.
+	Source string
 }
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -24,6 +24,14 @@
 	// second for each kind.
 	retryMin = 150 * time.Millisecond
 	retryMax = 500 * time.Millisecond
+	// peerStateDelay is how long a starting instance waits for the store before it
+	// fetches another instance's state, unless the store fails at once. In a mass
+	// restart with the store within reach, the instances then do not transfer the state
+	// between each other. The store answers in 20 to 80 ms at a start.
+	peerStateDelay = 100 * time.Millisecond
+	// peerStateInterval is the time after which an instance that the store does not
+	// answer looks for a newer state of another instance.
+	peerStateInterval = time.Second
 	// peerUpdateQueue is the number of updates of one kind from peers that may be
 	// queued. An update that finds the queue full is dropped; the base revision
 	// of the next one shows the gap.
@@ -48,13 +56,18 @@
 func New(store Store, peers Peers, events chan<- Event) *Syncer {
 	s := &Syncer{events: events}
 	for _, kind := range catalog.Kinds() {
-		s.kinds = append(s.kinds, &kindSyncer{
-			kind: kind, store: store, peers: peers, events: events, peerUpdates: make(chan Update, peerUpdateQueue), now: time.Now,
-		})
+		s.kinds = append(s.kinds, newKindSyncer(kind, store, peers, events))
 	}
 	return s
 }
 
+func newKindSyncer(kind catalog.Kind, store Store, peers Peers, events chan<- Event) *kindSyncer {
+	return &kindSyncer{
+		kind: kind, store: store, peers: peers, events: events, now: time.Now,
+		peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), storeFailed: make(chan struct{}),
+	}
+}
+
 // Run keeps all kinds up to date until ctx ends. It returns nil.
 func (s *Syncer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -85,15 +98,17 @@
 	store  Store
 	peers  Peers
 	events chan<- Event
-	// peerUpdates queues the updates from peers.
+	// peerUpdates queues the updates from peers, peerStates the states of other
+	// instances.
 	peerUpdates chan Update
+	peerStates  chan PeerState
+	// storeFailed is closed after the first failed call.
+	storeFailed chan struct{}
 	now         func() time.Time
 
 	// listed is set from a successful list of the store until the store has lost
 	// the history since the revision.
 	listed bool
-	// peerStateFetched is set once the state was fetched from another instance.
-	peerStateFetched bool
 	// revision is the store's revision of the state; 0 before the first list or
 	// fetched state.
 	revision uint64
@@ -105,13 +120,19 @@
 }
 
 // run lists the kind and then watches the store or waits for updates from peers,
-// until ctx ends.
+// until ctx ends. Until the first list succeeds, it also fetches the state of other
+// instances.
 func (s *kindSyncer) run(ctx context.Context) {
+	fetching, stopFetching := context.WithCancel(ctx)
+	defer stopFetching()
+	go s.fetchPeerStates(fetching)
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case !s.listed:
-			err = s.list(ctx)
+			if err = s.list(ctx); err == nil {
+				stopFetching()
+			}
 		case s.peers.IsWatcher(s.now(), s.kind) || s.now().Sub(s.confirmed) >= staleAfter:
 			err = s.watch(ctx, watchTimeout)
 		default:
@@ -123,35 +144,91 @@
 	}
 }
 
+// fetchPeerStates passes the state of another instance to run, and each newer one,
+// until ctx ends. It starts after peerStateDelay or the first failed call.
+func (s *kindSyncer) fetchPeerStates(ctx context.Context) {
+	wait := time.NewTimer(peerStateDelay)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.storeFailed:
+	case <-wait.C:
+	}
+	var newest uint64
+	for {
+		state, err := s.peers.FetchState(ctx, s.kind, newest)
+		if err != nil {
+			// The context has ended: the store has answered, or the instance stops.
+			return
+		}
+		newest = state.Update.Revision
+		select {
+		case s.peerStates <- state:
+		case <-ctx.Done():
+			return
+		}
+		wait.Reset(peerStateInterval)
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // list reads the whole kind. After an even number of failures, 0 included, a replica
 // may answer: the watch that follows returns the changes that the replica lacks.
-// When the call fails, list tries to fetch the state from another instance; it
-// fails with the error of the store all the same.
+// States and updates from other instances are applied meanwhile. It fails with the
+// error of the store.
 func (s *kindSyncer) list(ctx context.Context) error {
-	update, err := s.store.List(ctx, s.kind, s.failures%2 == 0)
-	if err != nil {
-		s.fetchPeerState(ctx)
-		return err
+	type result struct {
+		update Update
+		err    error
+	}
+	results := make(chan result, 1)
+	stale := s.failures%2 == 0
+	go func() {
+		update, err := s.store.List(ctx, s.kind, stale)
+		results <- result{update, err}
+	}()
+	for {
+		select {
+		case r := <-results:
+			if r.err != nil {
+				return r.err
+			}
+			s.listed = true
+			s.apply(ctx, r.update)
+			s.peers.SendUpdate(Update{Kind: s.kind, Base: s.revision, Revision: s.revision})
+			return nil
+		case state := <-s.peerStates:
+			s.applyPeerState(ctx, state)
+		case update := <-s.peerUpdates:
+			s.applyPeerUpdate(ctx, update)
+		}
 	}
-	s.listed = true
-	s.apply(ctx, update, 0)
-	s.peers.SendUpdate(Update{Kind: s.kind, Base: s.revision, Revision: s.revision})
-	return nil
 }
 
-// fetchPeerState applies the state of another instance, once and only while no
-// revision is known.
-func (s *kindSyncer) fetchPeerState(ctx context.Context) {
-	if s.peerStateFetched || s.revision > 0 {
+// applyPeerState applies the state of another instance unless a newer one is known.
+func (s *kindSyncer) applyPeerState(ctx context.Context, state PeerState) {
+	if s.listed || state.Update.Revision <= s.revision {
 		return
 	}
-	update, age, err := s.peers.FetchState(ctx, s.kind)
-	if err != nil {
-		s.emit(ctx, catalog.PeerStateUnavailable{Kind: s.kind, Err: err}, 0)
-		return
+	s.revision = state.Update.Revision
+	if confirmed := s.now().Add(-state.Age); confirmed.After(s.confirmed) {
+		s.confirmed = confirmed
+	}
+	s.emit(ctx, catalog.PeerStateFetched{
+		Kind: s.kind, Revision: s.revision, Events: state.Update.Events, Source: state.Source, Age: state.Age,
+	}, state.Age)
+}
+
+// applyPeerUpdate applies an update from a peer unless changes before it are missing.
+func (s *kindSyncer) applyPeerUpdate(ctx context.Context, update Update) {
+	if update.Base <= s.revision {
+		s.apply(ctx, update)
 	}
-	s.peerStateFetched = true
-	s.apply(ctx, update, age)
 }
 
 // watch waits for changes in the store, at most the time wait, applies them and
@@ -180,13 +257,11 @@
 				// A peer's newer update has arrived first.
 				return nil
 			}
-			s.apply(ctx, r.update, 0)
+			s.apply(ctx, r.update)
 			s.peers.SendUpdate(r.update)
 			return nil
 		case update := <-s.peerUpdates:
-			if update.Base <= s.revision {
-				s.apply(ctx, update, 0)
-			}
+			s.applyPeerUpdate(ctx, update)
 		}
 	}
 }
@@ -206,34 +281,35 @@
 		if update.Base > s.revision {
 			return s.watch(ctx, 0)
 		}
-		s.apply(ctx, update, 0)
+		s.apply(ctx, update)
 		return nil
 	}
 }
 
 // apply emits the events of an update, unless its revision is older than the state,
-// and then a confirmation. The update's data was confirmed by the store the time
-// age ago.
-func (s *kindSyncer) apply(ctx context.Context, update Update, age time.Duration) {
-	s.confirmed = s.now().Add(-age)
+// and then a confirmation.
+func (s *kindSyncer) apply(ctx context.Context, update Update) {
+	s.confirmed = s.now()
 	if update.Revision >= s.revision {
 		for _, event := range update.Events {
-			s.emit(ctx, event, age)
+			s.emit(ctx, event, 0)
 		}
 	}
 	s.revision = max(s.revision, update.Revision)
-	s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.revision}, age)
+	s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.revision}, 0)
 }
 
 // backOff records and emits a failed call and then waits. The backoff is random,
 // with a mean that grows with the failures up to retryMax, so that instances that
 // lost the store at the same time do not all call it again at the same time.
-// Updates from peers are applied meanwhile once the kind is listed.
+// States and updates from other instances are applied meanwhile.
 func (s *kindSyncer) backOff(ctx context.Context, err error) {
 	if errors.Is(err, ErrHistoryGone) {
 		s.listed = false
 	}
-	s.failures++
+	if s.failures++; s.failures == 1 {
+		s.reportStoreFailed()
+	}
 	s.emit(ctx, catalog.Unavailable{Kind: s.kind, Err: err}, 0)
 	limit := min(retryMin<<min(s.failures-1, 4), retryMax)
 	timer := time.NewTimer(limit/2 + time.Duration(rand.Int64N(int64(limit))))
@@ -244,14 +320,23 @@
 			return
 		case <-ctx.Done():
 			return
+		case state := <-s.peerStates:
+			s.applyPeerState(ctx, state)
 		case update := <-s.peerUpdates:
-			if update.Base <= s.revision && s.listed {
-				s.apply(ctx, update, 0)
-			}
+			s.applyPeerUpdate(ctx, update)
 		}
 	}
 }
 
+// reportStoreFailed lets fetchPeerStates start.
+func (s *kindSyncer) reportStoreFailed() {
+	select {
+	case <-s.storeFailed:
+	default:
+		close(s.storeFailed)
+	}
+}
+
 func (s *kindSyncer) emit(ctx context.Context, event catalog.Event, age time.Duration) {
 	select {
 	case s.events <- Event{Event: event, Age: age}:
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,9 @@
 	// call of logChanges writes, because the rate limit does not apply to them.
 	// /status shows all upstreams.
 	maxChangeLines = 64
+	// stateMissingAfter is the time since the start after which an instance without
+	// state says so: longer than a start takes on the slowest machines.
+	stateMissingAfter = time.Second
 )
 
 // runControl is the control goroutine, which owns the catalog. It applies events,
@@ -38,6 +42,7 @@
 	var pace pacer
 	var due <-chan time.Time
 	var unlogged []catalog.Change
+	missing := missingState{began: time.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,6 +56,7 @@
 			continue
 		case now := <-ticker.C:
 			c.DeleteExpired(now)
+			instance.logMissingState(now, &missing)
 		}
 		wait := pace.delay(time.Now())
 		if wait > 0 && due == nil {
@@ -67,6 +73,33 @@
 	}
 }
 
+// missingState is the state of logMissingState: the start of the control goroutine, and
+// whether the line was written.
+type missingState struct {
+	began  time.Time
+	logged bool
+}
+
+// logMissingState logs once that neither the store nor another instance has provided
+// the state that new flows need, when that takes longer than stateMissingAfter.
+func (instance *Instance) logMissingState(now time.Time, missing *missingState) {
+	held := instance.holdings().Revisions
+	if missing.logged || held.Complete() || now.Sub(missing.began) < stateMissingAfter {
+		return
+	}
+	missing.logged = true
+	var kinds []string
+	for _, kind := range catalog.Kinds() {
+		if held[kind] == 0 {
+			kinds = append(kinds, kind.String())
+		}
+	}
+	known, holding := instance.relay.MembersHolding(now)
+	instance.log.Event(logrus.WarnLevel, "state_missing", logrus.Fields{
+		"kinds": strings.Join(kinds, ","), "members": known, "members_with_state": holding,
+	})
+}
+
 // pacer keeps publishInterval between two snapshots. Changes in between become
 // part of the next snapshot. last is when the last snapshot was published.
 type pacer struct{ last time.Time }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -82,7 +82,7 @@
 	"other", "store_lost", "store_regained", "upstream_added", "upstream_changed", "upstream_removed", "upstream_replaced",
 	"upstream_displaced",
 	"upstream_invalid", "upstream_older_incarnation", "cookie_collision", "configuration_adopted", "configuration_invalid",
-	"configuration_older", "evacuation_started", "evacuation_ended", "entry_invalid", "mate_unavailable",
+	"configuration_older", "evacuation_started", "evacuation_ended", "entry_invalid", "peer_state_fetched", "state_known",
 }
 
 // NewMetrics returns metrics with their own registry. It returns the errors of the
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -30,6 +30,7 @@
 			instance.traffic.queuePeerReport(peerReport{upstream: u, lost: true})
 		},
 		State:         instance.publishedState,
+		Holdings:      instance.holdings,
 		TakeOverFlows: instance.acceptFlows,
 		Observer:      relayObserver{instance},
 		Keys:          s.keys(),
@@ -59,6 +60,25 @@
 	return update, time.Since(snapshot.Confirmed[kind]), true
 }
 
+// holdings returns the revisions of the published state and the time of its oldest
+// confirmation.
+func (instance *Instance) holdings() relay.Holdings {
+	snapshot := instance.snapshot.Load()
+	if snapshot == nil {
+		return relay.Holdings{}
+	}
+	var h relay.Holdings
+	for kind, confirmed := range snapshot.Confirmed {
+		if !confirmed.IsZero() {
+			h.Revisions[kind] = snapshot.Revisions[kind]
+		}
+		if kind == 0 || confirmed.Before(h.Confirmed) {
+			h.Confirmed = confirmed
+		}
+	}
+	return h
+}
+
 // relayObserver counts and logs the messages and member changes of the relay.
 type relayObserver struct{ instance *Instance }
 
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -22,6 +22,9 @@
 	// default shutdown_ms (5 s) it still ends within the platform's grace period
 	// of 6 s.
 	handoverTimeout = 500 * time.Millisecond
+	// lackingTimeout is the maximum time for which the exit waits for instances that
+	// lack state, and fetch it from this one in about 50 ms.
+	lackingTimeout = 300 * time.Millisecond
 )
 
 // shutDown waits until ctx ends, makes the readiness probe fail, forwards packets until
@@ -37,6 +40,7 @@
 	instance.refusedProbes.Store(0)
 	instance.shuttingDown.Store(true)
 	instance.ready.Store(false)
+	instance.relay.Leave()
 	instance.log.Event(logrus.InfoLevel, "shutdown_started", logrus.Fields{"forwards_at_most_ms": instance.settings.ShutdownMS})
 	ticker := time.NewTicker(exitPollInterval)
 	defer ticker.Stop()
@@ -48,12 +52,34 @@
 		}
 	}
 	instance.handOverFlows(stop)
+	lacking := instance.awaitFetches(stop)
 	instance.log.Event(logrus.InfoLevel, "shutdown_finished", logrus.Fields{
 		"after_ms": time.Since(began).Milliseconds(), "probes_refused": instance.refusedProbes.Load(),
 		"quiet_ms": time.Since(instance.traffic.lastPacket()).Milliseconds(), "flows_remembered": instance.metrics.flows.Load(),
+		"members_lacking_state": lacking,
 	})
 }
 
+// awaitFetches waits until no known instance lacks state, or for lackingTimeout, and
+// returns the number of those that still lack some.
+func (instance *Instance) awaitFetches(stop context.Context) int {
+	ctx, cancel := context.WithTimeout(stop, lackingTimeout)
+	defer cancel()
+	ticker := time.NewTicker(exitPollInterval)
+	defer ticker.Stop()
+	for {
+		lacking := instance.relay.Lacking(time.Now())
+		if lacking == 0 || !instance.holdings().Revisions.Complete() {
+			return lacking
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return lacking
+		}
+	}
+}
+
 // handOverFlows sends the remembered flows to another instance of the failure domain and
 // logs the outcome.
 func (instance *Instance) handOverFlows(stop context.Context) {
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,22 +19,28 @@
 	// watcherTimeout is how long an instance counts as a watcher after it sent an
 	// update to its peers. The store answers a watch at least every 1.5 s.
 	watcherTimeout = 2 * time.Second
-	// memberTimeout is how long a member is kept after its last message, or after
-	// the mention that added it: five hello intervals. As each hello goes to one
-	// random peer only, an instance that is up may expire in a large failure domain.
-	memberTimeout = 10 * time.Second
+	// memberTimeout is how long a member is kept after any instance has last heard
+	// it, as far as this one knows. Lists of members spread the times of hearing within
+	// that time in a failure domain of 50 that loses 5% of the messages.
+	memberTimeout = 40 * time.Second
 	// peakRetention is how long the largest number of instances is kept after it
 	// was last reached: longer than the users' longest network cuts.
 	peakRetention = 60 * time.Second
-	// maxMembersPerMessage bounds the members that one message lists. With long
-	// names, that many may exceed MaxDatagram, and the receiver rejects the message.
+	// maxMembersPerMessage bounds the members that one message lists; fewer are sent
+	// when their names are long. minRemoteMembers of them are of other failure domains
+	// if that many are known.
 	maxMembersPerMessage = 12
+	minRemoteMembers     = 3
+	// freshHalf is the number of members in a list that were heard last: their times
+	// of hearing spread fastest. The others are random, so that each member is listed.
+	freshHalf = 5
 )
 
 // membership holds the other instances that an instance knows. It reads no clock:
 // the caller passes the time. Its user serialises access.
 type membership struct {
 	self Member
+	rng  *rand.Rand
 	// byName stores the known members under their names. An entry expires
 	// memberTimeout after its lastHeard.
 	byName map[string]memberState
@@ -41,12 +48,18 @@
 	// peerRank has counted, itself included; it was last reached or set at peakTime.
 	peakCount int
 	peakTime  time.Time
+	// leaving is set once this instance shuts down. announceUntil is the time until
+	// which it announces its state because a member lacks some; nextHello is when the
+	// next regular hello is due.
+	leaving       bool
+	announceUntil time.Time
+	nextHello     time.Time
 }
 
 type memberState struct {
 	member Member
-	// lastHeard is the time of the member's last message; for a member that was
-	// only mentioned, the time of the first mention.
+	// lastHeard is the time of the member's last message to this instance, or to
+	// another one that mentioned it with a later time.
 	lastHeard time.Time
 	// session is the random number by which package peerauth identifies the
 	// incarnation (the run of the process) that sent the last message; 0 for a
@@ -56,10 +69,19 @@
 	// from the store; zero when it has sent none. Its length is the number of
 	// kinds in catalog.Kinds.
 	watched [3]time.Time
+	// revisions is the state that the member last reported to hold, reportedAt the
+	// time of that report; zero when this incarnation has reported none.
+	revisions  Revisions
+	reportedAt time.Time
+	// lackingSince is the time from which all reports named missing state; zero after
+	// a report of complete state.
+	lackingSince time.Time
+	// addressedAt is the time at which nextRound last selected the member.
+	addressedAt time.Time
 }
 
 func newMembership(self Member) *membership {
-	return &membership{self: self, byName: map[string]memberState{}}
+	return &membership{self: self, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), byName: map[string]memberState{}}
 }
 
 // recordMessage records that a message of a member's incarnation has arrived.
@@ -68,17 +90,35 @@
 		return
 	}
 	state := m.byName[member.Name]
+	if state.session != session {
+		// Another incarnation holds nothing of what the earlier one reported.
+		state.revisions, state.reportedAt, state.lackingSince = Revisions{}, time.Time{}, time.Time{}
+	}
 	state.member, state.lastHeard, state.session = member, now, session
 	m.byName[member.Name] = state
 }
 
-// recordMention records that a message listed a member. It adds an unknown
-// member and does not extend the lifetime of a known one.
-func (m *membership) recordMention(now time.Time, member Member) {
-	if _, known := m.byName[member.Name]; known || member.Name == m.self.Name {
+// recordMention records that a message listed a member, which the sender or another
+// instance heard the given time ago. A mention without that time, from an older
+// version, adds an unknown member and does not extend the lifetime of a known one.
+func (m *membership) recordMention(now time.Time, mentioned mention) {
+	member := mentioned.Member
+	state, known := m.byName[member.Name]
+	if member.Name == m.self.Name || (known && mentioned.HeardMS == nil) {
 		return
 	}
-	m.byName[member.Name] = memberState{member: member, lastHeard: now}
+	heard := now
+	if mentioned.HeardMS != nil {
+		heard = now.Add(-time.Duration(max(*mentioned.HeardMS, 0)) * time.Millisecond)
+	}
+	switch {
+	case now.Sub(heard) > memberTimeout:
+	case !known:
+		m.byName[member.Name] = memberState{member: member, lastHeard: heard}
+	case heard.After(state.lastHeard):
+		state.lastHeard = heard
+		m.byName[member.Name] = state
+	}
 }
 
 // recordWatch records that a member sent an update of a kind.
@@ -157,19 +197,48 @@
 	return rank, m.peakCount
 }
 
-// list returns at most maxMembersPerMessage members in random order, those of the
-// given failure domain first.
-func (m *membership) list(domain string) []Member {
-	var local, remote []Member
+// list returns at most maxMembersPerMessage members with the time since they were heard:
+// those of the given failure domain first, and of these the freshHalf heard last and
+// others at random.
+func (m *membership) list(now time.Time, domain string) []mention {
+	var local, remote []memberState
 	for _, state := range m.byName {
 		if state.member.FailureDomain == domain {
-			local = append(local, state.member)
+			local = append(local, state)
 		} else {
-			remote = append(remote, state.member)
+			remote = append(remote, state)
 		}
 	}
-	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
-	all := append(local, remote...)
-	return all[:min(len(all), maxMembersPerMessage)]
+	slices.SortFunc(local, compareHeard)
+	slices.SortFunc(remote, compareHeard)
+	others := local[min(len(local), freshHalf):]
+	m.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	m.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	reserved := min(len(remote), minRemoteMembers)
+	selected := append(local[:min(len(local), maxMembersPerMessage-reserved)], remote...)
+	return mentionsOf(now, selected[:min(len(selected), maxMembersPerMessage)])
+}
+
+// freshest returns at most limit members, those heard last.
+func (m *membership) freshest(now time.Time, limit int) []mention {
+	var states []memberState
+	for _, state := range m.byName {
+		states = append(states, state)
+	}
+	slices.SortFunc(states, compareHeard)
+	return mentionsOf(now, states[:min(len(states), limit)])
+}
+
+// compareHeard orders members by the time at which they were heard, the last one first.
+func compareHeard(a, b memberState) int {
+	return cmp.Or(b.lastHeard.Compare(a.lastHeard), cmp.Compare(a.member.Name, b.member.Name))
+}
+
+func mentionsOf(now time.Time, states []memberState) []mention {
+	var mentions []mention
+	for _, state := range states {
+		heard := now.Sub(state.lastHeard).Milliseconds()
+		mentions = append(mentions, mention{Member: state.member, HeardMS: &heard})
+	}
+	return mentions
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -10,8 +10,8 @@
 	"github.com/chivemast/chivemast/internal/catalogsync"
 )
 
-// MaxDatagram is the largest size of a sealed message in bytes. Only SendUpdate
-// checks it, and sends a larger update without its events.
+// MaxDatagram is the largest size of a sealed message in bytes. SendUpdate sends a
+// larger update without its events; a list of members is shortened.
 const MaxDatagram = 1400
 
 // MaxReportedUpstreams is the largest number of upstreams that the caller may pass
@@ -34,7 +34,13 @@
 	// Hello asks the receiver to answer with the members that it knows.
 	Hello bool `json:"hello,omitempty"`
 	// Members lists instances that the sender's membership contains.
-	Members []Member `json:"members,omitempty"`
+	Members []mention `json:"members,omitempty"`
+	// Announcement tells the receiver which state it can fetch from the sender. A
+	// receiver that lacks state answers with its own revisions.
+	Announcement bool `json:"announcement,omitempty"`
+	// Revisions is the state that the sender holds; nil from a version that does not
+	// report it.
+	Revisions *Revisions `json:"revisions,omitempty"`
 	// Update is a change, or the confirmation of a revision, that the sender
 	// received from the store.
 	Update *wireUpdate `json:"update,omitempty"`
@@ -46,6 +52,14 @@
 	Lost []UpstreamIncarnation `json:"lost,omitempty"`
 }
 
+// mention is a member in another instance's list.
+type mention struct {
+	Member
+	// HeardMS is the time in ms since an instance last heard the member; nil from a
+	// version that does not report it.
+	HeardMS *int64 `json:"heard_ms,omitempty"`
+}
+
 // UpstreamIncarnation identifies one incarnation of an upstream.
 type UpstreamIncarnation struct {
 	ID string `json:"id"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,7 +14,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -31,12 +30,6 @@
 )
 
 const (
-	// helloInterval is the time between hellos to a random peer. An instance that
-	// knows no peer sends hellos to the seeds.
-	helloInterval = 2 * time.Second
-	// seedHelloInterval is the time between hellos to the seeds while no peer is
-	// known.
-	seedHelloInterval = 300 * time.Millisecond
 	// oversizeMargin is the number of bytes by which the receive buffer exceeds
 	// MaxDatagram. A datagram that does not fit into the buffer is truncated, so
 	// its authentication code does not match.
@@ -64,8 +57,8 @@
 	// is not reported; FetchState treats it as a failed request.
 	Rejected(remote netip.AddrPort, err error)
 	// MemberChanged reports a member of any failure domain whose first message
-	// arrived (found is true), or that was removed because no message arrived for
-	// longer than 10 s (found is false). A new incarnation or address under a
+	// arrived (found is true), or that was removed because no instance heard it for
+	// longer than 40 s (found is false). A new incarnation or address under a
 	// known name is not reported. MemberChanged must not call the Relay, which
 	// holds its lock during the call.
 	MemberChanged(member Member, found bool)
@@ -79,8 +72,7 @@
 	// Self is this instance. Listen opens the UDP socket at its address.
 	Self Member
 	// Seeds lists the addresses of instances that receive hellos while no peer is
-	// known, and that FetchState may request state from. An address may be out of
-	// date.
+	// known or this instance lacks state. An address may be out of date.
 	Seeds []netip.AddrPort
 	// OnUpdate is called with each update from a peer.
 	OnUpdate func(catalogsync.Update)
@@ -91,6 +83,9 @@
 	// State returns this instance's state of a kind and the time since the
 	// store confirmed it; known is false while there is none.
 	State func(catalog.Kind) (update catalogsync.Update, age time.Duration, known bool)
+	// Holdings returns the revisions of the state that State returns. It is called
+	// for every hello.
+	Holdings func() Holdings
 	// TakeOverFlows takes over the flow records of an instance that shuts down.
 	// It returns false when this instance cannot take them over.
 	TakeOverFlows func([]forward.HandoverFlow) bool
@@ -113,6 +108,11 @@
 
 	mu         sync.Mutex
 	membership *membership
+	// sourcesChanged is closed and replaced when a member reports revisions, so that
+	// FetchState looks for a source again.
+	sourcesChanged chan struct{}
+	// wake makes sendHellos start its next round at once.
+	wake chan struct{}
 }
 
 // Listen opens the UDP socket at the address of cfg.Self and returns a Relay.
@@ -123,7 +123,7 @@
 		return nil, fmt.Errorf("listen on udp %s: %w", cfg.Self.Address, err)
 	}
 	return &Relay{
-		cfg: cfg, conn: conn, membership: newMembership(cfg.Self),
+		cfg: cfg, conn: conn, membership: newMembership(cfg.Self), sourcesChanged: make(chan struct{}), wake: make(chan struct{}, 1),
 		auth: peerauth.NewAuthenticator(cfg.Keys), wrongSessionAnswers: rate.NewLimiter(wrongSessionAnswersPerSecond, wrongSessionAnswersPerSecond),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}, nil
@@ -190,7 +190,9 @@
 		return nil
 	}
 	if r.wrongSessionAnswers.AllowN(now, 1) {
-		r.sendMessage(m.From.Address, senderSession, &message{From: r.cfg.Self, Hello: true, Members: r.membersFor(m.From.FailureDomain)})
+		answer := r.ownMessage()
+		answer.Hello, answer.Members = true, r.membersFor(now, m.From.FailureDomain)
+		r.sendMessage(m.From.Address, senderSession, answer)
 	}
 	if m.Hello {
 		// An instance sends its first hello before it knows this instance's
@@ -200,13 +202,12 @@
 	return err
 }
 
-// handleMessage records the sender as a member, answers a hello, and passes the
-// update and the reports of a message from the own failure domain to the
-// callbacks.
+// handleMessage records the sender as a member, answers the message if it needs an
+// answer, and passes the update and the reports of a message from the own failure
+// domain to the callbacks.
 func (r *Relay) handleMessage(now time.Time, m *message, senderSession peerauth.Session, source netip.AddrPort) {
-	r.recordMessage(now, m, senderSession)
-	if m.Hello {
-		r.sendMessage(m.From.Address, senderSession, &message{From: r.cfg.Self, Members: r.membersFor(m.From.FailureDomain)})
+	if answer := r.recordMessage(now, m, senderSession); answer != nil {
+		r.sendMessage(m.From.Address, senderSession, answer)
 	}
 	if m.From.FailureDomain != r.cfg.Self.FailureDomain {
 		return
@@ -230,54 +231,114 @@
 	}
 }
 
-// recordMessage adds the sender of a message and the members that it lists to the
-// membership, and reports a sender that was unknown or only mentioned before.
-func (r *Relay) recordMessage(now time.Time, m *message, senderSession peerauth.Session) {
+// recordMessage records a message in the membership, reports a sender that was unknown
+// or only mentioned before, and returns the answer, or nil.
+func (r *Relay) recordMessage(now time.Time, m *message, senderSession peerauth.Session) *message {
+	own := r.cfg.Holdings().Revisions
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	heard := m.From.Name == r.cfg.Self.Name || r.membership.byName[m.From.Name].session != 0
-	r.membership.recordMessage(now, m.From, senderSession)
-	for _, member := range m.Members {
-		r.membership.recordMention(now, member)
+	answer, announce := r.membership.receive(now, m, senderSession, own)
+	if announce {
+		r.wakeHellos()
+	}
+	if m.Revisions != nil {
+		close(r.sourcesChanged)
+		r.sourcesChanged = make(chan struct{})
 	}
 	if !heard {
 		r.cfg.Observer.MemberChanged(m.From, true)
 	}
+	return answer
+}
+
+// ownMessage returns a message with this instance's revisions.
+func (r *Relay) ownMessage() *message {
+	revisions := r.cfg.Holdings().Revisions
+	return &message{From: r.cfg.Self, Revisions: &revisions}
 }
 
-func (r *Relay) membersFor(domain string) []Member {
+func (r *Relay) membersFor(now time.Time, domain string) []mention {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.membership.list(domain)
+	return r.membership.list(now, domain)
 }
 
-// sendHellos sends a hello to a random peer, or to the seeds while no peer is
-// known, and removes expired members, until ctx ends.
+// sendHellos sends the hellos and announcements that membership.nextRound selects, and
+// removes expired members, until ctx ends.
 func (r *Relay) sendHellos(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := helloInterval
-		hello := &message{From: r.cfg.Self, Hello: true}
-		if peers := r.Peers(); len(peers) > 0 {
-			peer := peers[rand.IntN(len(peers))]
-			r.sendMessage(peer.Address, r.sessionOf(peer), hello)
-		} else {
-			wait = seedHelloInterval
-			for _, seed := range r.cfg.Seeds {
-				if seed != r.cfg.Self.Address {
-					r.sendMessage(seed, 0, hello)
-				}
+		now := time.Now()
+		next := r.nextRound(now)
+		hello, announcement := r.ownMessage(), r.ownMessage()
+		hello.Hello, announcement.Announcement = true, true
+		for _, member := range next.hellos {
+			r.sendMessage(member.Address, r.sessionOf(member), hello)
+		}
+		for _, member := range next.announce {
+			r.sendMessage(member.Address, r.sessionOf(member), announcement)
+		}
+		for _, seed := range r.cfg.Seeds {
+			if next.seeds && seed != r.cfg.Self.Address {
+				r.sendMessage(seed, 0, hello)
 			}
 		}
-		r.expireMembers(time.Now())
-		timer := time.NewTimer(wait)
+		r.expireMembers(now)
+		timer := time.NewTimer(next.wait)
 		select {
 		case <-timer.C:
+		case <-r.wake:
+			timer.Stop()
 		case <-ctx.Done():
 			timer.Stop()
 		}
 	}
 }
 
+func (r *Relay) wakeHellos() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave makes this instance announce its state to the members that may lack some until
+// it exits.
+func (r *Relay) Leave() {
+	r.mu.Lock()
+	r.membership.leaving = true
+	r.mu.Unlock()
+	r.wakeHellos()
+}
+
+// Lacking returns the number of members that reported incomplete state within the
+// last second.
+func (r *Relay) Lacking(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.membership.lacking(now)
+}
+
+// MembersHolding returns the number of known members, and that of members that
+// reported complete state within the last second.
+func (r *Relay) MembersHolding(now time.Time) (known, holding int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, state := range r.membership.byName {
+		if state.holds(now) {
+			holding++
+		}
+	}
+	return len(r.membership.byName), holding
+}
+
+func (r *Relay) nextRound(now time.Time) round {
+	holdings := r.cfg.Holdings()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.membership.nextRound(now, holdings)
+}
+
 // expireMembers removes expired members and reports those that had sent a message.
 func (r *Relay) expireMembers(now time.Time) {
 	r.mu.Lock()
@@ -372,8 +433,13 @@
 	return r.membership.byName[member.Name].session
 }
 
+// sendMessage sends a message. A list of members that does not fit is shortened.
 func (r *Relay) sendMessage(to netip.AddrPort, receiverSession peerauth.Session, m *message) {
 	data, err := json.Marshal(m)
+	for err == nil && len(data)+peerauth.Overhead > MaxDatagram && len(m.Members) > 0 {
+		m.Members = m.Members[:len(m.Members)/2]
+		data, err = json.Marshal(m)
+	}
 	if err != nil {
 		r.cfg.Observer.Rejected(to, err)
 		return
