--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
 )
 
@@ -61,7 +62,7 @@
 }
 
 // logProbe logs the result of a probe and the number of flows reset because of it.
-func (l flowLog) logProbe(now time.Time, result forward.ProbeResult, effect forward.ProbeEffect) {
+func (l flowLog) logProbe(now time.Time, result evidence.ProbeResult, effect forward.ProbeEffect) {
 	l.events.Flow(logrus.InfoLevel, "upstream_probed", func() logrus.Fields {
 		return logrus.Fields{
 			"upstream": result.Upstream.ID, "verdict": result.Outcome.String(), "sign": result.Trigger.String(), "upstream_revision": result.Upstream.Revision,
@@ -73,7 +74,7 @@
 
 // logFailing logs that an upstream leaves requests unanswered and therefore gets no new
 // flows.
-func (l flowLog) logFailing(lost forward.LostRequest) {
+func (l flowLog) logFailing(lost evidence.LostRequest) {
 	l.events.Flow(logrus.WarnLevel, "upstream_failing", func() logrus.Fields {
 		return logrus.Fields{
 			"upstream": lost.Upstream.ID, "upstream_domain": lost.Upstream.FailureDomain, "lost": fmt.Sprintf("%.1f", lost.Weight),
@@ -82,13 +83,13 @@
 	})
 }
 
-// logUnanswered logs a probe without an answer after forward.LateProbeAfter, and
+// logUnanswered logs a probe without an answer after evidence.LateProbeAfter, and
 // whether the upstream is reported to peers.
-func (l flowLog) logUnanswered(probe forward.Probe, reported bool) {
+func (l flowLog) logUnanswered(probe evidence.Probe, reported bool) {
 	l.events.Flow(logrus.InfoLevel, "probe_unanswered", func() logrus.Fields {
 		return logrus.Fields{
 			"upstream": probe.Upstream.ID, "sign": probe.Trigger.String(), "upstream_revision": probe.Upstream.Revision,
-			"after_ms": forward.LateProbeAfter.Milliseconds(), "reported": reported,
+			"after_ms": evidence.LateProbeAfter.Milliseconds(), "reported": reported,
 		}
 	})
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/counters"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
 	"github.com/chivemast/chivemast/internal/peerauth"
 )
@@ -98,7 +99,7 @@
 		decisions: counters.NewTwoAttributeFamily("action", actionLabels, "reason", forward.ReasonLabels[:]),
 		drops:     counters.NewFamily("reason", dropLabels),
 		events:    counters.NewFamily("event", changeEvents),
-		probes:    counters.NewFamily("verdict", forward.ProbeOutcomeLabels),
+		probes:    counters.NewFamily("verdict", evidence.ProbeOutcomeLabels),
 		messages:  counters.NewFamily("direction", relayLabels),
 		bytes:     counters.NewFamily("direction", relayLabels),
 		refused:   counters.NewFamily("reason", refusalLabels),
@@ -175,7 +176,7 @@
 
 func (m *Metrics) countDrop(reason int) { m.drops.Add(reason, 1) }
 
-func (m *Metrics) countProbe(outcome forward.ProbeOutcome, took time.Duration) {
+func (m *Metrics) countProbe(outcome evidence.ProbeOutcome, took time.Duration) {
 	m.probes.Add(int(outcome), 1)
 	m.probe.Record(context.Background(), float64(took)/float64(time.Millisecond))
 }
@@ -187,7 +188,7 @@
 
 // countLostRequest counts a request that an upstream left unanswered, if this instance
 // saw it, and an upstream that is now found to be failing.
-func (m *Metrics) countLostRequest(f forward.LostRequest) {
+func (m *Metrics) countLostRequest(f evidence.LostRequest) {
 	if f.Local {
 		m.lost.Add(1)
 	}
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/evidence"
 )
 
 const (
@@ -38,13 +38,13 @@
 
 // prober probes upstreams that seem silent by connecting to them.
 type prober struct {
-	requests, controlRequests chan forward.Probe
-	results                   chan forward.ProbeResult
+	requests, controlRequests chan evidence.Probe
+	results                   chan evidence.ProbeResult
 	// unanswered receives probes in progress that have had no answer for
-	// forward.LateProbeAfter.
-	unanswered chan forward.Probe
+	// evidence.LateProbeAfter.
+	unanswered chan evidence.Probe
 	// connectOnce makes one connection attempt; tests replace it.
-	connectOnce func(context.Context, forward.Probe) forward.ProbeOutcome
+	connectOnce func(context.Context, evidence.Probe) evidence.ProbeOutcome
 	// wake interrupts the traffic goroutine after a probe was added to results or
 	// unanswered.
 	wake     func()
@@ -60,8 +60,8 @@
 func newProber(identify Identifier, wake func()) *prober {
 	p := &prober{
 		identify: identify,
-		requests: make(chan forward.Probe, maxProbes), controlRequests: make(chan forward.Probe, maxControlProbes),
-		results: make(chan forward.ProbeResult, maxProbes), unanswered: make(chan forward.Probe, maxProbes),
+		requests: make(chan evidence.Probe, maxProbes), controlRequests: make(chan evidence.Probe, maxControlProbes),
+		results: make(chan evidence.ProbeResult, maxProbes), unanswered: make(chan evidence.Probe, maxProbes),
 		wake: wake,
 	}
 	p.connectOnce = p.connect
@@ -69,9 +69,9 @@
 }
 
 // requestProbe queues a probe without blocking. It returns false when the queue is full.
-func (p *prober) requestProbe(probe forward.Probe) bool {
+func (p *prober) requestProbe(probe evidence.Probe) bool {
 	queue := p.requests
-	if probe.Trigger == forward.TriggerControl {
+	if probe.Trigger == evidence.TriggerControl {
 		queue = p.controlRequests
 	}
 	select {
@@ -91,7 +91,7 @@
 }
 
 // serveQueue makes the probes of a queue, at most limit at a time, until ctx ends.
-func (p *prober) serveQueue(ctx context.Context, queue <-chan forward.Probe, limit int) {
+func (p *prober) serveQueue(ctx context.Context, queue <-chan evidence.Probe, limit int) {
 	slots := make(chan struct{}, limit)
 	for {
 		select {
@@ -113,14 +113,14 @@
 
 // runProbe makes one probe and passes on its result. It repeats an attempt that found
 // the upstream silent but ended too late, because the instance was paused meanwhile.
-func (p *prober) runProbe(ctx context.Context, probe forward.Probe) {
-	late := time.AfterFunc(forward.LateProbeAfter, func() { p.notifyUnanswered(probe) })
+func (p *prober) runProbe(ctx context.Context, probe evidence.Probe) {
+	late := time.AfterFunc(evidence.LateProbeAfter, func() { p.notifyUnanswered(probe) })
 	defer late.Stop()
-	result := forward.ProbeResult{Upstream: probe.Upstream, Trigger: probe.Trigger, Started: time.Now()}
+	result := evidence.ProbeResult{Upstream: probe.Upstream, Trigger: probe.Trigger, Started: time.Now()}
 	for range maxProbeAttempts {
 		began := time.Now()
 		result.Outcome = p.connectOnce(ctx, probe)
-		if result.Outcome != forward.ProbeSilent || time.Since(began) < probeTimeout+probeGrace+probeLateness {
+		if result.Outcome != evidence.ProbeSilent || time.Since(began) < probeTimeout+probeGrace+probeLateness {
 			break
 		}
 	}
@@ -136,7 +136,7 @@
 
 // notifyUnanswered passes on a probe that has no answer yet. It drops the probe when
 // the queue is full, because the result follows in any case.
-func (p *prober) notifyUnanswered(probe forward.Probe) {
+func (p *prober) notifyUnanswered(probe evidence.Probe) {
 	select {
 	case p.unanswered <- probe:
 		p.wake()
@@ -146,7 +146,7 @@
 
 // connect connects to the upstream, asks it for its ID if the probe has a health path,
 // and closes the connection.
-func (p *prober) connect(ctx context.Context, probe forward.Probe) forward.ProbeOutcome {
+func (p *prober) connect(ctx context.Context, probe evidence.Probe) evidence.ProbeOutcome {
 	address := probe.Upstream.Address
 	dialContext, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -159,22 +159,22 @@
 	}
 	defer func() { _ = conn.Close() }() // A failed close has no effect on the result.
 	if probe.HealthPath == "" || conn.SetDeadline(time.Now().Add(probeTimeout)) != nil {
-		return forward.ProbeAlive
+		return evidence.ProbeAlive
 	}
 	id, err := p.identify.Identify(conn, address, probe.HealthPath)
 	if err == nil && id != "" && id != probe.Upstream.ID {
-		return forward.ProbeOther
+		return evidence.ProbeOther
 	}
 	// A busy upstream may not answer in time, but it accepted the connection.
-	return forward.ProbeAlive
+	return evidence.ProbeAlive
 }
 
-func outcomeOf(err error) forward.ProbeOutcome {
+func outcomeOf(err error) evidence.ProbeOutcome {
 	switch {
 	case err == nil:
-		return forward.ProbeAlive
+		return evidence.ProbeAlive
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return forward.ProbeRefused
+		return evidence.ProbeRefused
 	}
-	return forward.ProbeSilent
+	return evidence.ProbeSilent
 }
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -11,7 +11,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/chivemast/chivemast/internal/catalog"
-	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/evidence"
 )
 
 // fixedIdentifier is an Identifier that returns the same ID for each upstream.
@@ -28,17 +28,17 @@
 	require.NoError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	p := newProber(fixedIdentifier("i-2"), func() {})
-	probe := forward.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-1", Address: address}}}
-	require.Equal(t, forward.ProbeAlive, p.connect(t.Context(), probe))
+	probe := evidence.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-1", Address: address}}}
+	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), probe))
 	probe.HealthPath = "/health"
-	require.Equal(t, forward.ProbeOther, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeOther, p.connect(t.Context(), probe))
 	p.identify = fixedIdentifier("i-1")
-	require.Equal(t, forward.ProbeAlive, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), probe))
 	p.identify = fixedIdentifier("")
-	require.Equal(t, forward.ProbeAlive, p.connect(t.Context(), probe), "a busy upstream is alive")
+	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), probe), "a busy upstream is alive")
 	require.NoError(t, listener.Close())
-	require.Equal(t, forward.ProbeRefused, p.connect(t.Context(), probe))
-	require.Equal(t, forward.ProbeSilent, outcomeOf(context.DeadlineExceeded))
+	require.Equal(t, evidence.ProbeRefused, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeSilent, outcomeOf(context.DeadlineExceeded))
 }
 
 // Guards against an unanswered probe that is reported only together with its result:
@@ -47,18 +47,18 @@
 	defer goleak.VerifyNone(t)
 	p := newProber(fixedIdentifier("i-1"), func() {})
 	end := make(chan struct{})
-	p.connectOnce = func(context.Context, forward.Probe) forward.ProbeOutcome {
+	p.connectOnce = func(context.Context, evidence.Probe) evidence.ProbeOutcome {
 		<-end
-		return forward.ProbeSilent
+		return evidence.ProbeSilent
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- p.run(ctx) }()
-	require.True(t, p.requestProbe(forward.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-7"}}}))
+	require.True(t, p.requestProbe(evidence.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-7"}}}))
 	require.Equal(t, "i-7", (<-p.unanswered).Upstream.ID)
 	require.Empty(t, p.results)
 	close(end)
-	require.Equal(t, forward.ProbeSilent, (<-p.results).Outcome)
+	require.Equal(t, evidence.ProbeSilent, (<-p.results).Outcome)
 	cancel()
 	require.NoError(t, <-done)
 }
@@ -69,22 +69,22 @@
 	defer goleak.VerifyNone(t)
 	p := newProber(fixedIdentifier(""), func() {})
 	end := make(chan struct{})
-	p.connectOnce = func(_ context.Context, probe forward.Probe) forward.ProbeOutcome {
-		if probe.Trigger == forward.TriggerControl {
-			return forward.ProbeAlive
+	p.connectOnce = func(_ context.Context, probe evidence.Probe) evidence.ProbeOutcome {
+		if probe.Trigger == evidence.TriggerControl {
+			return evidence.ProbeAlive
 		}
 		<-end
-		return forward.ProbeSilent
+		return evidence.ProbeSilent
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- p.run(ctx) }()
 	entry := &catalog.Entry{}
 	for n := range 2 * maxProbes {
-		require.Eventually(t, func() bool { return p.requestProbe(forward.Probe{Upstream: entry}) }, 5*time.Second, time.Millisecond, "probe %d", n)
+		require.Eventually(t, func() bool { return p.requestProbe(evidence.Probe{Upstream: entry}) }, 5*time.Second, time.Millisecond, "probe %d", n)
 	}
-	require.True(t, p.requestProbe(forward.Probe{Upstream: entry, Trigger: forward.TriggerControl}))
-	require.Equal(t, forward.TriggerControl, (<-p.results).Trigger)
+	require.True(t, p.requestProbe(evidence.Probe{Upstream: entry, Trigger: evidence.TriggerControl}))
+	require.Equal(t, evidence.TriggerControl, (<-p.results).Trigger)
 	close(end)
 	cancel()
 	require.NoError(t, <-done)
@@ -101,16 +101,16 @@
 	p := newProber(fixedIdentifier("i-1"), func() { woken <- struct{}{} })
 	entry := &catalog.Entry{Upstream: catalog.Upstream{Address: netip.MustParseAddrPort(listener.Addr().String())}}
 	for range maxProbes {
-		require.True(t, p.requestProbe(forward.Probe{Upstream: entry}))
+		require.True(t, p.requestProbe(evidence.Probe{Upstream: entry}))
 	}
-	require.False(t, p.requestProbe(forward.Probe{Upstream: entry}))
+	require.False(t, p.requestProbe(evidence.Probe{Upstream: entry}))
 	for len(p.requests) > 1 {
 		<-p.requests
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() { done <- p.run(ctx) }()
-	require.Equal(t, forward.ProbeAlive, (<-p.results).Outcome)
+	require.Equal(t, evidence.ProbeAlive, (<-p.results).Outcome)
 	<-woken
 	cancel()
 	require.NoError(t, <-done)
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
 	"github.com/chivemast/chivemast/internal/relay"
 )
@@ -54,7 +55,7 @@
 
 // applyProbeResult applies the result of a probe and sends resets for the flows that the
 // engine gives up because of it.
-func (loop *trafficLoop) applyProbeResult(now time.Time, result forward.ProbeResult) {
+func (loop *trafficLoop) applyProbeResult(now time.Time, result evidence.ProbeResult) {
 	effect := loop.engine.HandleProbeResult(now, result)
 	loop.log.logProbe(now, result, effect)
 	loop.metrics.countProbe(result.Outcome, now.Sub(result.Started))
@@ -69,8 +70,8 @@
 	}
 }
 
-// applyUnansweredProbe applies a probe that has had no answer for forward.LateProbeAfter.
-func (loop *trafficLoop) applyUnansweredProbe(now time.Time, probe forward.Probe) {
+// applyUnansweredProbe applies a probe that has had no answer for evidence.LateProbeAfter.
+func (loop *trafficLoop) applyUnansweredProbe(now time.Time, probe evidence.Probe) {
 	reported := loop.engine.HandleLateProbe(now, probe) && loop.queueSilentReport(now, probe.Upstream)
 	loop.log.logUnanswered(probe, reported)
 }
--- a/internal/forward/control.go
+++ b/internal/evidence/control.go
@@ -1,4 +1,4 @@
-package forward
+package evidence
 
 import (
 	"slices"
@@ -13,10 +13,10 @@
 	// shorter than LateProbeAfter, so that every late probe has a round that begins
 	// after the probe was requested.
 	controlInterval = 20 * time.Millisecond
-	// controlProbes is the number of upstreams probed in a round. It is more than one
+	// ControlProbes is the number of upstreams probed in a round. It is more than one
 	// because one of them may be down.
-	controlProbes = 2
-	// maxUnconfirmed is the maximum length of Engine.unconfirmedProbes. One late probe
+	ControlProbes = 2
+	// maxUnconfirmed is the maximum length of Tracker.unconfirmedProbes. One late probe
 	// of a failure domain is enough to have the domain probed.
 	maxUnconfirmed = 64
 )
@@ -24,31 +24,31 @@
 // startControlProbes probes the upstreams that answered last, unless an upstream has
 // answered a probe that started at requestedAt or later. Without such an answer, this
 // instance cannot tell a failed upstream from a fault of its own.
-func (e *Engine) startControlProbes(now time.Time, except flowcookie.Cookie, requestedAt time.Time) {
-	if !e.lastReachedStart.Before(requestedAt) || now.Sub(e.lastControlAt) < controlInterval {
+func (t *Tracker) startControlProbes(now time.Time, except flowcookie.Cookie, requestedAt time.Time) {
+	if !t.lastReachedStart.Before(requestedAt) || now.Sub(t.lastControlAt) < controlInterval {
 		return
 	}
-	e.lastControlAt = now
-	for _, entry := range e.lastAnswered(except) {
-		state := e.stateOf(entry.Cookie)
+	t.lastControlAt = now
+	for _, entry := range t.lastAnswered(except) {
+		state := t.stateOf(entry.Cookie)
 		state.probe.pending, state.probe.requestedAt = true, now
-		e.probes = append(e.probes, Probe{Upstream: entry, Trigger: TriggerControl})
+		t.probes = append(t.probes, Probe{Upstream: entry, Trigger: TriggerControl})
 	}
 }
 
-// lastAnswered returns up to controlProbes listed upstreams, those that answered last
+// lastAnswered returns up to ControlProbes listed upstreams, those that answered last
 // first. It leaves out except, upstreams with a probe under way and suspect ones.
-func (e *Engine) lastAnswered(except flowcookie.Cookie) []*catalog.Entry {
+func (t *Tracker) lastAnswered(except flowcookie.Cookie) []*catalog.Entry {
 	var last []*catalog.Entry
-	answered := func(entry *catalog.Entry) time.Time { return e.stateOf(entry.Cookie).answeredAt }
-	for _, service := range e.snapshot.Services() {
+	answered := func(entry *catalog.Entry) time.Time { return t.stateOf(entry.Cookie).answeredAt }
+	for _, service := range t.snapshot.Services() {
 		for _, entry := range service.Entries {
-			if state := e.stateOf(entry.Cookie); entry.Cookie == except || state.probe.pending || state.isSuspect(e.lastControlAt) {
+			if state := t.stateOf(entry.Cookie); entry.Cookie == except || state.probe.pending || state.isSuspect(t.lastControlAt) {
 				continue
 			}
 			at, _ := slices.BinarySearchFunc(last, entry, func(a, b *catalog.Entry) int { return answered(b).Compare(answered(a)) })
-			if at < controlProbes {
-				last = slices.Insert(last, at, entry)[:min(len(last)+1, controlProbes)]
+			if at < ControlProbes {
+				last = slices.Insert(last, at, entry)[:min(len(last)+1, ControlProbes)]
 			}
 		}
 	}
@@ -59,20 +59,20 @@
 // refusal counts as an answer. A late answer shows that this instance or its link is
 // slow. A timely one confirms the late probes that were requested at that time or
 // before, and the failure domains of their upstreams are probed.
-func (e *Engine) recordProbeAnswer(now, started time.Time) {
+func (t *Tracker) recordProbeAnswer(now, started time.Time) {
 	if now.Sub(started) > LateProbeAfter {
-		e.lastLateAnswerAt = now
+		t.lastLateAnswerAt = now
 		return
 	}
-	if !started.After(e.lastReachedStart) {
+	if !started.After(t.lastReachedStart) {
 		return
 	}
-	e.lastReachedStart = started
-	unconfirmed := e.unconfirmedProbes
-	e.unconfirmedProbes = nil
+	t.lastReachedStart = started
+	unconfirmed := t.unconfirmedProbes
+	t.unconfirmedProbes = nil
 	for _, probe := range unconfirmed {
-		if state := e.stateOf(probe.Upstream.Cookie); state.probe.unsettled && !state.probe.requestedAt.After(started) {
-			e.probeNeighbours(now, probe.Upstream.Cookie, probe.Trigger)
+		if state := t.stateOf(probe.Upstream.Cookie); state.probe.unsettled && !state.probe.requestedAt.After(started) {
+			t.probeNeighbours(now, probe.Upstream.Cookie, probe.Trigger)
 		}
 	}
 }
@@ -81,19 +81,19 @@
 // failed. It does when no other probe was answered late since the probe started, and
 // either an upstream answered a probe that started at that time or later, or the
 // snapshot is Ready and the last probe of every other listed upstream failed.
-func (e *Engine) isConclusive(result ProbeResult) bool {
-	if e.lastLateAnswerAt.After(result.Started) {
+func (t *Tracker) isConclusive(result ProbeResult) bool {
+	if t.lastLateAnswerAt.After(result.Started) {
 		return false
 	}
-	if !e.lastReachedStart.Before(result.Started) {
+	if !t.lastReachedStart.Before(result.Started) {
 		return true
 	}
-	if !e.snapshot.Ready() {
+	if !t.snapshot.Ready() {
 		return false
 	}
-	for _, service := range e.snapshot.Services() {
+	for _, service := range t.snapshot.Services() {
 		for _, entry := range service.Entries {
-			if entry.Cookie != result.Upstream.Cookie && !e.stateOf(entry.Cookie).probe.failed() {
+			if entry.Cookie != result.Upstream.Cookie && !t.stateOf(entry.Cookie).probe.failed() {
 				return false
 			}
 		}
--- a/internal/forward/failing.go
+++ b/internal/evidence/failing.go
@@ -1,4 +1,4 @@
-package forward
+package evidence
 
 import (
 	"math"
@@ -9,11 +9,11 @@
 )
 
 const (
-	// lostAfter is how long a request may be unanswered before it counts as lost: four
+	// LostAfter is how long a request may be unanswered before it counts as lost: four
 	// times the 99th percentile of the users' response times. Upstreams are left out
 	// when their request timeout is longer, which is the case when answers usually take
-	// more than a quarter of lostAfter.
-	lostAfter = 400 * time.Millisecond
+	// more than a quarter of LostAfter.
+	LostAfter = 400 * time.Millisecond
 	// lossHalfLife is the half-life of the weight of a lost request.
 	lossHalfLife = time.Second
 	// An upstream is failing when its weight of lost requests is at least minLosses
@@ -23,15 +23,15 @@
 	// own domain.
 	minLosses  = 2.5
 	lossFactor = 2
-	// lossSpan is the least time from the first lost request to the last one of a
+	// LossSpan is the least time from the first lost request to the last one of a
 	// failing upstream. A change of the rotation loses all requests within one response
 	// time.
-	lossSpan = 500 * time.Millisecond
+	LossSpan = 500 * time.Millisecond
 	// minLossWeight is the weight below which the next lost request starts a new span.
 	minLossWeight = 0.5
-	// failingFor is how long a failing upstream receives no new flows while others can
+	// FailingFor is how long a failing upstream receives no new flows while others can
 	// take them.
-	failingFor = 2 * time.Second
+	FailingFor = 2 * time.Second
 	// maxLostRequests is the maximum number of lost requests kept for TakeLostRequests.
 	maxLostRequests = 64
 )
@@ -69,36 +69,13 @@
 	Weight, Average float64
 }
 
-// flowRequest is a request on one flow that waits for its answer.
-type flowRequest struct {
-	record *flowRecord
-	sentAt time.Time
-}
-
-// checkFlowRequests counts the requests that are unanswered for lostAfter as lost. Only
-// flows whose caller acknowledges answers before its next request are in the queue.
-func (e *Engine) checkFlowRequests(now time.Time) {
-	for len(e.flowRequests) > 0 && now.Sub(e.flowRequests[0].sentAt) >= lostAfter {
-		pending := e.flowRequests[0]
-		e.flowRequests = e.flowRequests[1:]
-		record := pending.record
-		if !record.requestSentAt.Equal(pending.sentAt) || e.flows.get(record.flow) != record {
-			continue
-		}
-		cookie := record.targets[0]
-		if e.requestTimeout(cookie, e.stateOf(cookie)) <= lostAfter {
-			e.recordLoss(now, cookie, true)
-		}
-	}
-}
-
 // HandleLossReport records another instance's report that an upstream lost a request.
 // id and born identify the incarnation; born is its start in Unix milliseconds. Reports
 // are ignored before the first snapshot, and for upstreams that are unknown, not listed
 // or draining.
-func (e *Engine) HandleLossReport(now time.Time, id string, born int64) {
-	if e.snapshot != nil {
-		e.recordLoss(now, flowcookie.Of(id, born), false)
+func (t *Tracker) HandleLossReport(now time.Time, id string, born int64) {
+	if t.snapshot != nil {
+		t.RecordLoss(now, flowcookie.Of(id, born), false)
 	}
 }
 
@@ -106,17 +83,17 @@
 // of its service in its failure domain.
 type lossGroup struct{ service, domain string }
 
-// recordLoss counts a lost request of an upstream and of its group, and marks the
-// upstream as failing when minLosses, lossFactor and lossSpan say so. local is true for a
+// RecordLoss counts a lost request of an upstream and of its group, and marks the
+// upstream as failing when minLosses, lossFactor and LossSpan say so. local is true for a
 // request that this instance forwarded.
-func (e *Engine) recordLoss(now time.Time, cookie flowcookie.Cookie, local bool) {
-	entry := e.snapshot.Resolve(cookie)
+func (t *Tracker) RecordLoss(now time.Time, cookie flowcookie.Cookie, local bool) {
+	entry := t.snapshot.Resolve(cookie)
 	// A draining upstream closes its flows after their next answer, so that further
 	// requests on them remain unanswered.
 	if entry == nil || !entry.Listed() || entry.Draining {
 		return
 	}
-	service := e.snapshot.Service(entry.Service)
+	service := t.snapshot.Service(entry.Service)
 	if service == nil {
 		return
 	}
@@ -126,28 +103,28 @@
 			others++
 		}
 	}
-	total := e.groupLosses[group]
+	total := t.groupLosses[group]
 	if total == nil {
 		total = &lossCount{at: now}
-		e.groupLosses[group] = total
+		t.groupLosses[group] = total
 	}
-	state := e.stateOf(cookie)
+	state := t.stateOf(cookie)
 	lost := LostRequest{Upstream: entry, Local: local, Weight: state.losses.add(now)}
 	lost.Average = (total.add(now) - lost.Weight) / float64(max(others, 1))
-	if lost.Weight >= minLosses+lossFactor*lost.Average && now.Sub(state.losses.began) >= lossSpan {
+	if lost.Weight >= minLosses+lossFactor*lost.Average && now.Sub(state.losses.began) >= LossSpan {
 		lost.StartsFailing = !now.Before(state.failingUntil)
-		state.failingUntil = now.Add(failingFor)
+		state.failingUntil = now.Add(FailingFor)
 	}
-	if len(e.lostRequests) < maxLostRequests && (local || lost.StartsFailing) {
-		e.lostRequests = append(e.lostRequests, lost)
+	if len(t.lostRequests) < maxLostRequests && (local || lost.StartsFailing) {
+		t.lostRequests = append(t.lostRequests, lost)
 	}
 }
 
 // TakeLostRequests returns and removes the lost requests since the last call: those of
 // this instance, and the reported ones that made an upstream failing. At most
 // maxLostRequests are kept between two calls; further ones are not returned.
-func (e *Engine) TakeLostRequests() []LostRequest {
-	lost := e.lostRequests
-	e.lostRequests = nil
+func (t *Tracker) TakeLostRequests() []LostRequest {
+	lost := t.lostRequests
+	t.lostRequests = nil
 	return lost
 }
--- a/internal/forward/probe.go
+++ b/internal/evidence/probe.go
@@ -1,7 +1,6 @@
-package forward
+package evidence
 
 import (
-	"slices"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -19,16 +18,16 @@
 	// aliveFor is how long a successful probe keeps the flows of an upstream that the
 	// store no longer lists.
 	aliveFor = 2 * time.Second
-	// failureProvenFor is how long a conclusive failure lets flows be reset without
+	// FailureProvenFor is how long a conclusive failure lets flows be reset without
 	// another probe: a quarter of the time after which the users expect an upstream
 	// that was partitioned to be within reach again.
-	failureProvenFor = time.Second
+	FailureProvenFor = time.Second
 	// reportContradicted is the time within which an answer of the upstream outweighs
 	// another instance's report that its probe failed or is late; a report takes a
 	// millisecond to arrive.
 	reportContradicted = 20 * time.Millisecond
 	// LateProbeAfter is the time without an answer after which a running probe is late:
-	// the owner of the engine measures it and calls HandleLateProbe. New flows then avoid
+	// the owner of the tracker measures it and calls HandleLateProbe. New flows then avoid
 	// the upstream, and other instances are told as HandleLateProbe says. It is ten times
 	// the users' longest round trip.
 	LateProbeAfter = 30 * time.Millisecond
@@ -80,12 +79,12 @@
 // failed or is late: this instance probes the upstream itself. id and born identify the
 // incarnation; born is its start in Unix milliseconds. The report is ignored when the
 // upstream is unknown or has answered here within reportContradicted.
-func (e *Engine) HandleSilenceReport(now time.Time, id string, born int64) {
+func (t *Tracker) HandleSilenceReport(now time.Time, id string, born int64) {
 	cookie := flowcookie.Of(id, born)
-	if e.snapshot == nil || e.snapshot.Resolve(cookie) == nil || now.Sub(e.stateOf(cookie).answeredAt) < reportContradicted {
+	if t.snapshot == nil || t.snapshot.Resolve(cookie) == nil || now.Sub(t.stateOf(cookie).answeredAt) < reportContradicted {
 		return
 	}
-	e.requestProbe(now, cookie, TriggerReport)
+	t.RequestProbe(now, cookie, TriggerReport)
 }
 
 // probeState is the probing state of one upstream.
@@ -125,10 +124,10 @@
 }
 
 // failureProven reports whether the last probe failed and a conclusive failure is less
-// than failureProvenFor old. When another upstream answers at the address, this one has
+// than FailureProvenFor old. When another upstream answers at the address, this one has
 // ended for good.
 func (s *probeState) failureProven(now time.Time) bool {
-	return s.outcome == ProbeOther || (s.failed() && now.Sub(s.conclusiveAt) < failureProvenFor)
+	return s.outcome == ProbeOther || (s.failed() && now.Sub(s.conclusiveAt) < FailureProvenFor)
 }
 
 // alive reports whether a probe found the process within aliveFor.
@@ -145,11 +144,11 @@
 	}
 }
 
-// requestProbe requests a probe of an upstream, unless one is under way or was
+// RequestProbe requests a probe of an upstream, unless one is under way or was
 // requested within probeInterval, or the upstream is unknown or replaced.
-func (e *Engine) requestProbe(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
-	entry := e.snapshot.Resolve(cookie)
-	state := e.stateOf(cookie)
+func (t *Tracker) RequestProbe(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
+	entry := t.snapshot.Resolve(cookie)
+	state := t.stateOf(cookie)
 	if entry == nil || entry.Replaced || state.probe.pending || now.Sub(state.probe.requestedAt) < probeInterval {
 		return
 	}
@@ -157,25 +156,25 @@
 	probe := Probe{Upstream: entry, Trigger: trigger}
 	// The address of an upstream that failed or was removed may belong to another one
 	// now.
-	if service := e.snapshot.Service(entry.Service); service != nil && (state.trial || !entry.RemovedAt.IsZero()) {
+	if service := t.snapshot.Service(entry.Service); service != nil && (state.trial || !entry.RemovedAt.IsZero()) {
 		probe.HealthPath = service.HealthPath
 	}
-	e.probes = append(e.probes, probe)
+	t.probes = append(t.probes, probe)
 }
 
-// TakeProbes returns the requested probes and removes them from the engine. The owner
-// of the engine passes the result of each to HandleProbeResult, or calls CancelProbe.
-func (e *Engine) TakeProbes() []Probe {
-	if len(e.probes) == 0 {
+// TakeProbes returns the requested probes and removes them from the tracker. The owner
+// of the tracker passes the result of each to HandleProbeResult, or calls CancelProbe.
+func (t *Tracker) TakeProbes() []Probe {
+	if len(t.probes) == 0 {
 		return nil
 	}
-	probes := e.probes
-	e.probes = nil
+	probes := t.probes
+	t.probes = nil
 	return probes
 }
 
 // CancelProbe cancels a probe that could not be started.
-func (e *Engine) CancelProbe(probe Probe) { e.stateOf(probe.Upstream.Cookie).probe.pending = false }
+func (t *Tracker) CancelProbe(probe Probe) { t.stateOf(probe.Upstream.Cookie).probe.pending = false }
 
 // HandleLateProbe records that a probe has been unanswered for LateProbeAfter. New
 // flows avoid the upstream until a packet shows that it answers or a probe settles its
@@ -186,23 +185,23 @@
 // so that all probe at the same time: when the upstream was not known to have failed,
 // and the probe was caused neither by a report nor as a control. It does nothing when
 // the probe is no longer under way or the upstream has answered since.
-func (e *Engine) HandleLateProbe(now time.Time, probe Probe) (report bool) {
-	state := e.stateOf(probe.Upstream.Cookie)
+func (t *Tracker) HandleLateProbe(now time.Time, probe Probe) (report bool) {
+	state := t.stateOf(probe.Upstream.Cookie)
 	if !state.probe.pending || state.answeredAt.After(state.probe.requestedAt) {
 		return false
 	}
 	state.probe.unsettled = true
-	e.startControlProbes(now, probe.Upstream.Cookie, state.probe.requestedAt)
+	t.startControlProbes(now, probe.Upstream.Cookie, state.probe.requestedAt)
 	if state.probe.failed() {
 		return false
 	}
 	switch {
-	case !e.lastReachedStart.Before(state.probe.requestedAt):
-		e.probeNeighbours(now, probe.Upstream.Cookie, probe.Trigger)
-	case len(e.unconfirmedProbes) < maxUnconfirmed:
+	case !t.lastReachedStart.Before(state.probe.requestedAt):
+		t.probeNeighbours(now, probe.Upstream.Cookie, probe.Trigger)
+	case len(t.unconfirmedProbes) < maxUnconfirmed:
 		// A slow instance must not increase its load by probes of whole failure
 		// domains.
-		e.unconfirmedProbes = append(e.unconfirmedProbes, probe)
+		t.unconfirmedProbes = append(t.unconfirmedProbes, probe)
 	}
 	return probe.Trigger != TriggerReport && probe.Trigger != TriggerControl
 }
@@ -210,23 +209,23 @@
 // RequestRetryProbes requests probes of the upstreams in the store whose last probe failed,
 // except with ProbeOther, once their backoff is over, and of those that are unsettled. An
 // upstream that returns is thus used again.
-func (e *Engine) RequestRetryProbes(now time.Time) {
-	if e.snapshot == nil {
+func (t *Tracker) RequestRetryProbes(now time.Time) {
+	if t.snapshot == nil {
 		return
 	}
-	for cookie, state := range e.upstreams {
+	for cookie, state := range t.upstreams {
 		failed := state.probe.failed() && state.probe.outcome != ProbeOther && now.Sub(state.probe.decidedAt) >= state.probe.retryAfter
 		if !failed && !state.probe.unsettled {
 			continue
 		}
-		if entry := e.snapshot.Resolve(cookie); entry != nil && entry.RemovedAt.IsZero() {
-			e.requestProbe(now, cookie, TriggerProbeFailed)
+		if entry := t.snapshot.Resolve(cookie); entry != nil && entry.RemovedAt.IsZero() {
+			t.RequestProbe(now, cookie, TriggerProbeFailed)
 		}
 	}
 }
 
 // ProbeEffect says what follows from a probe result. An inconclusive result sets only
-// Inconclusive. A conclusive failure sets Resets, and FirstFailure and Report when they
+// Inconclusive. A conclusive failure sets Failed, and FirstFailure and Report when they
 // apply. For any other result, all fields are zero.
 type ProbeEffect struct {
 	// Inconclusive is true when the probe was unanswered and this instance may itself
@@ -237,19 +236,18 @@
 	FirstFailure bool
 	// Report is true when other instances should be told of the failure.
 	Report bool
-	// Resets holds one packet for each flow whose record was removed; each is to be
-	// answered with a reset.
-	Resets []Packet
+	// Failed is true when the probe proves that the upstream has failed, so that its
+	// flows are to be reset.
+	Failed bool
 }
 
-// HandleProbeResult records the result of a probe. On a conclusive failure, it removes
-// the upstream's flow records and returns the resets to send. A failure is ignored when
-// a packet has shown since the start of the probe that the upstream answers.
-func (e *Engine) HandleProbeResult(now time.Time, result ProbeResult) ProbeEffect {
-	state := e.stateOf(result.Upstream.Cookie)
+// HandleProbeResult records the result of a probe. A failure is ignored when a packet
+// has shown since the start of the probe that the upstream answers.
+func (t *Tracker) HandleProbeResult(now time.Time, result ProbeResult) ProbeEffect {
+	state := t.stateOf(result.Upstream.Cookie)
 	state.probe.pending = false
 	if result.Outcome != ProbeSilent {
-		e.recordProbeAnswer(now, result.Started)
+		t.recordProbeAnswer(now, result.Started)
 	}
 	if result.Outcome != ProbeAlive && state.answeredAt.After(result.Started) {
 		// A packet that arrived in the meantime is stronger evidence than the probe.
@@ -257,7 +255,7 @@
 		return ProbeEffect{}
 	}
 	first := !state.probe.failed()
-	if result.Outcome == ProbeSilent && !e.isConclusive(result) {
+	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
 		state.probe.unsettled = first
 		if !first {
@@ -272,10 +270,10 @@
 	state.probe.conclusiveAt = now
 	state.trial = true
 	if first {
-		e.probeNeighbours(now, result.Upstream.Cookie, result.Trigger)
+		t.probeNeighbours(now, result.Upstream.Cookie, result.Trigger)
 	}
 	report := first && result.Trigger != TriggerReport && result.Trigger != TriggerControl
-	return ProbeEffect{FirstFailure: first, Report: report, Resets: e.removeFlowsOf(result.Upstream.Cookie)}
+	return ProbeEffect{FirstFailure: first, Report: report, Failed: true}
 }
 
 // probeNeighbours requests probes of the failure domain of an upstream that does not
@@ -283,39 +281,23 @@
 // does nothing for probes of a failure domain, control probes and probes caused by a
 // report: the instance that reported the upstream probes its domain and reports what it
 // finds.
-func (e *Engine) probeNeighbours(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
-	entry := e.snapshot.Resolve(cookie)
+func (t *Tracker) probeNeighbours(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
+	entry := t.snapshot.Resolve(cookie)
 	if trigger != TriggerDomain && trigger != TriggerReport && trigger != TriggerControl && entry != nil && entry.Listed() && !entry.Draining {
-		e.probeDomain(now, entry.FailureDomain)
+		t.probeDomain(now, entry.FailureDomain)
 	}
 }
 
 // probeDomain requests probes of the upstreams of a failure domain in which one has
-// failed unannounced, except those that answered within answerWindow. The domain may be
+// failed unannounced, except those that answered within AnswerWindow. The domain may be
 // partitioned, and crashes also affect several upstreams at once.
-func (e *Engine) probeDomain(now time.Time, domain string) {
-	for _, service := range e.snapshot.Services() {
+func (t *Tracker) probeDomain(now time.Time, domain string) {
+	for _, service := range t.snapshot.Services() {
 		for _, entry := range service.Entries {
-			state := e.stateOf(entry.Cookie)
-			if entry.FailureDomain == domain && now.Sub(state.answeredAt) > answerWindow {
-				e.requestProbe(now, entry.Cookie, TriggerDomain)
+			state := t.stateOf(entry.Cookie)
+			if entry.FailureDomain == domain && now.Sub(state.answeredAt) > AnswerWindow {
+				t.RequestProbe(now, entry.Cookie, TriggerDomain)
 			}
 		}
 	}
 }
-
-// removeFlowsOf removes the records of the established flows of an upstream and returns a
-// packet of each flow, sorted by caller.
-func (e *Engine) removeFlowsOf(cookie flowcookie.Cookie) []Packet {
-	var packets []Packet
-	for flow, record := range e.flows.records {
-		if !record.answered || record.targets[0] != cookie {
-			continue
-		}
-		packets = append(packets, Packet{Flow: flow, Ack: record.ack, Cookie: cookie})
-		delete(e.flows.records, flow)
-		e.releaseLoad(record)
-	}
-	slices.SortFunc(packets, func(a, b Packet) int { return a.Flow.Caller.Compare(b.Flow.Caller) })
-	return packets
-}
--- a/internal/forward/delay.go
+++ b/internal/evidence/response_time.go
@@ -1,4 +1,4 @@
-package forward
+package evidence
 
 import (
 	"time"
@@ -21,9 +21,9 @@
 	// The excess leaves out services that answer in a few milliseconds.
 	slowFactor = 3
 	slowExcess = 40 * time.Millisecond
-	// slowFor is how long a slow upstream receives no new flows while others can take
+	// SlowFor is how long a slow upstream receives no new flows while others can take
 	// them. The answers on its existing flows show when it has recovered.
-	slowFor = time.Second
+	SlowFor = time.Second
 )
 
 // responseTime is an exponentially smoothed response time.
@@ -40,24 +40,31 @@
 	d.mean += time.Duration(weight * float64(sample-d.mean))
 }
 
-// recordResponseTime records the time from a request to its answer, and marks the
-// upstream as slow for slowFor when its smoothed response time exceeds slowFactor and
+// RecordResponseTime records the time from a request to its answer, and marks the
+// upstream as slow for SlowFor when its smoothed response time exceeds slowFactor and
 // slowExcess.
-func (e *Engine) recordResponseTime(now time.Time, cookie flowcookie.Cookie, sample time.Duration) {
-	entry := e.snapshot.Resolve(cookie)
+func (t *Tracker) RecordResponseTime(now time.Time, cookie flowcookie.Cookie, sample time.Duration) {
+	entry := t.snapshot.Resolve(cookie)
 	if entry == nil {
 		return
 	}
-	serviceTime := e.serviceResponseTimes[entry.Service]
+	serviceTime := t.serviceResponseTimes[entry.Service]
 	if serviceTime == nil {
 		serviceTime = &responseTime{}
-		e.serviceResponseTimes[entry.Service] = serviceTime
+		t.serviceResponseTimes[entry.Service] = serviceTime
 	}
-	state := e.stateOf(cookie)
+	state := t.stateOf(cookie)
 	state.responseTime.add(sample, upstreamSampleWeight)
 	if serviceTime.samples >= minSamples && state.responseTime.samples >= minSamples &&
 		state.responseTime.mean > slowFactor*serviceTime.mean && state.responseTime.mean > serviceTime.mean+slowExcess {
-		state.slowUntil = now.Add(slowFor)
+		state.slowUntil = now.Add(SlowFor)
 	}
 	serviceTime.add(sample, serviceSampleWeight)
 }
+
+// ResponseTime returns the smoothed response time of an upstream and the number of its
+// samples.
+func (t *Tracker) ResponseTime(cookie flowcookie.Cookie) (mean time.Duration, samples int) {
+	state := t.stateOf(cookie)
+	return state.responseTime.mean, state.responseTime.samples
+}
--- a/internal/forward/stats.go
+++ b/internal/evidence/silence.go
@@ -1,4 +1,4 @@
-package forward
+package evidence
 
 import (
 	"time"
@@ -16,22 +16,22 @@
 	// store removes the entry of an upstream that has crashed.
 	suspectFor = time.Second
 	suspectMax = 4 * time.Second
-	// answerWindow is the time within which an answer contradicts a probe trigger: a
+	// AnswerWindow is the time within which an answer contradicts a probe trigger: a
 	// caller repeats a packet 200 ms after the one that was not answered.
-	answerWindow = 200 * time.Millisecond
+	AnswerWindow = 200 * time.Millisecond
 	// trialInterval is the time between two flows that test whether an upstream
 	// answers; the caller of such a flow waits 200 ms before its next copy.
 	trialInterval = time.Second
-	// coldWindow is the sliding window in which the opening packets to a cold upstream,
-	// copies included, are counted against its limit.
-	coldWindow = time.Second
-	// coldMargin is the part of the limit that is used. The rest allows for packets
-	// that were delayed on the way, so that more arrive in a second than were sent in
-	// one.
-	coldMargin = 0.8
-	// minSharers is the least number of instances by which the limit of a cold upstream
-	// is divided: an instance that has just started does not know the others.
-	minSharers = 4
+	// MinRequestTimeout is the least time after which an unanswered request causes a
+	// probe. It is half of the time after which the caller sends the request again.
+	// The timeout is RequestTimeoutFactor times the usual response time, but at least
+	// MinRequestTimeout.
+	MinRequestTimeout    = 100 * time.Millisecond
+	RequestTimeoutFactor = 4
+	// requestTriggerInterval is the least time between two probes that timed-out requests
+	// cause on one instance: when the answers of a service have just become slow, the
+	// requests to all of its upstreams time out.
+	requestTriggerInterval = 100 * time.Millisecond
 )
 
 // ProbeTrigger is the reason for a probe: evidence that an upstream may have failed, or
@@ -66,13 +66,11 @@
 	return [...]string{"open_unanswered", "data_repeated", "entry_removed", "probe_failed", "domain_failed", "caller_retried", "reported", "request_unanswered", "control"}[t]
 }
 
-// upstreamState is the state that an engine keeps of one upstream.
+// upstreamState is the evidence about one upstream.
 type upstreamState struct {
-	// flows is the number of flow records, unanswered opens included, that are
-	// attributed to the upstream. triggers is the number of TriggerOpen, TriggerRepeat
+	// triggers is the number of TriggerOpen, TriggerRepeat
 	// and TriggerRetry since its last answer, and suspectUntil the time until which they
 	// make new flows avoid it.
-	flows        int
 	triggers     int
 	suspectUntil time.Time
 	// trial is true while only single flows test whether the upstream answers: after a
@@ -87,7 +85,6 @@
 	// answer or timeout was sent; zero when none was.
 	firstRequestAt time.Time
 	probe          probeState
-	cold           coldLimiter
 	// responseTime is the smoothed response time. The upstream counts as slow until
 	// slowUntil.
 	responseTime responseTime
@@ -105,7 +102,6 @@
 
 // recordChosen records that the upstream is sent a new flow.
 func (s *upstreamState) recordChosen(now time.Time) {
-	s.flows++
 	if s.trial {
 		s.nextTrial = now.Add(trialInterval)
 	}
@@ -119,20 +115,20 @@
 	s.probe.withdrawFailure()
 }
 
-func (e *Engine) stateOf(cookie flowcookie.Cookie) *upstreamState {
-	state := e.upstreams[cookie]
+func (t *Tracker) stateOf(cookie flowcookie.Cookie) *upstreamState {
+	state := t.upstreams[cookie]
 	if state == nil {
 		state = &upstreamState{}
-		e.upstreams[cookie] = state
+		t.upstreams[cookie] = state
 	}
 	return state
 }
 
-// recordTrigger records evidence that an upstream may have failed and requests a probe,
-// unless the upstream has answered a flow within answerWindow.
-func (e *Engine) recordTrigger(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
-	state := e.stateOf(cookie)
-	if now.Sub(state.answeredAt) < answerWindow {
+// RecordTrigger records evidence that an upstream may have failed and requests a probe,
+// unless the upstream has answered a flow within AnswerWindow.
+func (t *Tracker) RecordTrigger(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
+	state := t.stateOf(cookie)
+	if now.Sub(state.answeredAt) < AnswerWindow {
 		return
 	}
 	state.triggers++
@@ -140,41 +136,62 @@
 		state.trial = true
 		state.suspectUntil = now.Add(min(suspectFor<<min(excess, 4), suspectMax))
 	}
-	e.requestProbe(now, cookie, trigger)
+	t.RequestProbe(now, cookie, trigger)
 }
 
-// coldLimiter bounds the opening packets, copies included, that one instance sends to a
-// cold upstream within any coldWindow.
-type coldLimiter struct{ sentAt []time.Time }
+// upstreamRequest is the first request to an upstream since its last answer or timeout.
+type upstreamRequest struct {
+	target flowcookie.Cookie
+	sentAt time.Time
+}
 
-func (l *coldLimiter) allows(now time.Time, budget int) bool {
-	for len(l.sentAt) > 0 && now.Sub(l.sentAt[0]) > coldWindow {
-		l.sentAt = l.sentAt[1:]
+// TrackRequest records that a request was sent to an upstream, unless an earlier one is
+// still unanswered.
+func (t *Tracker) TrackRequest(now time.Time, cookie flowcookie.Cookie) {
+	if state := t.stateOf(cookie); state.firstRequestAt.IsZero() {
+		state.firstRequestAt = now
+		t.upstreamRequests = append(t.upstreamRequests, upstreamRequest{target: cookie, sentAt: now})
 	}
-	return len(l.sentAt) < budget
 }
 
-func (l *coldLimiter) record(now time.Time) { l.sentAt = append(l.sentAt, now) }
-
-// PeerRank says how this instance shares the limits of cold upstreams with the other
-// instances of its failure domain.
-type PeerRank struct {
-	// Rank is this instance's position among them, from 0.
-	Rank int
-	// Count is the number of instances of the failure domain.
-	Count int
+// CheckRequests requests probes of upstreams that have answered nothing for the
+// request timeout since a request was sent to them.
+func (t *Tracker) CheckRequests(now time.Time) {
+	for remaining := len(t.upstreamRequests); remaining > 0 && now.Sub(t.upstreamRequests[0].sentAt) >= MinRequestTimeout; remaining-- {
+		request := t.upstreamRequests[0]
+		t.upstreamRequests = t.upstreamRequests[1:]
+		state := t.upstreams[request.target]
+		if state == nil || !state.firstRequestAt.Equal(request.sentAt) {
+			continue
+		}
+		if now.Sub(request.sentAt) < t.requestTimeout(request.target, state) {
+			t.upstreamRequests = append(t.upstreamRequests, request)
+			continue
+		}
+		// The next request starts a new timeout.
+		state.firstRequestAt = time.Time{}
+		if now.Sub(t.lastRequestTriggerAt) >= requestTriggerInterval {
+			t.lastRequestTriggerAt = now
+			t.RequestProbe(now, request.target, TriggerUnanswered)
+		}
+	}
 }
 
-// instanceColdBudget returns the number of opening packets, copies included, that an
-// instance may send to one cold upstream of its failure domain within coldWindow. The
-// sum over all instances of the domain stays within what the upstream sustains,
-// rate*factor + slack flows per second. When that is less than one flow per instance,
-// only the instances of the lowest ranks send, one flow each.
-func instanceColdBudget(rate, factor, slack float64, peerRank PeerRank) int {
-	total := int((rate*factor + slack) * coldMargin)
-	senders := min(max(peerRank.Count, minSharers), total)
-	if senders == 0 || peerRank.Rank >= senders {
-		return 0
+// requestTimeout returns the time without an answer after which a request to an
+// upstream causes a probe: RequestTimeoutFactor times the usual response time of the
+// upstream or its service, whichever is longer, and at least MinRequestTimeout.
+func (t *Tracker) requestTimeout(cookie flowcookie.Cookie, state *upstreamState) time.Duration {
+	usual := state.responseTime.mean
+	if entry := t.snapshot.Resolve(cookie); entry != nil {
+		if serviceTime := t.serviceResponseTimes[entry.Service]; serviceTime != nil {
+			usual = max(usual, serviceTime.mean)
+		}
 	}
-	return total / senders
+	return max(MinRequestTimeout, RequestTimeoutFactor*usual)
+}
+
+// RequestTimeout returns the time without an answer after which a request to an
+// upstream causes a probe.
+func (t *Tracker) RequestTimeout(cookie flowcookie.Cookie) time.Duration {
+	return t.requestTimeout(cookie, t.stateOf(cookie))
 }
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -121,7 +122,7 @@
 	for ; round < 90; round++ {
 		answer(1, round, 25*time.Millisecond)
 	}
-	f.advance(slowFor)
+	f.advance(evidence.SlowFor)
 	require.Equal(t, "i-1", f.open(4, 0).Upstream.ID)
 }
 
@@ -134,5 +135,6 @@
 		f.send(1, cookie, 1+100*round, 1+400*round, 100)
 		f.now = f.now.Add(time.Second)
 	}
-	require.Zero(t, f.engine.stateOf(cookie).responseTime.samples)
+	_, samples := f.engine.ResponseTime(cookie)
+	require.Zero(t, samples)
 }
--- a/internal/forward/control_test.go
+++ b/internal/forward/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -23,19 +24,19 @@
 	require.Len(t, entries, 3)
 	f.advance(time.Second)
 	suspect := entries["i-1"]
-	f.engine.recordTrigger(f.now, suspect.Cookie, TriggerRepeat)
+	f.engine.RecordTrigger(f.now, suspect.Cookie, evidence.TriggerRepeat)
 	probe := f.engine.TakeProbes()[0]
 	began := f.now
-	f.advance(LateProbeAfter)
+	f.advance(evidence.LateProbeAfter)
 	f.engine.HandleLateProbe(f.now, probe)
 	others := f.engine.TakeProbes()
 	require.Len(t, others, 2)
 	for _, other := range others {
-		require.Equal(t, TriggerControl, other.Trigger)
+		require.Equal(t, evidence.TriggerControl, other.Trigger)
 	}
 	f.advance(170 * time.Millisecond)
 	for id, entry := range entries {
-		effect := f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: began})
+		effect := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: began})
 		require.True(t, effect.Inconclusive, id)
 		require.Empty(t, effect.Resets)
 	}
@@ -45,7 +46,7 @@
 	f.engine.RequestRetryProbes(f.now)
 	require.Len(t, f.engine.TakeProbes(), 3)
 	f.answerProbe(2)
-	effect := f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: suspect, Outcome: ProbeSilent, Started: f.now})
+	effect := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: suspect, Outcome: evidence.ProbeSilent, Started: f.now})
 	require.NotEmpty(t, effect.Resets, "another upstream answered a probe")
 }
 
@@ -55,9 +56,9 @@
 	f := newFixture(t, upstream(1))
 	entry := f.establish(1)
 	f.advance(time.Second)
-	f.engine.recordTrigger(f.now, entry.Cookie, TriggerRepeat)
+	f.engine.RecordTrigger(f.now, entry.Cookie, evidence.TriggerRepeat)
 	f.engine.TakeProbes()
-	require.Len(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: f.now}).Resets, 1)
+	require.Len(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: f.now}).Resets, 1)
 }
 
 // Guards against counting a control probe that was answered before the failed probe
@@ -69,9 +70,9 @@
 	f.advance(time.Second)
 	f.answerProbe(2)
 	f.advance(10 * time.Millisecond)
-	f.engine.recordTrigger(f.now, f.engine.snapshot.Service("s").Entries[0].Cookie, TriggerRepeat)
+	f.engine.RecordTrigger(f.now, f.engine.snapshot.Service("s").Entries[0].Cookie, evidence.TriggerRepeat)
 	probe := f.engine.TakeProbes()[0]
-	require.True(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeSilent, Started: f.now}).Inconclusive)
+	require.True(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Started: f.now}).Inconclusive)
 }
 
 // Guards against one probe a second of an upstream known to be silent: the probes back
@@ -84,7 +85,7 @@
 		f.advance(time.Second)
 		entry := f.engine.snapshot.Service("s").Entries[0]
 		f.answerProbe(2)
-		f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: f.now})
+		f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: f.now})
 		probes := 0
 		for range 12 {
 			f.advance(time.Second)
@@ -98,7 +99,7 @@
 				if controlAnswers {
 					f.answerProbe(2)
 				}
-				effect := f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeSilent, Started: f.now})
+				effect := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Started: f.now})
 				require.Equal(t, !controlAnswers, effect.Inconclusive)
 			}
 		}
@@ -113,21 +114,21 @@
 // that is seconds old: the probes of failed upstreams back off to 4 s. A reset was seen
 // 4.1 s after the end of a partition.
 func TestOldProbeFailureDoesNotResetFlows(t *testing.T) {
-	for _, outcome := range []ProbeOutcome{ProbeSilent, ProbeRefused} {
+	for _, outcome := range []evidence.ProbeOutcome{evidence.ProbeSilent, evidence.ProbeRefused} {
 		f := newFixture(t, upstream(1), upstream(2))
 		entry := f.establish(1)
 		f.establish(2)
 		f.advance(time.Second)
 		fail := func() ProbeEffect {
 			f.answerProbe(3 - int(entry.Token))
-			return f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: outcome, Started: f.now})
+			return f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: outcome, Started: f.now})
 		}
-		f.engine.recordTrigger(f.now, entry.Cookie, TriggerRepeat)
+		f.engine.RecordTrigger(f.now, entry.Cookie, evidence.TriggerRepeat)
 		f.engine.TakeProbes()
 		require.True(t, fail().FirstFailure)
 		require.Equal(t, Reset, f.send(50, entry.Cookie, 1, 1, 100).Action)
 		f.engine.TakeProbes()
-		f.advance(failureProvenFor)
+		f.advance(evidence.FailureProvenFor)
 		require.Equal(t, Forward, f.send(51, entry.Cookie, 1, 1, 100).Action, outcome)
 		probes := f.engine.TakeProbes()
 		require.Len(t, probes, 1)
@@ -136,16 +137,16 @@
 		require.Len(t, reset.Resets, 1, "the flow is reset by the result of the new probe")
 		require.Equal(t, caller(51), reset.Resets[0].Flow)
 
-		f.advance(failureProvenFor)
+		f.advance(evidence.FailureProvenFor)
 		require.Equal(t, Forward, f.send(52, entry.Cookie, 1, 1, 100).Action)
 		f.engine.TakeProbes()
-		f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeAlive, Started: f.now})
+		f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeAlive, Started: f.now})
 		require.Equal(t, Forward, f.send(52, entry.Cookie, 101, 1, 100).Action)
 	}
 }
 
 // Guards against resets by an instance whose link is slow: a control probe that is
-// answered after more than LateProbeAfter proves nothing about the silence of another
+// answered after more than evidence.LateProbeAfter proves nothing about the silence of another
 // upstream. A flow of a running upstream was reset next to a probe that was answered
 // after 162 ms.
 func TestLateControlAnswerIsInconclusive(t *testing.T) {
@@ -155,9 +156,9 @@
 	f.advance(time.Second)
 	other := upstream(3 - int(entry.Token))
 	began := f.now
-	f.advance(LateProbeAfter + time.Millisecond)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: f.engine.snapshot.Resolve(flowcookie.Of(other.ID, other.Born)), Outcome: ProbeAlive, Started: began})
-	require.True(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: began}).Inconclusive)
+	f.advance(evidence.LateProbeAfter + time.Millisecond)
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: f.engine.snapshot.Resolve(flowcookie.Of(other.ID, other.Born)), Outcome: evidence.ProbeAlive, Started: began})
+	require.True(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: began}).Inconclusive)
 }
 
 // Guards against two faults of an instance that has too little processor time after
@@ -170,19 +171,19 @@
 	entry := f.establish(1)
 	f.establish(2)
 	f.advance(time.Second)
-	f.engine.recordTrigger(f.now, entry.Cookie, TriggerRepeat)
+	f.engine.RecordTrigger(f.now, entry.Cookie, evidence.TriggerRepeat)
 	probe := f.engine.TakeProbes()[0]
 	began := f.now
-	f.advance(LateProbeAfter)
+	f.advance(evidence.LateProbeAfter)
 	f.engine.HandleLateProbe(f.now, probe)
 	others := f.engine.TakeProbes()
-	require.Len(t, others, controlProbes, "the failure domain is not probed before a control probe is answered in time")
+	require.Len(t, others, evidence.ControlProbes, "the failure domain is not probed before a control probe is answered in time")
 	f.advance(100 * time.Millisecond)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: others[0].Upstream, Outcome: ProbeAlive, Trigger: TriggerControl, Started: began.Add(LateProbeAfter)})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: others[0].Upstream, Outcome: evidence.ProbeAlive, Trigger: evidence.TriggerControl, Started: began.Add(evidence.LateProbeAfter)})
 	require.Empty(t, f.engine.TakeProbes())
 	f.advance(10 * time.Millisecond)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: others[1].Upstream, Outcome: ProbeAlive, Trigger: TriggerControl, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: others[1].Upstream, Outcome: evidence.ProbeAlive, Trigger: evidence.TriggerControl, Started: f.now})
 	require.NotEmpty(t, f.engine.TakeProbes(), "the failure domain is probed after a control probe was answered in time")
 	f.advance(60 * time.Millisecond)
-	require.True(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: began}).Inconclusive)
+	require.True(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: began}).Inconclusive)
 }
--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -19,14 +20,14 @@
 	f.exchangeRequest(1, cookie)
 	f.advance(time.Second)
 	f.send(1, cookie, 101, 400, 100)
-	f.advance(minRequestTimeout - time.Millisecond)
+	f.advance(evidence.MinRequestTimeout - time.Millisecond)
 	f.send(2, cookie, 1, 1, 100)
 	require.Empty(t, f.engine.TakeProbes())
 	f.advance(time.Millisecond)
 	f.send(2, cookie, 101, 1, 100)
 	probes := f.engine.TakeProbes()
 	require.Len(t, probes, 1)
-	require.Equal(t, TriggerUnanswered, probes[0].Trigger)
+	require.Equal(t, evidence.TriggerUnanswered, probes[0].Trigger)
 }
 
 // Guards against probes of an upstream that answers other flows, and of a service whose
@@ -50,7 +51,7 @@
 		f.send(2, cookie, 101+100*round, 401+400*round, 0)
 	}
 	f.send(2, cookie, 2001, 8001, 100)
-	limit := f.engine.requestTimeout(cookie, f.engine.stateOf(cookie))
+	limit := f.engine.RequestTimeout(cookie)
 	require.Greater(t, limit, 3*usual)
 	f.advance(limit - time.Millisecond)
 	f.send(1, cookie, 201, 400, 0)
@@ -80,13 +81,13 @@
 	f.establish(2)
 	f.send(1, cookie, 1, 1, 100)
 	f.advance(time.Second)
-	f.engine.recordTrigger(f.now, cookie, TriggerRepeat)
+	f.engine.RecordTrigger(f.now, cookie, evidence.TriggerRepeat)
 	probe := f.engine.TakeProbes()[0]
 	began := f.now
 	f.advance(10 * time.Millisecond)
 	f.send(1, cookie, 101, 400, 100)
 	f.advance(190 * time.Millisecond)
-	require.True(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeSilent, Started: began}).FirstFailure)
+	require.True(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Started: began}).FirstFailure)
 }
 
 // Guards against probes of all upstreams at once when all answers of a service become
@@ -104,7 +105,7 @@
 	for port := 1; port <= 20; port++ {
 		f.send(port, f.engine.flows.get(caller(port)).targets[0], 101, 400, 100)
 	}
-	f.advance(minRequestTimeout)
+	f.advance(evidence.MinRequestTimeout)
 	f.open(30, 0)
 	require.Len(t, f.engine.TakeProbes(), 1)
 }
@@ -116,7 +117,7 @@
 	f := newFixture(t, upstream(1), upstream(2), upstream(3))
 	f.advance(time.Second)
 	cookie := flowcookie.Of("i-1", 1000)
-	f.engine.recordTrigger(f.now, cookie, TriggerRepeat)
+	f.engine.RecordTrigger(f.now, cookie, evidence.TriggerRepeat)
 	probe := f.engine.TakeProbes()[0]
 	require.True(t, f.engine.HandleLateProbe(f.now, probe))
 	require.Len(t, f.engine.TakeProbes(), 2, "control probes: the failure domain or this instance may be partitioned")
@@ -124,7 +125,7 @@
 		require.NotEqual(t, "i-1", f.open(port, 0).Upstream.ID)
 	}
 
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeAlive, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeAlive, Started: f.now})
 	used := false
 	for port := 20; port < 60; port++ {
 		used = used || f.open(port, 0).Upstream.ID == "i-1"
@@ -143,10 +144,10 @@
 	probe := f.engine.TakeProbes()[0]
 	require.False(t, f.engine.HandleLateProbe(f.now, probe))
 	for _, other := range f.engine.TakeProbes() {
-		require.Equal(t, TriggerControl, other.Trigger)
+		require.Equal(t, evidence.TriggerControl, other.Trigger)
 	}
 	f.answerProbe(2)
-	effect := f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeSilent, Trigger: probe.Trigger, Started: f.now})
+	effect := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Trigger: probe.Trigger, Started: f.now})
 	require.True(t, effect.FirstFailure)
 	require.False(t, effect.Report)
 	require.Empty(t, f.engine.TakeProbes())
@@ -164,10 +165,11 @@
 	f.send(1, cookie, 1, first, 100)
 	f.now = f.now.Add(time.Millisecond)
 	f.send(1, cookie, 101, first+400, 0)
-	require.Equal(t, 1, f.engine.stateOf(cookie).responseTime.samples)
-	require.Equal(t, f.now, f.engine.stateOf(cookie).answeredAt)
+	_, samples := f.engine.ResponseTime(cookie)
+	require.Equal(t, 1, samples)
+	require.Equal(t, f.now, f.engine.AnsweredAt(cookie))
 	f.advance(time.Second)
-	effect := f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: f.engine.snapshot.Resolve(cookie), Outcome: ProbeSilent, Started: f.now})
+	effect := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: f.engine.snapshot.Resolve(cookie), Outcome: evidence.ProbeSilent, Started: f.now})
 	require.Len(t, effect.Resets, 1)
 	require.EqualValues(t, uint32(first+400), effect.Resets[0].Ack)
 }
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -6,6 +6,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/choice"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -37,6 +38,8 @@
 // Engine decides what happens to each packet. It is not safe for concurrent use: one
 // goroutine owns it.
 type Engine struct {
+	// Tracker holds the evidence about the upstreams.
+	*evidence.Tracker
 	cfg Config
 	// snapshot is the current snapshot; nil until SetSnapshot.
 	snapshot *catalog.Snapshot
@@ -46,47 +49,22 @@
 	// flows holds the flow records. A record is removed when its flow ends, is reset or
 	// is idle for flowIdle.
 	flows flowTable
-	// upstreams holds the state of each upstream, by its cookie. SetSnapshot removes the
-	// entries of upstreams that the snapshot does not know.
-	upstreams map[flowcookie.Cookie]*upstreamState
+	// loads holds what this instance sends to each upstream, by its cookie. SetSnapshot
+	// removes the entries of upstreams that the snapshot does not know.
+	loads map[flowcookie.Cookie]*upstreamLoad
 
 	// pendingOpens is a queue that holds, for each flow record, the first copy of the
 	// opening packet to each remembered upstream, oldest first. An element is removed
 	// openTimeout after it was sent.
 	pendingOpens []pendingOpen
-	// upstreamRequests is a queue that holds, for each upstream, the first request on a
-	// flow with acksPromptly since its last answer or timeout. An element is checked
-	// minRequestTimeout after it was sent: it is removed when it was answered or has timed
-	// out, and goes to the end of the queue otherwise. lastRequestTriggerAt is when a
-	// timed-out request last caused a probe.
-	upstreamRequests     []upstreamRequest
-	lastRequestTriggerAt time.Time
 	// lastOpen is the last flow that each caller address opened. An entry is removed
 	// when the caller opens another flow after this one was answered or after
 	// retryWindow, and by RemoveIdleFlows after retryWindow.
 	lastOpen map[netip.Addr]*flowRecord
 
 	// flowRequests is a queue of the requests whose loss can be detected, oldest first;
-	// an element is removed after lostAfter. groupLosses counts the lost requests of
-	// each group of upstreams. lostRequests is what TakeLostRequests returns next.
+	// an element is removed after evidence.LostAfter.
 	flowRequests []flowRequest
-	groupLosses  map[lossGroup]*lossCount
-	lostRequests []LostRequest
-
-	// serviceResponseTimes is the smoothed response time of each service, by its name.
-	serviceResponseTimes map[string]*responseTime
-
-	// probes holds the requested probes until TakeProbes.
-	probes []Probe
-	// lastReachedStart is the latest start time of a probe that was answered within
-	// LateProbeAfter; a refusal counts as an answer. lastControlAt is when control
-	// probes were last requested.
-	lastReachedStart, lastControlAt time.Time
-	// lastLateAnswerAt is when a probe was last answered after more than
-	// LateProbeAfter. unconfirmedProbes holds the late probes during which no other
-	// upstream has answered a probe yet; it is cleared when one does.
-	lastLateAnswerAt  time.Time
-	unconfirmedProbes []Probe
 
 	// weights, candidates and entries are buffers that are reused for each opening
 	// packet; entries[i] belongs to candidates[i].
@@ -98,8 +76,10 @@
 // New returns an engine without a snapshot. Until SetSnapshot is called, Decide returns
 // Wait for every packet.
 func New(cfg Config) *Engine {
-	return &Engine{cfg: cfg, flows: newFlowTable(cfg.MaxFlows), upstreams: map[flowcookie.Cookie]*upstreamState{}, lastOpen: map[netip.Addr]*flowRecord{},
-		serviceResponseTimes: map[string]*responseTime{}, groupLosses: map[lossGroup]*lossCount{}}
+	return &Engine{
+		Tracker: evidence.New(), cfg: cfg, flows: newFlowTable(cfg.MaxFlows),
+		loads: map[flowcookie.Cookie]*upstreamLoad{}, lastOpen: map[netip.Addr]*flowRecord{},
+	}
 }
 
 // SetSnapshot sets the snapshot for all later packets. When the upstreams have changed,
@@ -109,26 +89,36 @@
 func (e *Engine) SetSnapshot(snapshot *catalog.Snapshot) {
 	same := snapshot.SameUpstreams(e.snapshot)
 	e.snapshot = snapshot
+	e.Tracker.SetSnapshot(snapshot)
 	if same {
 		return
 	}
-	e.probeRemoved()
-	for cookie := range e.upstreams {
-		if snapshot.Resolve(cookie) == nil {
-			delete(e.upstreams, cookie)
+	for cookie, load := range e.loads {
+		entry := snapshot.Resolve(cookie)
+		switch {
+		case entry == nil:
+			delete(e.loads, cookie)
+		case !entry.RemovedAt.IsZero() && load.flows > 0:
+			e.ProbeRemoved(entry)
 		}
 	}
 }
 
-// probeRemoved requests probes of the upstreams that have flow records here and that the
-// store no longer lists, unless a probe was requested since their removal.
-func (e *Engine) probeRemoved() {
-	for cookie, state := range e.upstreams {
-		entry := e.snapshot.Resolve(cookie)
-		if entry != nil && !entry.RemovedAt.IsZero() && state.flows > 0 && state.probe.requestedAt.Before(entry.RemovedAt) {
-			e.requestProbe(entry.RemovedAt, cookie, TriggerRemoved)
-		}
+// upstreamLoad is what this instance sends to one upstream.
+type upstreamLoad struct {
+	// flows is the number of flow records, unanswered opens included, that are
+	// attributed to the upstream.
+	flows int
+	cold  coldLimiter
+}
+
+func (e *Engine) loadOf(cookie flowcookie.Cookie) *upstreamLoad {
+	load := e.loads[cookie]
+	if load == nil {
+		load = &upstreamLoad{}
+		e.loads[cookie] = load
 	}
+	return load
 }
 
 // RemoveIdleFlows removes the records of flows without a packet for flowIdle, and the
@@ -159,7 +149,7 @@
 	}
 	// Timeouts are checked after the packet, because it may itself show that an
 	// upstream answers.
-	e.checkUpstreamRequests(now)
+	e.CheckRequests(now)
 	e.checkFlowRequests(now)
 	return decision
 }
@@ -179,38 +169,14 @@
 		}
 		return Decision{Action: Wait, Reason: ReasonUnknownCookie}
 	}
-	if reason, reset := e.checkReset(now, entry); reset && !p.Reset {
-		return e.resetFlow(p, reason, entry)
+	if standing := e.Standing(now, entry); standing != evidence.Running && !p.Reset {
+		return e.resetFlow(p, resetReasons[standing], entry)
 	}
 	return Decision{Action: Forward, Reason: ReasonEstablished, Upstream: entry, HandshakeTime: e.observePacket(now, p)}
 }
 
-// checkReset reports whether flows of an upstream are reset, and why, and requests a
-// probe when the last one failed or the entry is missing. A missing entry alone does
-// not prove that the upstream has ended, because it also vanishes when the upstream
-// loses its connection to the store: flows continue while a probe is pending, and for
-// aliveFor after one that succeeded. After an inconclusive or cancelled probe, Gone
-// decides.
-func (e *Engine) checkReset(now time.Time, entry *catalog.Entry) (Reason, bool) {
-	if entry.Replaced {
-		return ReasonUpstreamGone, true
-	}
-	state := e.stateOf(entry.Cookie)
-	if state.probe.failureProven(now) {
-		return ReasonUpstreamFailed, true
-	}
-	if state.probe.failed() {
-		// A network partition may have ended since the failure. The probe's outcome
-		// resets the flow or lets it continue.
-		e.requestProbe(now, entry.Cookie, TriggerProbeFailed)
-	}
-	if entry.RemovedAt.IsZero() || now.Sub(state.answeredAt) < answerWindow {
-		return 0, false
-	}
-	e.requestProbe(now, entry.Cookie, TriggerRemoved)
-	gone := entry.Gone(now) && e.snapshot.Complete(now)
-	return ReasonUpstreamGone, gone && !state.probe.alive(now) && !state.probe.pending
-}
+// resetReasons holds the reason of a reset by the standing of the flow's upstream.
+var resetReasons = map[evidence.Standing]Reason{evidence.Ended: ReasonUpstreamGone, evidence.Failed: ReasonUpstreamFailed}
 
 // resetFlow removes the flow record and returns the decision to reset the flow.
 func (e *Engine) resetFlow(p *Packet, reason Reason, entry *catalog.Entry) Decision {
@@ -296,7 +262,7 @@
 	}
 	chosen := e.entries[i]
 	if e.candidates[i].Cold {
-		e.stateOf(chosen.Cookie).cold.record(now)
+		e.loadOf(chosen.Cookie).cold.record(now)
 	}
 	e.rememberOpen(now, p, chosen, record)
 	reason := ReasonOpened
@@ -320,9 +286,9 @@
 		if entry.Gone(now) {
 			continue
 		}
-		state := e.stateOf(entry.Cookie)
+		load := e.loadOf(entry.Cookie)
 		cold, local := entry.Cold(now), entry.FailureDomain == e.cfg.FailureDomain
-		if cold && (!local || !state.cold.allows(now, e.coldBudget(service))) {
+		if cold && (!local || !load.cold.allows(now, e.coldBudget(service))) {
 			limited = true
 			continue
 		}
@@ -330,7 +296,7 @@
 		// New flows avoid a failing upstream in the same way as a slow one.
 		e.candidates = append(e.candidates, choice.Candidate{
 			Cookie: entry.Cookie, Local: local, Cold: cold,
-			Suspect: state.isSuspect(now), Slow: now.Before(state.slowUntil) || now.Before(state.failingUntil), Flows: state.flows, Capacity: entry.Capacity,
+			Suspect: e.IsSuspect(now, entry.Cookie), Slow: e.IsSlow(now, entry.Cookie), Flows: load.flows, Capacity: entry.Capacity,
 		})
 	}
 	return limited
@@ -366,10 +332,28 @@
 	}
 	for _, service := range e.snapshot.Services() {
 		for _, entry := range service.Entries {
-			if state := e.upstreams[entry.Cookie]; state == nil || !(state.probe.failed() || state.probe.unsettled) {
+			if !e.Unreachable(entry.Cookie) {
 				return true
 			}
 		}
 	}
 	return false
 }
+
+// ProbeEffect says what follows from a probe result.
+type ProbeEffect struct {
+	evidence.ProbeEffect
+	// Resets holds one packet for each flow whose record was removed; each is to be
+	// answered with a reset. It is empty unless Failed is set.
+	Resets []Packet
+}
+
+// HandleProbeResult records the result of a probe. On a conclusive failure, it removes
+// the upstream's flow records and returns the resets to send.
+func (e *Engine) HandleProbeResult(now time.Time, result evidence.ProbeResult) ProbeEffect {
+	effect := ProbeEffect{ProbeEffect: e.Tracker.HandleProbeResult(now, result)}
+	if effect.Failed {
+		effect.Resets = e.removeFlowsOf(result.Upstream.Cookie)
+	}
+	return effect
+}
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -120,6 +121,6 @@
 	d = engine.Decide(start, &Packet{Flow: caller(2), Open: true, Seq: 1})
 	require.Equal(t, Wait, d.Action)
 	require.Equal(t, ReasonNotSynchronized, d.Reason)
-	effect := engine.HandleProbeResult(start, ProbeResult{Upstream: snapshot.Resolve(cookie), Outcome: ProbeSilent, Started: start})
+	effect := engine.HandleProbeResult(start, evidence.ProbeResult{Upstream: snapshot.Resolve(cookie), Outcome: evidence.ProbeSilent, Started: start})
 	require.True(t, effect.Inconclusive, "other upstreams are not known yet")
 }
--- a/internal/forward/failing_test.go
+++ b/internal/forward/failing_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -14,7 +15,7 @@
 // until it counts as lost.
 func (f *fixture) loseRequest(port int, cookie flowcookie.Cookie) {
 	f.send(port, cookie, 101, 400, 100)
-	f.now = f.now.Add(lostAfter)
+	f.now = f.now.Add(evidence.LostAfter)
 	f.send(999, flowcookie.Of("i-1", 1000), 1, 1, 0)
 }
 
@@ -37,7 +38,7 @@
 		f.engine.HandleLossReport(f.now, "i-2", 1000)
 	}
 	require.Empty(t, f.engine.TakeLostRequests(), "a change of the rotation loses several at once")
-	f.advance(lossSpan)
+	f.advance(evidence.LossSpan)
 	f.engine.HandleLossReport(f.now, "i-2", 1000)
 	lost = f.engine.TakeLostRequests()
 	require.Len(t, lost, 1, "reports of other instances are not reported again")
@@ -45,7 +46,7 @@
 	for next := 100; next < 130; next++ {
 		require.NotEqual(t, "i-2", f.open(next, 0).Upstream.ID)
 	}
-	f.advance(failingFor)
+	f.advance(evidence.FailingFor)
 	used := false
 	for next := 200; next < 260; next++ {
 		used = used || f.open(next, 0).Upstream.ID == "i-2"
@@ -83,13 +84,13 @@
 	cookie := f.establish(1).Cookie
 	for round := uint32(0); round < 20; round++ {
 		f.send(1, cookie, 1+100*round, 1+400*round, 100)
-		f.now = f.now.Add(lostAfter/requestTimeoutFactor + 10*time.Millisecond)
+		f.now = f.now.Add(evidence.LostAfter/evidence.RequestTimeoutFactor + 10*time.Millisecond)
 		f.send(1, cookie, 101+100*round, 401+400*round, 0)
 	}
 	f.send(1, cookie, 2001, 8001, 100)
-	f.now = f.now.Add(lostAfter)
+	f.now = f.now.Add(evidence.LostAfter)
 	f.open(7, 0)
-	require.Empty(t, f.engine.TakeLostRequests(), "the usual response time is above a quarter of lostAfter")
+	require.Empty(t, f.engine.TakeLostRequests(), "the usual response time is above a quarter of evidence.LostAfter")
 
 	f = newFixture(t, upstream(1), upstream(2))
 	cookie = f.establish(1).Cookie
@@ -105,7 +106,7 @@
 	f.exchangeRequest(1, cookie)
 	f.send(1, cookie, 101, 400, 100)
 	f.engine.Decide(f.now, &Packet{Flow: caller(1), Cookie: cookie, Seq: 1201, Ack: 400, Fin: true})
-	f.now = f.now.Add(lostAfter)
+	f.now = f.now.Add(evidence.LostAfter)
 	f.open(7, 0)
 	require.Empty(t, f.engine.TakeLostRequests(), "the caller ended the flow")
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -119,5 +120,5 @@
 	f.t.Helper()
 	entry := f.engine.snapshot.Resolve(flowcookie.Of(upstream(n).ID, 1000))
 	require.NotNil(f.t, entry)
-	require.Empty(f.t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeAlive, Started: f.now}).Resets)
+	require.Empty(f.t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeAlive, Started: f.now}).Resets)
 }
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -27,24 +29,8 @@
 	// minResetTime is the least time in which a caller can have received a reset: one
 	// round trip. Flows that a caller opens within this time are unrelated.
 	minResetTime = time.Millisecond
-	// minRequestTimeout is the least time after which an unanswered request causes a
-	// probe. It is half of the time after which the caller sends the request again.
-	// The timeout is requestTimeoutFactor times the usual response time, but at least
-	// minRequestTimeout.
-	minRequestTimeout    = 100 * time.Millisecond
-	requestTimeoutFactor = 4
-	// requestTriggerInterval is the least time between two probes that timed-out requests
-	// cause on one instance: when the answers of a service have just become slow, the
-	// requests to all of its upstreams time out.
-	requestTriggerInterval = 100 * time.Millisecond
 )
 
-// upstreamRequest is the first request to an upstream since its last answer or timeout.
-type upstreamRequest struct {
-	target flowcookie.Cookie
-	sentAt time.Time
-}
-
 // pendingOpen is an opening packet that waits for the packet that follows it.
 type pendingOpen struct {
 	record *flowRecord
@@ -157,7 +143,8 @@
 	}
 	record.targets[record.attempts] = chosen.Cookie
 	record.attempts++
-	e.stateOf(chosen.Cookie).recordChosen(now)
+	e.RecordChosen(now, chosen.Cookie)
+	e.loadOf(chosen.Cookie).flows++
 	e.pendingOpens = append(e.pendingOpens, pendingOpen{record: record, target: chosen.Cookie, sentAt: now})
 	e.lastOpen[p.Flow.Caller.Addr()] = record
 }
@@ -169,56 +156,11 @@
 		opening := e.pendingOpens[0]
 		e.pendingOpens = e.pendingOpens[1:]
 		if !opening.record.answered {
-			e.recordTrigger(now, opening.target, TriggerOpen)
-		}
-	}
-}
-
-// trackRequest records that a request was sent to an upstream, unless an earlier one is
-// still unanswered.
-func (e *Engine) trackRequest(now time.Time, cookie flowcookie.Cookie) {
-	if state := e.stateOf(cookie); state.firstRequestAt.IsZero() {
-		state.firstRequestAt = now
-		e.upstreamRequests = append(e.upstreamRequests, upstreamRequest{target: cookie, sentAt: now})
-	}
-}
-
-// checkUpstreamRequests requests probes of upstreams that have answered nothing for the
-// request timeout since a request was sent to them.
-func (e *Engine) checkUpstreamRequests(now time.Time) {
-	for remaining := len(e.upstreamRequests); remaining > 0 && now.Sub(e.upstreamRequests[0].sentAt) >= minRequestTimeout; remaining-- {
-		request := e.upstreamRequests[0]
-		e.upstreamRequests = e.upstreamRequests[1:]
-		state := e.upstreams[request.target]
-		if state == nil || !state.firstRequestAt.Equal(request.sentAt) {
-			continue
-		}
-		if now.Sub(request.sentAt) < e.requestTimeout(request.target, state) {
-			e.upstreamRequests = append(e.upstreamRequests, request)
-			continue
-		}
-		// The next request starts a new timeout.
-		state.firstRequestAt = time.Time{}
-		if now.Sub(e.lastRequestTriggerAt) >= requestTriggerInterval {
-			e.lastRequestTriggerAt = now
-			e.requestProbe(now, request.target, TriggerUnanswered)
+			e.RecordTrigger(now, opening.target, evidence.TriggerOpen)
 		}
 	}
 }
 
-// requestTimeout returns the time without an answer after which a request to an
-// upstream causes a probe: requestTimeoutFactor times the usual response time of the
-// upstream or its service, whichever is longer, and at least minRequestTimeout.
-func (e *Engine) requestTimeout(cookie flowcookie.Cookie, state *upstreamState) time.Duration {
-	usual := state.responseTime.mean
-	if entry := e.snapshot.Resolve(cookie); entry != nil {
-		if serviceTime := e.serviceResponseTimes[entry.Service]; serviceTime != nil {
-			usual = max(usual, serviceTime.mean)
-		}
-	}
-	return max(minRequestTimeout, requestTimeoutFactor*usual)
-}
-
 // failedBefore returns the upstreams that did not answer the caller's last flow, and
 // counts a trigger against each. A caller that opens another flow at once has probably
 // received a reset. It returns nil when the last flow was answered or is the same flow,
@@ -237,7 +179,7 @@
 		return nil
 	}
 	for _, target := range earlier.triedTargets() {
-		e.recordTrigger(now, target, TriggerRetry)
+		e.RecordTrigger(now, target, evidence.TriggerRetry)
 	}
 	return earlier.triedTargets()
 }
@@ -256,14 +198,14 @@
 		}
 		record.targets[0], record.attempts, record.answered = p.Cookie, 1, true
 		record.ack, record.dataEnd = p.Ack, p.Seq
-		e.stateOf(p.Cookie).flows++
+		e.loadOf(p.Cookie).flows++
 	}
 	idle := now.Sub(record.lastSeen)
 	record.lastSeen = now
 	if !record.answered {
 		handshakeTime = now.Sub(record.opened)
 		record.ack, record.dataEnd = p.Ack, p.Seq
-		e.stateOf(p.Cookie).recordAnswer(now)
+		e.RecordAnswer(now, p.Cookie)
 	}
 	if !record.answered || record.targets[0] != p.Cookie {
 		e.attributeFlow(record, p.Cookie)
@@ -285,8 +227,8 @@
 	switch {
 	case int32(p.Ack-record.ack) > 0:
 		record.ack, record.repeated = p.Ack, false
-		if p.Data == 0 || idle < answerWindow {
-			e.stateOf(p.Cookie).recordAnswer(now)
+		if p.Data == 0 || idle < evidence.AnswerWindow {
+			e.RecordAnswer(now, p.Cookie)
 		}
 		if !record.requestSentAt.IsZero() {
 			record.acksPromptly = p.Data == 0
@@ -294,17 +236,17 @@
 		// An acknowledgement that comes with the next request does not show when the
 		// answer arrived.
 		if record.acksPromptly && !record.requestSentAt.IsZero() {
-			e.recordResponseTime(now, p.Cookie, now.Sub(record.requestSentAt))
+			e.RecordResponseTime(now, p.Cookie, now.Sub(record.requestSentAt))
 		}
 		record.requestSentAt = time.Time{}
 	case p.Data > 0 && int32(end-record.dataEnd) <= 0 && !record.repeated:
 		record.repeated = true
-		e.recordTrigger(now, p.Cookie, TriggerRepeat)
+		e.RecordTrigger(now, p.Cookie, evidence.TriggerRepeat)
 	}
 	if int32(end-record.dataEnd) > 0 {
 		record.dataEnd, record.requestSentAt = end, now
 		if record.acksPromptly {
-			e.trackRequest(now, p.Cookie)
+			e.TrackRequest(now, p.Cookie)
 			e.flowRequests = append(e.flowRequests, flowRequest{record: record, sentAt: now})
 		}
 	}
@@ -313,7 +255,7 @@
 // attributeFlow attributes a flow to the upstream whose answer the caller accepted.
 func (e *Engine) attributeFlow(record *flowRecord, cookie flowcookie.Cookie) {
 	e.releaseLoad(record)
-	e.stateOf(cookie).flows++
+	e.loadOf(cookie).flows++
 	record.targets = [maxTargets]flowcookie.Cookie{cookie}
 	record.attempts, record.answered = 1, true
 }
@@ -328,8 +270,47 @@
 // releaseLoad subtracts a flow record from the load of its upstreams.
 func (e *Engine) releaseLoad(record *flowRecord) {
 	for _, target := range record.triedTargets() {
-		if state := e.upstreams[target]; state != nil {
-			state.flows--
+		if load := e.loads[target]; load != nil {
+			load.flows--
 		}
 	}
 }
+
+// flowRequest is a request on one flow that waits for its answer.
+type flowRequest struct {
+	record *flowRecord
+	sentAt time.Time
+}
+
+// checkFlowRequests counts the requests that are unanswered for evidence.LostAfter as lost. Only
+// flows whose caller acknowledges answers before its next request are in the queue.
+func (e *Engine) checkFlowRequests(now time.Time) {
+	for len(e.flowRequests) > 0 && now.Sub(e.flowRequests[0].sentAt) >= evidence.LostAfter {
+		pending := e.flowRequests[0]
+		e.flowRequests = e.flowRequests[1:]
+		record := pending.record
+		if !record.requestSentAt.Equal(pending.sentAt) || e.flows.get(record.flow) != record {
+			continue
+		}
+		cookie := record.targets[0]
+		if e.RequestTimeout(cookie) <= evidence.LostAfter {
+			e.RecordLoss(now, cookie, true)
+		}
+	}
+}
+
+// removeFlowsOf removes the records of the established flows of an upstream and returns a
+// packet of each flow, sorted by caller.
+func (e *Engine) removeFlowsOf(cookie flowcookie.Cookie) []Packet {
+	var packets []Packet
+	for flow, record := range e.flows.records {
+		if !record.answered || record.targets[0] != cookie {
+			continue
+		}
+		packets = append(packets, Packet{Flow: flow, Ack: record.ack, Cookie: cookie})
+		delete(e.flows.records, flow)
+		e.releaseLoad(record)
+	}
+	slices.SortFunc(packets, func(a, b Packet) int { return a.Flow.Caller.Compare(b.Flow.Caller) })
+	return packets
+}
--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -19,11 +20,11 @@
 	leaving.advance(time.Second)
 	remaining.advance(time.Second)
 	require.Equal(t, 1, remaining.engine.ImportFlows(remaining.now, leaving.engine.ExportFlows(leaving.now)))
-	require.Equal(t, 1, remaining.engine.stateOf(cookie).flows)
+	require.Equal(t, 1, remaining.engine.loadOf(cookie).flows)
 
-	remaining.engine.recordTrigger(remaining.now, cookie, TriggerRepeat)
+	remaining.engine.RecordTrigger(remaining.now, cookie, evidence.TriggerRepeat)
 	probe := remaining.engine.TakeProbes()[0]
-	reset := remaining.engine.HandleProbeResult(remaining.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeSilent, Started: remaining.now})
+	reset := remaining.engine.HandleProbeResult(remaining.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Started: remaining.now})
 	require.Len(t, reset.Resets, 1)
 	require.Equal(t, caller(1), reset.Resets[0].Flow)
 	require.EqualValues(t, 400, reset.Resets[0].Ack, "the reset must lie in the caller's window")
@@ -47,7 +48,7 @@
 	records[0].Idle = 0
 	remaining.now = remaining.now.Add(time.Millisecond)
 	require.Equal(t, 1, remaining.engine.ImportFlows(remaining.now, records))
-	require.Equal(t, 1, remaining.engine.stateOf(cookie).flows)
+	require.Equal(t, 1, remaining.engine.loadOf(cookie).flows)
 	require.Equal(t, 1, remaining.engine.FlowCount())
 }
 
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -21,7 +21,8 @@
 	runtime.ReadMemStats(&before)
 	for n := range flows {
 		f.engine.Decide(f.now, &Packet{Flow: caller(n), Open: true, Seq: uint32(n)})
-		f.engine.pendingOpens, f.engine.probes = nil, nil
+		f.engine.pendingOpens = nil
+		f.engine.TakeProbes()
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/forward/probe_test.go
+++ b/internal/forward/probe_test.go
@@ -7,13 +7,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
 // Guards against callers that wait for their timeout on a crashed upstream. Repeated
 // data causes a probe; when it fails, the flows are reset and new flows go elsewhere.
 func TestSilentUpstreamIsProbedAndItsFlowsAreReset(t *testing.T) {
-	for _, outcome := range []ProbeOutcome{ProbeRefused, ProbeSilent} {
+	for _, outcome := range []evidence.ProbeOutcome{evidence.ProbeRefused, evidence.ProbeSilent} {
 		t.Run(outcome.String(), func(t *testing.T) {
 			f := newFixture(t, upstream(1), upstream(2))
 			byUpstream := map[string][]int{}
@@ -33,7 +34,7 @@
 			require.Equal(t, "i-1", probes[0].Upstream.ID)
 
 			f.answerProbe(2)
-			reset := f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probes[0].Upstream, Outcome: outcome, Started: f.now})
+			reset := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probes[0].Upstream, Outcome: outcome, Started: f.now})
 			require.True(t, reset.FirstFailure)
 			require.Len(t, reset.Resets, len(byUpstream["i-1"]))
 			for _, p := range reset.Resets {
@@ -70,7 +71,7 @@
 	f.send(2, cookie, 1, 400, 100)
 	probes := f.engine.TakeProbes()
 	require.Len(t, probes, 1)
-	require.Empty(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probes[0].Upstream, Outcome: ProbeAlive, Started: f.now}).Resets)
+	require.Empty(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probes[0].Upstream, Outcome: evidence.ProbeAlive, Started: f.now}).Resets)
 	require.Equal(t, Forward, f.send(2, cookie, 1, 400, 100).Action)
 }
 
@@ -88,7 +89,7 @@
 	f.advance(100 * time.Millisecond)
 	f.send(1, cookie, 101, 300, 0)
 	f.advance(200 * time.Millisecond)
-	require.Empty(t, f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probe.Upstream, Outcome: ProbeSilent, Started: began}).Resets)
+	require.Empty(t, f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Started: began}).Resets)
 	require.Equal(t, Forward, f.send(1, cookie, 101, 300, 100).Action)
 }
 
@@ -98,13 +99,13 @@
 	f := newFixture(t, upstream(1))
 	entry := f.establish(1)
 	f.advance(time.Second)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: f.now})
 	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
 	f.advance(time.Second)
 	f.engine.RequestRetryProbes(f.now)
 	probes := f.engine.TakeProbes()
 	require.Len(t, probes, 1)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probes[0].Upstream, Outcome: ProbeAlive, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probes[0].Upstream, Outcome: evidence.ProbeAlive, Started: f.now})
 	require.Equal(t, Forward, f.send(1, entry.Cookie, 1, 1, 100).Action)
 }
 
@@ -115,8 +116,8 @@
 	f := newFixture(t, upstream(1), upstream(2))
 	entry := f.engine.snapshot.Resolve(flowcookie.Of("i-1", 1000))
 	f.advance(time.Second)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeRefused, Started: f.now})
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeAlive, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeRefused, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeAlive, Started: f.now})
 	trials := 0
 	for port := 1; port <= 40; port++ {
 		d := f.open(port, 0)
@@ -147,7 +148,7 @@
 	f := newFixture(t, upstream(1))
 	entry := f.establish(1)
 	f.advance(time.Second)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeRefused, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeRefused, Started: f.now})
 	f.removeUpstream("i-1")
 	f.engine.TakeProbes()
 	f.advance(time.Second)
@@ -164,12 +165,12 @@
 	f.removeUpstream("i-1")
 	probes := f.engine.TakeProbes()
 	require.Len(t, probes, 1)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probes[0].Upstream, Outcome: ProbeAlive, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probes[0].Upstream, Outcome: evidence.ProbeAlive, Started: f.now})
 	f.advance(time.Second)
 	require.Equal(t, Forward, f.send(1, entry.Cookie, 1, 1, 100).Action)
 
 	f.engine.TakeProbes()
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeRefused, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeRefused, Started: f.now})
 	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
 }
 
@@ -216,11 +217,11 @@
 	remote := func(n int) catalog.Upstream { u := upstream(n); u.FailureDomain = "b"; return u }
 	f := newFixture(t, upstream(1), remote(2), remote(3), remote(4))
 	f.advance(time.Second)
-	f.engine.recordTrigger(f.now, flowcookie.Of("i-2", 1000), TriggerRepeat)
+	f.engine.RecordTrigger(f.now, flowcookie.Of("i-2", 1000), evidence.TriggerRepeat)
 	first := f.engine.TakeProbes()
 	require.Len(t, first, 1)
 	f.answerProbe(1)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: first[0].Upstream, Outcome: ProbeSilent, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: first[0].Upstream, Outcome: evidence.ProbeSilent, Started: f.now})
 	probed := map[string]bool{}
 	for _, probe := range f.engine.TakeProbes() {
 		probed[probe.Upstream.ID] = true
@@ -243,7 +244,7 @@
 	f.removeUpstream("i-1")
 	probes := f.engine.TakeProbes()
 	require.Len(t, probes, 1)
-	f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: probes[0].Upstream, Outcome: ProbeRefused, Started: f.now})
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probes[0].Upstream, Outcome: evidence.ProbeRefused, Started: f.now})
 	require.Empty(t, f.engine.TakeProbes())
 }
 
@@ -254,7 +255,7 @@
 	f := newFixture(t, upstream(1), upstream(2))
 	fail := func(id string) {
 		entry := f.engine.snapshot.Resolve(flowcookie.Of(id, 1000))
-		f.engine.HandleProbeResult(f.now, ProbeResult{Upstream: entry, Outcome: ProbeSilent, Started: f.now})
+		f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeSilent, Started: f.now})
 	}
 	f.now = f.now.Add(isolatedAfter + time.Second)
 	require.True(t, f.engine.CanServe(f.now), "the loss of the store alone does not end serving")
--- a/internal/loadsim/instance_test.go
+++ b/internal/loadsim/instance_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
 )
 
@@ -78,17 +79,17 @@
 			continue
 		}
 		u := sim.find(p.Upstream.ID)
-		result := forward.ProbeResult{Upstream: p.Upstream, Trigger: p.Trigger, Started: sim.now, Outcome: forward.ProbeAlive}
+		result := evidence.ProbeResult{Upstream: p.Upstream, Trigger: p.Trigger, Started: sim.now, Outcome: evidence.ProbeAlive}
 		delay := 2 * time.Millisecond
 		switch {
 		case u.silent || !sim.reach(i.domain, u.FailureDomain):
-			result.Outcome, delay = forward.ProbeSilent, probeSilence
+			result.Outcome, delay = evidence.ProbeSilent, probeSilence
 		case u.ended:
-			result.Outcome = forward.ProbeRefused
+			result.Outcome = evidence.ProbeRefused
 		}
 		engine := i.engine
-		if delay > forward.LateProbeAfter {
-			sim.after(forward.LateProbeAfter, func() {
+		if delay > evidence.LateProbeAfter {
+			sim.after(evidence.LateProbeAfter, func() {
 				if i.alive && i.engine == engine && engine.HandleLateProbe(sim.now, p) {
 					sim.reportSilent(i, u)
 				}
