Send new flows to failure domains with shorter response times

Cause: flows stayed in their failure domain however long requests waited there, an instance counted only the flows that it had open itself, so that an upstream that refused requests and lost their flows seemed to have the least load, and an instance without the store kept all flows at home.

Change: package load estimates response times by service and failure domain from the answers that an instance sees and from reports of two random peers and one random instance of each other domain. Flows leave in proportion to what they save there beyond 10 ms. Within a domain, waiting and recent requests count as load besides open flows. An instance without the store uses the domains that it hears. The log says why a flow left; messages between instances are counted by kind and logged every 10 s.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -6,17 +6,11 @@
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
-// minDomainShare is the share of the service's average number of upstreams per failure
-// domain below which a failure domain sends a part of its new flows to the other
-// domains. With half of its upstreams left, a domain under the users' peak load runs
-// its upstreams at about 70%.
-const minDomainShare = 0.5
-
 // Candidate is an upstream that may take a new flow.
 type Candidate struct {
 	Cookie flowcookie.Cookie
-	// Local is true for an upstream in the failure domain of this instance.
-	Local bool
+	// Preferred is true for an upstream in the failure domain that PickDomain selected.
+	Preferred bool
 	// Cold is true for an upstream that receives flows only when no upstream that is
 	// neither cold nor suspect can.
 	Cold bool
@@ -25,14 +19,17 @@
 	Slow bool
 	// Suspect is true for an upstream that appears to be silent.
 	Suspect bool
-	// Flows is the number of open flows and unanswered opens that this instance
-	// attributes to the upstream.
-	Flows int
+	// Load is what this instance sends to the upstream: the open flows, unanswered opens
+	// included, and the flows that have ended recently.
+	Load float64
 	// Capacity is the number of requests that the upstream runs at once; values below 1
 	// count as 1.
 	Capacity int
 }
 
+// Usable tells whether the candidate is neither cold, suspect nor slow.
+func (c *Candidate) Usable() bool { return !c.Cold && !c.Suspect && !c.Slow }
+
 // Request describes a new flow.
 type Request struct {
 	// Hash identifies the flow. All copies of an opening packet have the same hash.
@@ -41,12 +38,6 @@
 	// packet or the caller's last flow. They are selected only when there is no other
 	// candidate.
 	Exclude []flowcookie.Cookie
-	// AverageDomain is the average number of upstreams of the service per failure
-	// domain.
-	AverageDomain float64
-	// Isolated is true while this instance has lost its contact with the store, so that
-	// it may be partitioned from other failure domains as well.
-	Isolated bool
 }
 
 // Tier ranks the selected upstream; lower is better. It is written to the log.
@@ -77,11 +68,9 @@
 // Pick returns the index of the candidate that receives the flow, and its tier: the
 // least loaded candidate of the best tier. Without candidates it returns -1 and None.
 func Pick(request Request, candidates []Candidate) (int, Tier) {
-	local := countUsableLocal(candidates)
-	useLocal := preferLocal(request, local)
 	best, bestTier := -1, None
 	for i := range candidates {
-		tier := tierOf(request, &candidates[i], useLocal)
+		tier := tierOf(request, &candidates[i])
 		if tier < bestTier || (tier == bestTier && lessLoaded(request, &candidates[i], &candidates[best])) {
 			best, bestTier = i, tier
 		}
@@ -89,40 +78,7 @@
 	return best, bestTier
 }
 
-// countUsableLocal returns the number of local candidates that are neither cold,
-// suspect nor slow.
-func countUsableLocal(candidates []Candidate) int {
-	n := 0
-	for i := range candidates {
-		if c := &candidates[i]; c.Local && !c.Cold && !c.Suspect && !c.Slow {
-			n++
-		}
-	}
-	return n
-}
-
-// preferLocal reports whether a flow stays in the failure domain of this instance. When
-// the domain has less than minDomainShare of the average number of upstreams, it keeps
-// a share of the flows in proportion to the usable upstreams. An isolated instance
-// keeps all flows as long as one is usable.
-func preferLocal(request Request, local int) bool {
-	if local == 0 {
-		return false
-	}
-	if request.Isolated {
-		return true
-	}
-	needed := minDomainShare * request.AverageDomain
-	if float64(local) >= needed {
-		return true
-	}
-	const scale = 1 << 16
-	return float64(request.Hash%scale) < scale*float64(local)/needed
-}
-
-// tierOf returns the tier of a candidate. useLocal says whether local candidates are
-// preferred; when it is false, those of other failure domains are.
-func tierOf(request Request, c *Candidate, useLocal bool) Tier {
+func tierOf(request Request, c *Candidate) Tier {
 	for _, excluded := range request.Exclude {
 		if c.Cookie == excluded {
 			return Repeat
@@ -135,18 +91,18 @@
 		return Cold
 	case c.Slow:
 		return Slow
-	case c.Local == useLocal:
+	case c.Preferred:
 		return Local
 	}
 	return Remote
 }
 
-// lessLoaded reports whether a has fewer flows per capacity than b. Equal candidates
+// lessLoaded reports whether a has less load per capacity than b. Equal candidates
 // are ordered by a hash of flow and upstream, so that instances without knowledge of
 // each other distribute their flows evenly.
 func lessLoaded(request Request, a, b *Candidate) bool {
-	loadA := a.Flows * max(b.Capacity, 1)
-	loadB := b.Flows * max(a.Capacity, 1)
+	loadA := a.Load * float64(max(b.Capacity, 1))
+	loadB := b.Load * float64(max(a.Capacity, 1))
 	if loadA != loadB {
 		return loadA < loadB
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -31,6 +31,9 @@
 	// stateMissingAfter is the time since the start after which an instance without
 	// state says so: longer than a start takes on the slowest machines.
 	stateMissingAfter = time.Second
+	// trafficLogInterval is the time between two log lines with the bytes sent to other
+	// instances by kind of message.
+	trafficLogInterval = 10 * time.Second
 )
 
 // runControl is the control goroutine, which owns the catalog. It applies events,
@@ -39,6 +42,8 @@
 	c := catalog.New()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	trafficTicker := time.NewTicker(trafficLogInterval)
+	defer trafficTicker.Stop()
 	var pace pacer
 	var due <-chan time.Time
 	var unlogged []catalog.Change
@@ -57,6 +62,9 @@
 		case now := <-ticker.C:
 			c.DeleteExpired(now)
 			instance.logMissingState(now, &missing)
+		case <-trafficTicker.C:
+			instance.logMessages()
+			continue
 		}
 		wait := pace.delay(time.Now())
 		if wait > 0 && due == nil {
@@ -100,6 +108,17 @@
 	})
 }
 
+// logMessages logs the bytes sent to other instances since the start, by kind of message.
+func (instance *Instance) logMessages() {
+	fields := logrus.Fields{}
+	for _, count := range instance.metrics.messageCounts() {
+		if count.Direction == relayLabels[relaySent] {
+			fields["sent_"+count.Kind] = count.Bytes
+		}
+	}
+	instance.log.Event(logrus.InfoLevel, "relay_traffic", fields)
+}
+
 // pacer keeps publishInterval between two snapshots. Changes in between become
 // part of the next snapshot. last is when the last snapshot was published.
 type pacer struct{ last time.Time }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -73,7 +73,7 @@
 	}
 	instance.traffic.prober = newProber(codec, instance.traffic.wake)
 	instance.traffic.reportLimit = rate.NewLimiter(reportsPerSecond, reportsAtOnce)
-	instance.traffic.reports = make(chan peerReport, reportQueue)
+	instance.traffic.reports, instance.traffic.loads = make(chan peerReport, reportQueue), make(chan loadReport, loadReportQueue)
 	instance.traffic.imports, instance.traffic.exports = make(chan []forward.HandoverFlow, importQueue), make(chan chan<- []forward.HandoverFlow, 1)
 	if err := instance.listenRelay(store); err != nil {
 		return nil, errors.Join(err, conn.Close())
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -31,7 +31,7 @@
 		fields["reason"] = d.Reason.String()
 		fields["copy"] = p.Copy
 		if d.Tier != "" {
-			fields["tier"] = d.Tier
+			fields["tier"], fields["domain_cause"] = d.Tier, d.DomainCause
 		}
 		if d.Upstream != nil {
 			fields["upstream"], fields["upstream_domain"] = d.Upstream.ID, d.Upstream.FailureDomain
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -19,6 +19,7 @@
 	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
 	"github.com/chivemast/chivemast/internal/peerauth"
+	"github.com/chivemast/chivemast/internal/relay"
 )
 
 const scope = "github.com/chivemast/chivemast/internal/edge"
@@ -31,9 +32,11 @@
 	// dropProbe is for probes that were not started because too many were in
 	// progress.
 	dropProbe
+	// dropLoadReport is for reports on response times that found the queue full.
+	dropLoadReport
 )
 
-var dropLabels = []string{"malformed", "socket", "probe_limit"}
+var dropLabels = []string{"malformed", "socket", "probe_limit", "load_report_queue"}
 
 // Indexes into relayLabels: directions of messages between instances.
 const (
@@ -100,8 +103,8 @@
 		drops:     counters.NewFamily("reason", dropLabels),
 		events:    counters.NewFamily("event", changeEvents),
 		probes:    counters.NewFamily("verdict", evidence.ProbeOutcomeLabels),
-		messages:  counters.NewFamily("direction", relayLabels),
-		bytes:     counters.NewFamily("direction", relayLabels),
+		messages:  counters.NewTwoAttributeFamily("direction", relayLabels, "kind", relay.MessageKindLabels),
+		bytes:     counters.NewTwoAttributeFamily("direction", relayLabels, "kind", relay.MessageKindLabels),
 		refused:   counters.NewFamily("reason", refusalLabels),
 	}
 	return m, m.register(m.provider.Meter(scope))
@@ -181,9 +184,33 @@
 	m.probe.Record(context.Background(), float64(took)/float64(time.Millisecond))
 }
 
-func (m *Metrics) countMessage(direction, bytes int) {
-	m.messages.Add(direction, 1)
-	m.bytes.Add(direction, int64(bytes))
+func (m *Metrics) countMessage(direction int, kind relay.MessageKind, bytes int) {
+	index := direction*len(relay.MessageKindLabels) + int(kind)
+	m.messages.Add(index, 1)
+	m.bytes.Add(index, int64(bytes))
+}
+
+// MessageCount is the number of messages of one kind that an instance has sent or
+// received, and their bytes.
+type MessageCount struct {
+	Kind      string `json:"kind"`
+	Direction string `json:"direction"`
+	Messages  int64  `json:"messages"`
+	Bytes     int64  `json:"bytes"`
+}
+
+// messageCounts returns the counts of all kinds of messages that occurred.
+func (m *Metrics) messageCounts() []MessageCount {
+	var counts []MessageCount
+	for direction, label := range relayLabels {
+		for kind, kindLabel := range relay.MessageKindLabels {
+			index := direction*len(relay.MessageKindLabels) + kind
+			if n := m.messages.Get(index); n > 0 {
+				counts = append(counts, MessageCount{Kind: kindLabel, Direction: label, Messages: n, Bytes: m.bytes.Get(index)})
+			}
+		}
+	}
+	return counts
 }
 
 // countLostRequest counts a request that an upstream left unanswered, if this instance
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,6 +10,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
 	"github.com/chivemast/chivemast/internal/listen"
+	"github.com/chivemast/chivemast/internal/load"
 	"github.com/chivemast/chivemast/internal/peerauth"
 	"github.com/chivemast/chivemast/internal/relay"
 )
@@ -29,6 +30,9 @@
 		OnLostRequest: func(u relay.UpstreamIncarnation) {
 			instance.traffic.queuePeerReport(peerReport{upstream: u, lost: true})
 		},
+		OnLoad: func(domain string, reports []load.Report) {
+			instance.traffic.queueLoadReport(loadReport{domain: domain, reports: reports})
+		},
 		State:         instance.publishedState,
 		Holdings:      instance.holdings,
 		TakeOverFlows: instance.acceptFlows,
@@ -42,6 +46,7 @@
 		instance.log.Event(logrus.WarnLevel, "peers_not_authenticated", logrus.Fields{"setting": "peer_keys"})
 	}
 	instance.traffic.sendSilent, instance.traffic.sendLost, instance.traffic.peerRank = instance.relay.ReportSilent, instance.relay.ReportLost, instance.relay.PeerRank
+	instance.traffic.sendLoad = instance.relay.ReportLoad
 	instance.syncer = catalogsync.New(store, instance.relay, instance.events)
 	return nil
 }
@@ -83,10 +88,14 @@
 type relayObserver struct{ instance *Instance }
 
 // Sent implements relay.Observer.
-func (o relayObserver) Sent(bytes int) { o.instance.metrics.countMessage(relaySent, bytes) }
+func (o relayObserver) Sent(kind relay.MessageKind, bytes int) {
+	o.instance.metrics.countMessage(relaySent, kind, bytes)
+}
 
 // Received implements relay.Observer.
-func (o relayObserver) Received(bytes int) { o.instance.metrics.countMessage(relayReceived, bytes) }
+func (o relayObserver) Received(kind relay.MessageKind, bytes int) {
+	o.instance.metrics.countMessage(relayReceived, kind, bytes)
+}
 
 // Rejected implements relay.Observer.
 func (o relayObserver) Rejected(source netip.AddrPort, err error) {
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -7,6 +7,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/load"
 	"github.com/chivemast/chivemast/internal/relay"
 )
 
@@ -21,8 +22,21 @@
 	// itself, and reports of all upstreams by all instances would fill their links.
 	reportsPerSecond = 50
 	reportsAtOnce    = relay.MaxReportedUpstreams
+	// loadReportInterval is the time between two reports on response times. Within the
+	// 2 s in which the queues of an overloaded failure domain fill up, the other domains
+	// and the peers report several times.
+	loadReportInterval = 250 * time.Millisecond
+	// loadReportQueue is the maximum number of reports on response times that wait. The
+	// traffic goroutine takes them with the next packet.
+	loadReportQueue = 64
 )
 
+// loadReport is what an instance of a failure domain reports on response times.
+type loadReport struct {
+	domain  string
+	reports []load.Report
+}
+
 // peerReport is a report about an upstream from a peer, which is another instance of
 // the failure domain: the upstream does not answer probes or, if lost is set, it left a
 // request unanswered.
@@ -45,6 +59,8 @@
 			loop.applyPeerReport(now, report)
 		case flows := <-loop.imports:
 			loop.engine.ImportFlows(now, flows)
+		case received := <-loop.loads:
+			loop.engine.HandleLoadReports(now, received.domain, received.reports)
 		case answer := <-loop.exports:
 			answer <- loop.engine.ExportFlows(now)
 		default:
@@ -131,6 +147,16 @@
 	}
 }
 
+// queueLoadReport queues a report on response times. It drops the report when the queue
+// is full, because newer ones follow.
+func (loop *trafficLoop) queueLoadReport(received loadReport) {
+	select {
+	case loop.loads <- received:
+	default:
+		loop.metrics.countDrop(dropLoadReport)
+	}
+}
+
 // importFlows queues flows of a peer for the traffic goroutine. It returns false when
 // the queue is full.
 func (loop *trafficLoop) importFlows(flows []forward.HandoverFlow) bool {
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -24,6 +24,8 @@
 	Watches []string `json:"watches"`
 	// Peers lists the names of the known instances of the failure domain.
 	Peers []string `json:"mates"`
+	// Messages counts the messages between instances.
+	Messages []MessageCount `json:"messages"`
 	// LinesLost is the number of log lines that were not written.
 	LinesLost int64            `json:"log_lines_lost"`
 	Upstreams []UpstreamStatus `json:"upstreams"`
@@ -52,6 +54,7 @@
 	}
 	limited, overflowed := instance.log.LostLines()
 	s.LinesLost = limited + overflowed
+	s.Messages = instance.metrics.messageCounts()
 	for _, kind := range catalog.Kinds() {
 		if instance.relay.IsWatcher(now, kind) {
 			s.Watches = append(s.Watches, kind.String())
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -15,6 +15,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/forward"
 	"github.com/chivemast/chivemast/internal/listen"
+	"github.com/chivemast/chivemast/internal/load"
 	"github.com/chivemast/chivemast/internal/relay"
 )
 
@@ -69,6 +70,10 @@
 	// sendSilent and sendLost report upstreams to peers: that they do not answer probes, or
 	// that they left a request unanswered.
 	sendSilent, sendLost func([]relay.UpstreamIncarnation)
+	// loads queues the reports of other instances on response times; sendLoad sends this
+	// instance's.
+	loads    chan loadReport
+	sendLoad func(load.Reports)
 	// unsentSilent holds the silent upstreams that sendReports sends to peers next.
 	unsentSilent []relay.UpstreamIncarnation
 	// reportLimit limits the rate of upstreams reported to peers.
@@ -101,6 +106,8 @@
 	lastExpiry time.Time
 	// lastReachCheck is when it was last checked whether any upstream is reachable.
 	lastReachCheck time.Time
+	// lastLoadReport is when response times were last reported.
+	lastLoadReport time.Time
 	// deadline is the read deadline of the socket; zero after it has passed.
 	deadline time.Time
 }
@@ -211,6 +218,10 @@
 		loop.engine.SetPeerRank(forward.PeerRank{Rank: rank, Count: count})
 		loop.metrics.setFlows(loop.engine.FlowCount())
 	}
+	if now.Sub(loop.lastLoadReport) >= loadReportInterval {
+		loop.lastLoadReport = now
+		loop.sendLoad(loop.engine.TakeLoadReports(now))
+	}
 	if now.Sub(loop.lastReachCheck) >= reachInterval {
 		loop.lastReachCheck = now
 		loop.noUpstreamReachable.Store(loop.currentSnapshot != nil && !loop.engine.CanServe(now))
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -8,6 +8,7 @@
 	"github.com/chivemast/chivemast/internal/choice"
 	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
+	"github.com/chivemast/chivemast/internal/load"
 )
 
 const (
@@ -66,9 +67,13 @@
 	// an element is removed after evidence.LostAfter.
 	flowRequests []flowRequest
 
-	// weights, candidates and entries are buffers that are reused for each opening
-	// packet; entries[i] belongs to candidates[i].
+	// load is what this instance knows about the response times of the failure domains.
+	load *load.View
+
+	// weights, domains, candidates and entries are buffers that are reused for each
+	// opening packet; entries[i] belongs to candidates[i].
 	weights    []int
+	domains    []choice.Domain
 	candidates []choice.Candidate
 	entries    []*catalog.Entry
 }
@@ -79,6 +84,7 @@
 	return &Engine{
 		Tracker: evidence.New(), cfg: cfg, flows: newFlowTable(cfg.MaxFlows),
 		loads: map[flowcookie.Cookie]*upstreamLoad{}, lastOpen: map[netip.Addr]*flowRecord{},
+		load: load.NewView(),
 	}
 }
 
@@ -104,26 +110,15 @@
 	}
 }
 
-// upstreamLoad is what this instance sends to one upstream.
-type upstreamLoad struct {
-	// flows is the number of flow records, unanswered opens included, that are
-	// attributed to the upstream.
-	flows int
-	cold  coldLimiter
-}
-
-func (e *Engine) loadOf(cookie flowcookie.Cookie) *upstreamLoad {
-	load := e.loads[cookie]
-	if load == nil {
-		load = &upstreamLoad{}
-		e.loads[cookie] = load
-	}
-	return load
-}
-
 // RemoveIdleFlows removes the records of flows without a packet for flowIdle, and the
-// lastOpen entries whose flow has had no packet for retryWindow.
+// lastOpen entries whose flow has had no packet for retryWindow. Requests older than
+// maxWait no longer count as waiting.
 func (e *Engine) RemoveIdleFlows(now time.Time) {
+	for _, record := range e.flows.records {
+		if record.waiting && now.Sub(record.requestSentAt) > maxWait {
+			e.releaseRequest(record)
+		}
+	}
 	for _, record := range e.flows.expire(now) {
 		e.releaseLoad(record)
 	}
@@ -242,17 +237,14 @@
 // assignUpstream selects the upstream of a new flow. record is the record of earlier
 // copies of the opening packet, or nil.
 func (e *Engine) assignUpstream(now time.Time, p *Packet, hash uint64, service *catalog.ServiceView, record *flowRecord) Decision {
-	request := choice.Request{
-		Hash:          hash,
-		AverageDomain: float64(service.Total) / float64(max(service.Domains, 1)),
-		Isolated:      e.isolated(now),
-	}
+	request := choice.Request{Hash: hash}
 	if record != nil {
 		request.Exclude = record.triedTargets()
 	} else {
 		request.Exclude = e.failedBefore(now, p)
 	}
 	limited := e.collectCandidates(now, service)
+	cause := e.preferDomain(now, hash, service)
 	i, tier := choice.Pick(request, e.candidates)
 	switch {
 	case i < 0 && limited:
@@ -269,7 +261,7 @@
 	if p.Copy > 0 {
 		reason = ReasonOpenRepeated
 	}
-	return Decision{Action: Forward, Reason: reason, Upstream: chosen, Tier: tier.String()}
+	return Decision{Action: Forward, Reason: reason, Upstream: chosen, Tier: tier.String(), DomainCause: cause.String()}
 }
 
 // collectCandidates sets the candidates for a new flow of a service. When the service
@@ -295,13 +287,49 @@
 		e.entries = append(e.entries, entry)
 		// New flows avoid a failing upstream in the same way as a slow one.
 		e.candidates = append(e.candidates, choice.Candidate{
-			Cookie: entry.Cookie, Local: local, Cold: cold,
-			Suspect: e.IsSuspect(now, entry.Cookie), Slow: e.IsSlow(now, entry.Cookie), Flows: load.flows, Capacity: entry.Capacity,
+			Cookie: entry.Cookie, Cold: cold,
+			Suspect: e.IsSuspect(now, entry.Cookie), Slow: e.IsSlow(now, entry.Cookie), Load: load.total(now), Capacity: entry.Capacity,
 		})
 	}
 	return limited
 }
 
+// preferDomain selects the failure domain that a new flow prefers and marks its
+// candidates.
+func (e *Engine) preferDomain(now time.Time, hash uint64, service *catalog.ServiceView) choice.Cause {
+	e.domains = e.domains[:0]
+	for i, entry := range e.entries {
+		domain := e.domainOf(now, service.Name, entry.FailureDomain)
+		if e.candidates[i].Usable() {
+			domain.Usable++
+			domain.Capacity += max(entry.Capacity, 1)
+		}
+	}
+	picked, cause := choice.PickDomain(choice.DomainRequest{
+		Hash: hash, Average: float64(service.Total) / float64(max(service.Domains, 1)), Isolated: e.isolated(now),
+	}, e.domains)
+	for i, entry := range e.entries {
+		e.candidates[i].Preferred = picked >= 0 && entry.FailureDomain == e.domains[picked].Name
+	}
+	return cause
+}
+
+// domainOf returns the failure domain of that name among the domains of the current
+// choice, and adds it if necessary.
+func (e *Engine) domainOf(now time.Time, service, name string) *choice.Domain {
+	for i := range e.domains {
+		if e.domains[i].Name == name {
+			return &e.domains[i]
+		}
+	}
+	domain := choice.Domain{Name: name, Own: name == e.cfg.FailureDomain}
+	if !domain.Own {
+		domain.Advantage, domain.Heard = e.load.Advantage(now, service, name), e.load.Heard(now, name)
+	}
+	e.domains = append(e.domains, domain)
+	return &e.domains[len(e.domains)-1]
+}
+
 // coldBudget returns the number of opening packets, copies included, that this instance
 // may send to one cold upstream of a service within coldWindow.
 func (e *Engine) coldBudget(service *catalog.ServiceView) int {
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -61,6 +61,8 @@
 	// acksPromptly is true when the answer to the last request was acknowledged before
 	// the next request. Only then does a missing acknowledgement show a missing answer.
 	acksPromptly bool
+	// waiting is true while the request counts in upstreamLoad.waiting.
+	waiting bool
 	// repeated is true when the caller has repeated data since the last acknowledgement.
 	repeated bool
 	// opened is when the first copy of the opening packet arrived.
@@ -236,15 +238,17 @@
 		// An acknowledgement that comes with the next request does not show when the
 		// answer arrived.
 		if record.acksPromptly && !record.requestSentAt.IsZero() {
-			e.RecordResponseTime(now, p.Cookie, now.Sub(record.requestSentAt))
+			e.recordResponseTime(now, p.Cookie, now.Sub(record.requestSentAt))
 		}
 		record.requestSentAt = time.Time{}
+		e.releaseRequest(record)
 	case p.Data > 0 && int32(end-record.dataEnd) <= 0 && !record.repeated:
 		record.repeated = true
 		e.RecordTrigger(now, p.Cookie, evidence.TriggerRepeat)
 	}
 	if int32(end-record.dataEnd) > 0 {
 		record.dataEnd, record.requestSentAt = end, now
+		e.countRequest(now, record)
 		if record.acksPromptly {
 			e.TrackRequest(now, p.Cookie)
 			e.flowRequests = append(e.flowRequests, flowRequest{record: record, sentAt: now})
@@ -252,30 +256,6 @@
 	}
 }
 
-// attributeFlow attributes a flow to the upstream whose answer the caller accepted.
-func (e *Engine) attributeFlow(record *flowRecord, cookie flowcookie.Cookie) {
-	e.releaseLoad(record)
-	e.loadOf(cookie).flows++
-	record.targets = [maxTargets]flowcookie.Cookie{cookie}
-	record.attempts, record.answered = 1, true
-}
-
-// removeFlow removes the flow record of a flow, if there is one.
-func (e *Engine) removeFlow(flow Flow) {
-	if record := e.flows.remove(flow); record != nil {
-		e.releaseLoad(record)
-	}
-}
-
-// releaseLoad subtracts a flow record from the load of its upstreams.
-func (e *Engine) releaseLoad(record *flowRecord) {
-	for _, target := range record.triedTargets() {
-		if load := e.loads[target]; load != nil {
-			load.flows--
-		}
-	}
-}
-
 // flowRequest is a request on one flow that waits for its answer.
 type flowRequest struct {
 	record *flowRecord
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -114,6 +114,9 @@
 	// Tier is the tier of the chosen upstream, for the log. It is empty unless the
 	// packet is an opening packet that is forwarded.
 	Tier string
+	// DomainCause says why the flow stays in the own failure domain or leaves it, for
+	// the log. It is set together with Tier.
+	DomainCause string
 	// HandshakeTime is the time from the first copy of the opening packet to this
 	// packet, when this is the first packet that follows it. It includes the caller's
 	// round trip. It is 0 for other packets and without a flow record.
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,258 @@
+// Package load estimates how long requests take at the upstreams of each service in each
+// failure domain, and how much quicker they are answered in another failure domain. A
+// View combines the answers that an instance sees with the reports of other instances.
+// It reads no clock and has no I/O.
+package load
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// halfLife is the half-life of the weight of an answer in the own failure domain:
+	// long enough for a dozen answers on an instance with little traffic, short against
+	// the 2 s in which a queue of an overloaded domain becomes full.
+	halfLife = 400 * time.Millisecond
+	// minAnswers is the least weight of answers with which a response time is used.
+	minAnswers = 4
+	// reportSmoothing is the weight of a new report of another failure domain against
+	// the earlier ones.
+	reportSmoothing = 0.5
+	// answerSmoothing is the weight of one answer from another failure domain.
+	answerSmoothing = 0.1
+	// reportTimeout is the age from which a report of another failure domain is not used.
+	reportTimeout = 3 * time.Second
+	// othersInterval is the time between two reports to other failure domains while no
+	// response time changes by reportedChange: bytes between failure domains are dear.
+	othersInterval = time.Second
+	reportedChange = 0.15
+	// remoteCost is the response time that a request must save to leave its failure
+	// domain: the longest round trip between the users' domains takes 3 ms, and the bytes
+	// that cross are worth more than a few milliseconds.
+	remoteCost = 10 * time.Millisecond
+	// MaxReports is the largest number of services in one report.
+	MaxReports = 16
+)
+
+// Report is what an instance tells others about one service in its failure domain. To
+// its peers it tells the answers since the last report, to other failure domains the
+// estimate of the domain.
+type Report struct {
+	Service string `json:"service"`
+	// Answers is the number of answers, or the weight of the estimate.
+	Answers float64 `json:"answers"`
+	// MeanMS is their mean response time in ms.
+	MeanMS float64 `json:"mean_ms"`
+}
+
+// Reports holds the reports that an instance sends.
+type Reports struct {
+	// Peers goes to instances of the same failure domain, Others to other ones. Others
+	// is nil when no report is due, and empty when there is nothing to report: the
+	// receivers then know that the domain is within reach.
+	Peers, Others []Report
+}
+
+// answers is a sum over answers. Its weight may decay.
+type answers struct {
+	weight, totalMS float64
+	// at is the time of the last decay.
+	at time.Time
+}
+
+func (a *answers) add(weight, meanMS float64) {
+	a.weight += weight
+	a.totalMS += weight * meanMS
+}
+
+func (a *answers) decay(now time.Time) {
+	factor := math.Exp2(-float64(now.Sub(a.at)) / float64(halfLife))
+	a.weight, a.totalMS, a.at = a.weight*factor, a.totalMS*factor, now
+}
+
+func (a *answers) meanMS() float64 { return a.totalMS / a.weight }
+
+// remoteLoad is what other failure domains report.
+type remoteLoad struct {
+	meanMS float64
+	at     time.Time
+}
+
+type remoteKey struct{ service, domain string }
+
+// View is what an instance knows about the load of services. It is not safe for
+// concurrent use.
+type View struct {
+	// local stores the estimate of the own failure domain by service, unreported the
+	// own answers since the last report. Entries are not deleted: there are as many as
+	// services.
+	local, unreported map[string]*answers
+	remote            map[remoteKey]remoteLoad
+	// othersAt is the time of the last report to other failure domains, othersMS what it
+	// said by service.
+	othersAt time.Time
+	othersMS map[string]float64
+	// heard stores when another failure domain last reported anything.
+	heard map[string]time.Time
+}
+
+// NewView returns a view without any answers.
+func NewView() *View {
+	return &View{local: map[string]*answers{}, unreported: map[string]*answers{}, remote: map[remoteKey]remoteLoad{}, heard: map[string]time.Time{}, othersMS: map[string]float64{}}
+}
+
+// RecordRemoteAnswer records the response time of an upstream of another failure domain.
+// It includes the way there.
+func (v *View) RecordRemoteAnswer(now time.Time, service, domain string, took time.Duration) {
+	v.smoothRemote(now, service, domain, float64(took)/float64(time.Millisecond), answerSmoothing)
+}
+
+// smoothRemote adds a response time of another failure domain with a weight.
+func (v *View) smoothRemote(now time.Time, service, domain string, meanMS, weight float64) {
+	key := remoteKey{service, domain}
+	if known, ok := v.remote[key]; ok && now.Sub(known.at) < reportTimeout {
+		meanMS = weight*meanMS + (1-weight)*known.meanMS
+	}
+	v.remote[key] = remoteLoad{meanMS: meanMS, at: now}
+}
+
+// RecordAnswer records the response time of an upstream of the own failure domain.
+func (v *View) RecordAnswer(now time.Time, service string, took time.Duration) {
+	ms := float64(took) / float64(time.Millisecond)
+	v.addLocal(now, service, 1, ms)
+	unreported := v.unreported[service]
+	if unreported == nil {
+		unreported = &answers{}
+		v.unreported[service] = unreported
+	}
+	unreported.add(1, ms)
+}
+
+func (v *View) addLocal(now time.Time, service string, weight, meanMS float64) {
+	local := v.local[service]
+	if local == nil {
+		local = &answers{at: now}
+		v.local[service] = local
+	}
+	local.decay(now)
+	local.add(weight, meanMS)
+}
+
+// TakeReports returns the reports to send now: at most MaxReports services each, those
+// with the most answers.
+func (v *View) TakeReports(now time.Time) Reports {
+	var peers []Report
+	for service, unreported := range v.unreported {
+		peers = append(peers, newReport(service, unreported))
+	}
+	clear(v.unreported)
+	return Reports{Peers: largest(peers), Others: v.takeOthers(now)}
+}
+
+// takeOthers returns the report to other failure domains, or nil when none is due.
+func (v *View) takeOthers(now time.Time) []Report {
+	others := []Report{}
+	due := now.Sub(v.othersAt) >= othersInterval
+	for service, local := range v.local {
+		if local.decay(now); local.weight < minAnswers {
+			continue
+		}
+		report := newReport(service, local)
+		others = append(others, report)
+		due = due || math.Abs(report.MeanMS-v.othersMS[service]) > reportedChange*v.othersMS[service]
+	}
+	if !due {
+		return nil
+	}
+	v.othersAt = now
+	for _, report := range others {
+		v.othersMS[report.Service] = report.MeanMS
+	}
+	return largest(others)
+}
+
+// newReport returns a report with one decimal place.
+func newReport(service string, a *answers) Report {
+	return Report{Service: service, Answers: math.Round(10*a.weight) / 10, MeanMS: math.Round(10*a.meanMS()) / 10}
+}
+
+func largest(reports []Report) []Report {
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Answers, a.Answers), cmp.Compare(a.Service, b.Service))
+	})
+	return reports[:min(len(reports), MaxReports)]
+}
+
+// HandlePeerReports adds the answers that an instance of the own failure domain has
+// seen. Reports with values out of range are ignored.
+func (v *View) HandlePeerReports(now time.Time, reports []Report) {
+	for _, report := range reports {
+		if report.valid() {
+			v.addLocal(now, report.Service, report.Answers, report.MeanMS)
+		}
+	}
+}
+
+// HandleReports records the estimates of another failure domain.
+func (v *View) HandleReports(now time.Time, domain string, reports []Report) {
+	v.heard[domain] = now
+	for _, report := range reports {
+		if report.valid() {
+			v.smoothRemote(now, report.Service, domain, report.MeanMS, reportSmoothing)
+		}
+	}
+}
+
+// Heard tells whether an instance of another failure domain has reported within
+// reportTimeout, so that this one is not partitioned from the domain.
+func (v *View) Heard(now time.Time, domain string) bool {
+	at, known := v.heard[domain]
+	return known && now.Sub(at) < reportTimeout
+}
+
+// valid tells whether the values of a report are in range: reports come from other
+// instances, which may be faulty.
+func (r Report) valid() bool {
+	const maxAnswers, maxMS = 1e6, 1e6
+	return r.Answers > 0 && r.Answers < maxAnswers && r.MeanMS >= 0 && r.MeanMS < maxMS
+}
+
+// Advantage returns the part of the response time, 0 to 1, that a request saves in
+// another failure domain beyond remoteCost. A domain that is heard but says nothing
+// about the service has little traffic; it counts as the quickest one that is known. The
+// advantage is 0 when the domain is not heard, or the own response time is not known.
+func (v *View) Advantage(now time.Time, service, domain string) float64 {
+	local := v.local[service]
+	if local == nil || !v.Heard(now, domain) {
+		return 0
+	}
+	if local.decay(now); local.weight < minAnswers {
+		return 0
+	}
+	remoteMS, known := v.remoteMS(now, service, domain)
+	if !known {
+		remoteMS = v.quickestMS(now, service, local.meanMS())
+	}
+	costMS := float64(remoteCost) / float64(time.Millisecond)
+	return max(0, 1-(remoteMS+costMS)/local.meanMS())
+}
+
+// remoteMS returns the response time of another failure domain in ms, if it is known.
+func (v *View) remoteMS(now time.Time, service, domain string) (float64, bool) {
+	remote := v.remote[remoteKey{service, domain}]
+	return remote.meanMS, !remote.at.IsZero() && now.Sub(remote.at) < reportTimeout
+}
+
+// quickestMS returns the least of localMS and the known response times of the other
+// failure domains, in ms.
+func (v *View) quickestMS(now time.Time, service string, localMS float64) float64 {
+	for domain := range v.heard {
+		if ms, known := v.remoteMS(now, service, domain); known {
+			localMS = min(localMS, ms)
+		}
+	}
+	return localMS
+}
--- a/internal/loadsim/broken_test.go
+++ b/internal/loadsim/broken_test.go
@@ -20,7 +20,7 @@
 // limit of a cold upstream instead of its share.
 func TestChecksRejectInstancesThatIgnoreColdShares(t *testing.T) {
 	// More new flows per upstream than a cold upstream sustains.
-	overloadedSize := size{70, 40, 1500, 0}
+	overloadedSize := size{70, 40, 1500, 0, 0}
 	sim := runFaulty(overloadedSize, coldSpan, replaceByCold, func(sim *simulation) { sim.ignoreShares, sim.closing = true, 1 })
 	require.NotEmpty(t, sim.overloadedCold())
 	sim = runFaulty(overloadedSize, coldSpan, replaceByCold, func(sim *simulation) { sim.closing = 1 })
--- a/internal/loadsim/flow_test.go
+++ b/internal/loadsim/flow_test.go
@@ -163,7 +163,7 @@
 			target := sim.find(d.Upstream.ID)
 			delay := localDelay
 			if target.FailureDomain != i.domain {
-				delay = remoteDelay
+				delay = sim.size.remoteDelay()
 			}
 			if target.silent || !sim.reach(i.domain, target.FailureDomain) {
 				if !p.Open {
@@ -178,11 +178,13 @@
 
 // accept serves or queues a request, or refuses it when the queue is full.
 func (u *upstream) accept(sim *simulation, r *request, answered, refused func()) {
+	sim.arrivals++
 	if u.running < slots {
 		u.serve(sim, r, answered)
 		return
 	}
 	if len(u.waiting) >= queueLength {
+		sim.refusals++
 		sim.after(callerDelay, refused)
 		return
 	}
--- a/internal/loadsim/instance_test.go
+++ b/internal/loadsim/instance_test.go
@@ -148,6 +148,35 @@
 	}
 }
 
+// loadReportInterval and loadPeers are the interval of reports on response times and the
+// number of peers that receive one; one instance of each other domain does as well.
+const (
+	loadReportInterval = 250 * time.Millisecond
+	loadPeers          = 2
+)
+
+// reportLoad sends the reports of all instances on response times.
+func (sim *simulation) reportLoad() {
+	for _, from := range sim.instances {
+		if !from.alive || sim.withoutLoadReports {
+			continue
+		}
+		reports := from.engine.TakeLoadReports(sim.now)
+		received := map[string]int{}
+		for _, n := range sim.rng.Perm(len(sim.instances)) {
+			to, limit, sent := sim.instances[n], 1, reports.Others
+			if to.domain == from.domain {
+				limit, sent = loadPeers, reports.Peers
+			}
+			if sent == nil || to == from || !to.alive || received[to.domain] == limit || !sim.reach(from.domain, to.domain) {
+				continue
+			}
+			received[to.domain]++
+			sim.after(2*time.Millisecond, func() { to.engine.HandleLoadReports(sim.now, from.domain, sent) })
+		}
+	}
+}
+
 // route returns the instance to which the routers send a flow: one in rotation, or any of
 // the failure domain when none is in rotation.
 func (sim *simulation) route(f forward.Flow, domain string) *instance {
--- a/internal/loadsim/simulation_test.go
+++ b/internal/loadsim/simulation_test.go
@@ -64,6 +64,9 @@
 	// cut is the failure domain without a connection to others and to the store, or
 	// empty.
 	cut string
+	// arrivals and refusals count the requests that reached upstreams, and those that
+	// upstreams refused because their queues were full.
+	arrivals, refusals int
 
 	requests []*request
 	resets   int
@@ -80,6 +83,8 @@
 	// withoutReports makes instances send no reports of silent upstreams and lost
 	// requests to their peers.
 	withoutReports bool
+	// withoutLoadReports makes instances send no reports on response times.
+	withoutLoadReports bool
 	// late lists the times at which instances answered requests with a reset.
 	late []time.Time
 }
@@ -92,10 +97,19 @@
 	// callers multiplies the number of callers that share the rate, so that their
 	// flows are idle for longer; 0 counts as 1.
 	callers int
+	// crossing is the delay between failure domains; 0 counts as remoteDelay.
+	crossing time.Duration
+}
+
+func (s size) remoteDelay() time.Duration {
+	if s.crossing > 0 {
+		return s.crossing
+	}
+	return remoteDelay
 }
 
 // sizes holds the users' deployment and a larger one.
-var sizes = map[string]size{"9 instances": {9, 14, 400, 0}, "70 instances": {70, 120, 1500, 0}}
+var sizes = map[string]size{"9 instances": {9, 14, 400, 0, 0}, "70 instances": {70, 120, 1500, 0, 0}}
 
 var domains = []string{"a", "b", "c", "d"}
 
@@ -183,6 +197,7 @@
 	}
 	sim.publish()
 	sim.every(250*time.Millisecond, sim.tick)
+	sim.every(loadReportInterval, sim.reportLoad)
 	return sim
 }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -65,6 +65,7 @@
 		return err
 	}
 	request.Header.Set("Content-Type", flowsMediaType)
+	r.cfg.Observer.Sent(KindFlows, len(sealed))
 	response, err := r.client.Do(request)
 	if err != nil {
 		return err
@@ -106,6 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.cfg.Observer.Received(KindFlows, len(sealed))
 	_, payload, err := r.auth.Open(sealed)
 	if err != nil {
 		return nil, err
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -34,6 +34,12 @@
 	// freshHalf is the number of members in a list that were heard last: their times
 	// of hearing spread fastest. The others are random, so that each member is listed.
 	freshHalf = 5
+	// loadPeers is the number of peers that one report on response times goes to: an
+	// instance then estimates with the answers of three.
+	loadPeers = 2
+	// loadReceiverTimeout is the time since a member was heard after which no reports on
+	// response times are sent to it.
+	loadReceiverTimeout = 15 * time.Second
 )
 
 // membership holds the other instances that an instance knows. It reads no clock:
@@ -197,6 +203,29 @@
 	return rank, m.peakCount
 }
 
+// loadReceivers returns loadPeers random peers and one random member of each other
+// failure domain, of the members heard within loadReceiverTimeout.
+func (m *membership) loadReceivers(now time.Time) (peers, others []Member) {
+	byDomain := map[string][]memberState{}
+	for _, state := range m.byName {
+		if state.session != 0 && now.Sub(state.lastHeard) < loadReceiverTimeout {
+			byDomain[state.member.FailureDomain] = append(byDomain[state.member.FailureDomain], state)
+		}
+	}
+	for domain, states := range byDomain {
+		slices.SortFunc(states, compareHeard)
+		m.rng.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
+		if domain != m.self.FailureDomain {
+			others = append(others, states[0].member)
+			continue
+		}
+		for _, state := range states[:min(len(states), loadPeers)] {
+			peers = append(peers, state.member)
+		}
+	}
+	return peers, others
+}
+
 // list returns at most maxMembersPerMessage members with the time since they were heard:
 // those of the given failure domain first, and of these the freshHalf heard last and
 // others at random.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
+	"github.com/chivemast/chivemast/internal/load"
 )
 
 // MaxDatagram is the largest size of a sealed message in bytes. SendUpdate sends a
@@ -19,6 +20,64 @@
 // even with the longest names; the receivers may reject a longer report.
 const MaxReportedUpstreams = 12
 
+// MessageKind is the kind of a message between instances, for the counters.
+type MessageKind int
+
+// Kinds of messages. KindState and KindFlows are bodies of HTTP requests or responses,
+// the others are datagrams.
+const (
+	// KindUnreadable: a received datagram that is not authentic or malformed.
+	KindUnreadable MessageKind = iota
+	// KindHello: asks for a list of members.
+	KindHello
+	// KindMembers: a list of members.
+	KindMembers
+	// KindAnnouncement: tells which state the sender holds, or that it lacks some.
+	KindAnnouncement
+	// KindUpdate: changes from the store.
+	KindUpdate
+	// KindConfirmation: an update without changes.
+	KindConfirmation
+	// KindSilence: upstreams that do not answer probes.
+	KindSilence
+	// KindLoss: upstreams that lost requests.
+	KindLoss
+	// KindLoad: response times.
+	KindLoad
+	// KindState: the whole state of a kind of data.
+	KindState
+	// KindFlows: flow records of an instance that shuts down.
+	KindFlows
+)
+
+// MessageKindLabels holds the label of each kind, indexed by MessageKind.
+var MessageKindLabels = []string{
+	"unreadable", "hello", "members", "announcement", "update", "confirmation", "silence", "loss", "load", "state", "flows",
+}
+
+func (k MessageKind) String() string { return MessageKindLabels[k] }
+
+// kind returns the kind of a message.
+func (m *message) kind() MessageKind {
+	switch {
+	case m.Update != nil && len(m.Update.Events) > 0:
+		return KindUpdate
+	case m.Update != nil:
+		return KindConfirmation
+	case len(m.Silent) > 0:
+		return KindSilence
+	case len(m.Lost) > 0:
+		return KindLoss
+	case m.Loads != nil:
+		return KindLoad
+	case m.Hello:
+		return KindHello
+	case len(m.Members) > 0:
+		return KindMembers
+	}
+	return KindAnnouncement
+}
+
 // Member identifies an instance of the fleet.
 type Member struct {
 	Name          string `json:"name"`
@@ -50,6 +109,10 @@
 	// Lost lists upstreams that left a request of the sender's callers without
 	// an answer; an upstream is listed once for each such request.
 	Lost []UpstreamIncarnation `json:"lost,omitempty"`
+	// Loads lists what the sender reports on the response times of its failure domain:
+	// to peers the answers that it has seen, to others the estimate of the domain; nil
+	// for a message without a report.
+	Loads *[]load.Report `json:"loads,omitempty"`
 }
 
 // mention is a member in another instance's list.
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -41,8 +41,9 @@
 	// reportedFor is how long the revisions that a member reported count as current.
 	reportedFor = time.Second
 	// remoteHellos is the part of the regular hellos that goes to other failure
-	// domains, so that their members stay known.
-	remoteHellos = 0.5
+	// domains, so that their members stay known. An answer has 1.2 KB, and bytes between
+	// failure domains are dear.
+	remoteHellos = 0.15
 )
 
 // Revisions stores, by kind, the store's revision of the state that an instance
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/load"
 	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
@@ -42,11 +43,10 @@
 
 // Observer receives the events of a Relay. It is called from several goroutines.
 type Observer interface {
-	// Sent and Received report one datagram and its size in bytes; HTTP requests
-	// are not reported. Received is also called for datagrams that are rejected
-	// afterwards.
-	Sent(bytes int)
-	Received(bytes int)
+	// Sent and Received report one message and its size in bytes. Received is also
+	// called for datagrams that are rejected, with KindUnreadable.
+	Sent(kind MessageKind, bytes int)
+	Received(kind MessageKind, bytes int)
 	// Rejected reports a message that could not be accepted, encoded or sent.
 	// The error is a *peerauth.Error, a *MessageError, or an error of the
 	// encoding or the network. The address remote is the source of a datagram or
@@ -80,6 +80,9 @@
 	// probes or that the probes found gone, OnLostRequest with each upstream that
 	// left a request of a peer's caller without an answer.
 	OnSilentUpstream, OnLostRequest func(UpstreamIncarnation)
+	// OnLoad is called with the reports of an instance of the failure domain on its
+	// response times, on the goroutine that receives datagrams.
+	OnLoad func(domain string, reports []load.Report)
 	// State returns this instance's state of a kind and the time since the
 	// store confirmed it; known is false while there is none.
 	State func(catalog.Kind) (update catalogsync.Update, age time.Duration, known bool)
@@ -163,7 +166,6 @@
 			// socket usable.
 			continue
 		}
-		r.cfg.Observer.Received(n)
 		if err := r.handleDatagram(time.Now(), buffer[:n], source); err != nil {
 			r.cfg.Observer.Rejected(source, err)
 		}
@@ -179,12 +181,15 @@
 	var authErr *peerauth.Error
 	wrongSession := errors.As(err, &authErr) && authErr.Reason == peerauth.WrongSession
 	if err != nil && !wrongSession {
+		r.cfg.Observer.Received(KindUnreadable, len(datagram))
 		return err
 	}
 	m, decodeErr := decodeMessage(payload)
 	if decodeErr != nil {
+		r.cfg.Observer.Received(KindUnreadable, len(datagram))
 		return decodeErr
 	}
+	r.cfg.Observer.Received(m.kind(), len(datagram))
 	if !wrongSession {
 		r.handleMessage(now, m, senderSession, source)
 		return nil
@@ -209,6 +214,9 @@
 	if answer := r.recordMessage(now, m, senderSession); answer != nil {
 		r.sendMessage(m.From.Address, senderSession, answer)
 	}
+	if m.Loads != nil {
+		r.cfg.OnLoad(m.From.FailureDomain, *m.Loads)
+	}
 	if m.From.FailureDomain != r.cfg.Self.FailureDomain {
 		return
 	}
@@ -400,7 +408,7 @@
 		return
 	}
 	for _, peer := range r.Peers() {
-		r.sendPayload(peer.Address, r.sessionOf(peer), data)
+		r.sendPayload(peer.Address, r.sessionOf(peer), m.kind(), data)
 	}
 }
 
@@ -418,6 +426,27 @@
 	r.sendToPeers(&message{From: r.cfg.Self, Lost: upstreams})
 }
 
+// ReportLoad sends reports on the response times of the failure domain to loadPeers
+// random peers and to one random member of each other failure domain, so that the bytes
+// that an instance sends do not grow with the number of instances.
+func (r *Relay) ReportLoad(reports load.Reports) {
+	r.mu.Lock()
+	peers, others := r.membership.loadReceivers(time.Now())
+	r.mu.Unlock()
+	if len(reports.Peers) > 0 {
+		r.sendLoads(peers, reports.Peers)
+	}
+	if reports.Others != nil {
+		r.sendLoads(others, reports.Others)
+	}
+}
+
+func (r *Relay) sendLoads(members []Member, reports []load.Report) {
+	for _, member := range members {
+		r.sendMessage(member.Address, r.sessionOf(member), &message{From: r.cfg.Self, Loads: &reports})
+	}
+}
+
 // sendToPeers sends a message to all peers.
 func (r *Relay) sendToPeers(m *message) {
 	for _, peer := range r.Peers() {
@@ -444,14 +473,14 @@
 		r.cfg.Observer.Rejected(to, err)
 		return
 	}
-	r.sendPayload(to, receiverSession, data)
+	r.sendPayload(to, receiverSession, m.kind(), data)
 }
 
-func (r *Relay) sendPayload(to netip.AddrPort, receiverSession peerauth.Session, data []byte) {
+func (r *Relay) sendPayload(to netip.AddrPort, receiverSession peerauth.Session, kind MessageKind, data []byte) {
 	sealed := r.auth.Seal(receiverSession, data)
 	if _, err := r.conn.WriteToUDPAddrPort(sealed, to); err != nil {
 		r.cfg.Observer.Rejected(to, err)
 		return
 	}
-	r.cfg.Observer.Sent(len(sealed))
+	r.cfg.Observer.Sent(kind, len(sealed))
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
 	"github.com/chivemast/chivemast/internal/forward"
+	"github.com/chivemast/chivemast/internal/load"
 	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
@@ -255,12 +256,13 @@
 	flows        []forward.HandoverFlow
 	shuttingDown bool
 	found        map[string]bool
+	loads        map[string][]load.Report
 	rejected     int
 	reasons      map[peerauth.Reason]int
 }
 
-func (r *recorder) Sent(int)     {}
-func (r *recorder) Received(int) {}
+func (r *recorder) Sent(MessageKind, int)     {}
+func (r *recorder) Received(MessageKind, int) {}
 func (r *recorder) Rejected(_ netip.AddrPort, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -288,7 +290,7 @@
 func startRelay(t *testing.T, name, domain string, seeds ...netip.AddrPort) (*Relay, *recorder) {
 	t.Helper()
 	address := unusedAddress(t)
-	r := &recorder{found: map[string]bool{}, reasons: map[peerauth.Reason]int{}}
+	r := &recorder{found: map[string]bool{}, loads: map[string][]load.Report{}, reasons: map[peerauth.Reason]int{}}
 	relay, err := Listen(Config{
 		Self: Member{Name: name, FailureDomain: domain, Address: address}, Seeds: seeds,
 		OnUpdate:         func(u catalogsync.Update) { r.mu.Lock(); r.updates = append(r.updates, u); r.mu.Unlock() },
@@ -298,6 +300,7 @@
 			return catalogsync.Update{Kind: kind, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
 				2 * time.Second, kind == catalog.KindEvacuations
 		},
+		OnLoad:   func(domain string, reports []load.Report) { r.mu.Lock(); r.loads[domain] = reports; r.mu.Unlock() },
 		Holdings: func() Holdings { return Holdings{Revisions: Revisions{0, 0, 9}} },
 		TakeOverFlows: func(flows []forward.HandoverFlow) bool {
 			r.mu.Lock()
@@ -346,6 +349,28 @@
 	require.Empty(t, otherRecord.updates)
 }
 
+// Guards against reports on response times that reach no instance of another failure
+// domain, or reach it in place of what peers are told.
+func TestLoadReportsReachPeersAndOtherDomains(t *testing.T) {
+	seed, seedRecord := startRelay(t, "a-1", "a")
+	reporting, _ := startRelay(t, "a-2", "a", seed.cfg.Self.Address)
+	_, otherRecord := startRelay(t, "b-1", "b", seed.cfg.Self.Address)
+	reports := load.Reports{
+		Peers:  []load.Report{{Service: "s", Answers: 3, MeanMS: 40}},
+		Others: []load.Report{{Service: "s", Answers: 12, MeanMS: 35}},
+	}
+	require.Eventually(t, func() bool {
+		reporting.ReportLoad(reports)
+		seedRecord.mu.Lock()
+		defer seedRecord.mu.Unlock()
+		otherRecord.mu.Lock()
+		defer otherRecord.mu.Unlock()
+		return seedRecord.loads["a"] != nil && otherRecord.loads["a"] != nil
+	}, 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, reports.Peers, seedRecord.loads["a"])
+	require.Equal(t, reports.Others, otherRecord.loads["a"])
+}
+
 // serve runs the HTTP handler of a relay until the test ends.
 func serve(t *testing.T, r *Relay) {
 	t.Helper()
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -196,6 +196,7 @@
 		r.cfg.Observer.Rejected(address, err)
 		return nil, err
 	}
+	r.cfg.Observer.Received(KindState, len(body))
 	state := &stateResponse{}
 	if err := json.Unmarshal(body, state); err != nil {
 		return nil, err
@@ -241,6 +242,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(macHeader, hex.EncodeToString(r.auth.Sign(nonce, path, body)))
+	r.cfg.Observer.Sent(KindState, len(body))
 	_, _ = w.Write(body) // The requesting instance notices a failed write itself.
 }
 
