--- a/internal/edge/control_test.go
+++ b/internal/edge/control_test.go
@@ -14,6 +14,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
 	"github.com/chivemast/chivemast/internal/eventlog"
+	"github.com/chivemast/chivemast/internal/relay"
 )
 
 // Guards against one snapshot per changed entry when a failure domain returns: at
@@ -25,8 +26,11 @@
 	conn, err := listenTraffic(netip.MustParseAddrPort("127.0.0.1:0"))
 	require.NoError(t, err)
 	defer func() { require.NoError(t, conn.Close()) }()
+	peers, err := relay.Listen(relay.Config{Self: relay.Member{Name: "edge-1", FailureDomain: "a", Address: netip.MustParseAddrPort("127.0.0.1:0")}})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, peers.Close()) }()
 	instance := &Instance{
-		settings: &Settings{}, metrics: metrics, traffic: &trafficLoop{conn: conn},
+		settings: &Settings{}, metrics: metrics, traffic: &trafficLoop{conn: conn}, relay: peers,
 		log: eventlog.New("edge-1", logrus.ErrorLevel), events: make(chan catalogsync.Event, eventQueue),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -12,7 +12,41 @@
 )
 
 // flowLog writes rate-limited log lines about single flows and upstreams.
-type flowLog struct{ events eventLog }
+type flowLog struct {
+	events eventLog
+	// waits counts the packets that found no decision since the last line, by reason.
+	waits map[forward.Reason]*waitCount
+}
+
+func newFlowLog(events eventLog) flowLog {
+	return flowLog{events: events, waits: map[forward.Reason]*waitCount{}}
+}
+
+// waitCount is a number of packets and the fields of the first one.
+type waitCount struct {
+	packets int
+	first   logrus.Fields
+}
+
+// countWait counts a packet that was dropped because the instance lacks state. Without
+// state this happens to every packet, so that logWaits logs them together.
+func (l flowLog) countWait(p *forward.Packet, d forward.Decision) {
+	count := l.waits[d.Reason]
+	if count == nil {
+		count = &waitCount{first: flowFields(p)}
+		l.waits[d.Reason] = count
+	}
+	count.packets++
+}
+
+// logWaits logs the packets that countWait has counted, one line for each reason.
+func (l flowLog) logWaits() {
+	for reason, count := range l.waits {
+		count.first["reason"], count.first["packets"] = reason.String(), count.packets
+		l.events.Flow(logrus.WarnLevel, "flow_wait", func() logrus.Fields { return count.first })
+	}
+	clear(l.waits)
+}
 
 // eventLog is the part of eventlog.Log that the traffic goroutine uses.
 type eventLog interface {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -217,6 +217,7 @@
 		rank, count := loop.peerRank(now)
 		loop.engine.SetPeerRank(forward.PeerRank{Rank: rank, Count: count})
 		loop.metrics.setFlows(loop.engine.FlowCount())
+		loop.log.logWaits()
 	}
 	if now.Sub(loop.lastLoadReport) >= loadReportInterval {
 		loop.lastLoadReport = now
@@ -264,6 +265,10 @@
 		}
 	}
 	loop.metrics.countDecision(decision)
+	if decision.Action == forward.Wait {
+		loop.log.countWait(p, decision)
+		return
+	}
 	if decision.Reason != forward.ReasonEstablished {
 		loop.log.logDecision(now, p, decision, loop.currentSnapshot)
 	}
