--- a/cmd/chivemast/edge.go
+++ b/cmd/chivemast/edge.go
@@ -42,6 +42,7 @@
 		ArgsUsage: "METRICS_ADDRESS...",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "upstreams", Usage: "list the upstreams of each instance"},
+			&cli.BoolFlag{Name: "messages", Usage: "count the messages to and from other instances by kind"},
 		},
 		Action: runEdge,
 	}
@@ -67,7 +68,7 @@
 	}
 	err := writeResult(c, edgeResult{Instances: reports}, func(w io.Writer) {
 		for _, report := range reports {
-			writeEdgeReport(w, report, c.Bool("upstreams"))
+			writeEdgeReport(w, report, c.Bool("upstreams"), c.Bool("messages"))
 		}
 	})
 	if err == nil && notReady > 0 {
@@ -98,7 +99,7 @@
 	return status, nil
 }
 
-func writeEdgeReport(w io.Writer, report edgeReport, upstreams bool) {
+func writeEdgeReport(w io.Writer, report edgeReport, upstreams, messages bool) {
 	s := report.Status
 	if s == nil {
 		fmt.Fprintf(w, "%s: no answer: %s\n", report.Address, report.Error)
@@ -116,6 +117,11 @@
 	for _, kind := range []string{"upstreams", "configuration", "evacuations"} {
 		fmt.Fprintf(w, "  %s confirmed %s ago\n", kind, time.Duration(s.AgeMS[kind])*time.Millisecond)
 	}
+	for _, count := range s.Messages {
+		if messages {
+			fmt.Fprintf(w, "  %-8s %-12s %8d messages %10d bytes\n", count.Direction, count.Kind, count.Messages, count.Bytes)
+		}
+	}
 	if !upstreams {
 		return
 	}
