--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -312,6 +312,10 @@
 		defer otherRecord.mu.Unlock()
 		return seedRecord.loads["a"] != nil && otherRecord.loads["a"] != nil
 	}, 10*time.Second, 20*time.Millisecond)
+	seedRecord.mu.Lock()
+	defer seedRecord.mu.Unlock()
+	otherRecord.mu.Lock()
+	defer otherRecord.mu.Unlock()
 	require.Equal(t, reports.Peers, seedRecord.loads["a"])
 	require.Equal(t, reports.Others, otherRecord.loads["a"])
 }
@@ -363,5 +367,7 @@
 	hello.Hello = true
 	second.sendMessage(receiver{address: first.cfg.Self.Address}, hello)
 	require.Eventually(t, func() bool { return len(second.Peers()) > 0 }, 5*time.Second, 10*time.Millisecond)
+	record.mu.Lock()
+	defer record.mu.Unlock()
 	require.Zero(t, record.rejected)
 }
