--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Targets: build, test (formatter, vet, linter, generated code, tests, short soak),
-# demo, up, measure, slopes, soak, generate.
+# demo, up, measure, slopes, soak, platform-scores, generate.
 
 TOOLS := .cache/tools
 # The versions of the linter and the generators are pinned in separate modules, so
 # that users of the product do not download these tools.
 TOOL_MODULES := tools/gen tools/lint
 
-.PHONY: build test demo up measure slopes soak generate tools
+.PHONY: build test demo up measure slopes soak platform-scores generate tools
 
 # Variables of the fault soak: number of seeds, first seed, runs at the same time.
 # Example: make soak SEEDS=50 SEED=1 JOBS=4.
@@ -47,3 +47,8 @@
 
 slopes:
 	go run ./cmd/measure slopes
+
+# Compares the days of the users' deployments with docs/platform-scores.txt; needs
+# BENCH, the path of their bench, and SITES, the folder of the deployments.
+platform-scores:
+	./scripts/platform-scores.sh
