--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -271,8 +271,8 @@
 	return nil
 }
 
-// event decodes an event. It returns nil for one of a newer version: the revision of the
-// update then shows the receiver nothing, but the store confirms the kind anew.
+// event decodes an event. It returns nil for a type that this version does not know; no
+// version sends such an event.
 func (r *nameReader) event(w *relayv1.Event) catalog.Event {
 	switch e := w.Event.(type) {
 	case *relayv1.Event_Listed:
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -31,9 +31,9 @@
 	// if that many are known.
 	maxMembersPerMessage = 12
 	minRemoteMembers     = 3
-	// freshHalf is the number of members in a list that were heard last: their times
+	// freshMembers is the number of members in a list that were heard last: their times
 	// of hearing spread fastest. The others are random, so that each member is listed.
-	freshHalf = 5
+	freshMembers = 5
 	// loadPeers is the number of peers that one report on response times goes to: an
 	// instance then estimates with the answers of three.
 	loadPeers = 2
@@ -229,8 +229,8 @@
 }
 
 // list returns at most maxMembersPerMessage members with the time since they were heard:
-// those of the given failure domain first, and of these the freshHalf heard last and
-// others at random.
+// those of the given failure domain first, and of these the freshMembers that were heard
+// last before others at random.
 func (m *membership) list(now time.Time, domain string) []mention {
 	var local, remote []memberState
 	for _, state := range m.byName {
@@ -242,7 +242,7 @@
 	}
 	slices.SortFunc(local, compareHeard)
 	slices.SortFunc(remote, compareHeard)
-	others := local[min(len(local), freshHalf):]
+	others := local[min(len(local), freshMembers):]
 	m.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	m.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 	reserved := min(len(remote), minRemoteMembers)
--- /dev/null
+++ b/internal/relay/send.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/chivemast/chivemast/internal/catalogsync"
+	"github.com/chivemast/chivemast/internal/load"
+	"github.com/chivemast/chivemast/internal/peerauth"
+)
+
+// SendUpdate implements catalogsync.Peers: it sends the update to all peers. An update
+// that does not fit into MaxDatagram bytes is sent without its events, and
+// receivers that are behind its revision read them from the store.
+func (r *Relay) SendUpdate(update catalogsync.Update) {
+	m := &message{From: r.cfg.Self, Update: &update}
+	data, err := m.encode(formatBinary)
+	if err == nil && len(data)+peerauth.Overhead > MaxDatagram {
+		// A receiver at the base revision takes the update as a confirmation; one
+		// that is behind it sees a gap and reads the changes from the store.
+		m.Update = &catalogsync.Update{Kind: update.Kind, Base: update.Revision, Revision: update.Revision}
+	}
+	r.sendToPeers(m)
+}
+
+// ReportSilent sends the incarnations of upstreams that did not answer probes, or
+// that the probes found gone, to all peers. The caller must pass at most
+// MaxReportedUpstreams.
+func (r *Relay) ReportSilent(upstreams []UpstreamIncarnation) {
+	r.sendToPeers(&message{From: r.cfg.Self, Silent: upstreams})
+}
+
+// ReportLost sends the incarnations of upstreams that left requests without an
+// answer to all peers. The slice has one entry for each such request; the caller
+// must pass at most MaxReportedUpstreams entries.
+func (r *Relay) ReportLost(upstreams []UpstreamIncarnation) {
+	r.sendToPeers(&message{From: r.cfg.Self, Lost: upstreams})
+}
+
+// ReportLoad sends reports on the response times of the failure domain to loadPeers
+// random peers and to one random member of each other failure domain, so that the bytes
+// that an instance sends do not grow with the number of instances.
+func (r *Relay) ReportLoad(reports load.Reports) {
+	r.mu.Lock()
+	peers, others := r.membership.loadReceivers(time.Now())
+	r.mu.Unlock()
+	if len(reports.Peers) > 0 {
+		r.sendLoads(peers, reports.Peers)
+	}
+	if reports.Others != nil {
+		r.sendLoads(others, reports.Others)
+	}
+}
+
+func (r *Relay) sendLoads(members []Member, reports []load.Report) {
+	m := &message{From: r.cfg.Self, Loads: &reports}
+	for _, member := range members {
+		if to := r.receiverOf(member); to.format == formatBinary {
+			r.sendMessage(to, m)
+		}
+	}
+}
+
+// receiver says where a message goes.
+type receiver struct {
+	address netip.AddrPort
+	// session is that of the member's last message, or 0 when the member is unknown or
+	// was only mentioned.
+	session peerauth.Session
+	// format is formatBinary for members that are known to read it.
+	format format
+}
+
+func (r *Relay) receiverOf(member Member) receiver {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.membership.byName[member.Name]
+	return receiver{member.Address, state.session, state.format}
+}
+
+// sendToPeers sends a message to all peers.
+func (r *Relay) sendToPeers(m *message) {
+	var encoded encodedMessage
+	for _, peer := range r.Peers() {
+		r.sendEncoded(r.receiverOf(peer), m, &encoded)
+	}
+}
+
+// encodedMessage holds the encodings of one message that goes to many receivers.
+type encodedMessage [formatBinary + 1][]byte
+
+// sendMessage sends a message. A list of members that does not fit is shortened.
+func (r *Relay) sendMessage(to receiver, m *message) {
+	var encoded encodedMessage
+	r.sendEncoded(to, m, &encoded)
+}
+
+func (r *Relay) sendEncoded(to receiver, m *message, encoded *encodedMessage) {
+	data := encoded[to.format]
+	if data == nil {
+		var err error
+		data, err = m.encode(to.format)
+		for err == nil && len(data)+peerauth.Overhead > MaxDatagram && len(m.Members) > 0 {
+			m.Members = m.Members[:len(m.Members)/2]
+			data, err = m.encode(to.format)
+		}
+		if err != nil {
+			r.cfg.Observer.Rejected(to.address, err)
+			return
+		}
+		encoded[to.format] = data
+	}
+	sealed := r.auth.Seal(to.session, data)
+	if _, err := r.conn.WriteToUDPAddrPort(sealed, to.address); err != nil {
+		r.cfg.Observer.Rejected(to.address, err)
+		return
+	}
+	r.cfg.Observer.Sent(m.kind(), len(sealed))
+}
