Give each relay of a test a loopback address of its own

The test opens a port of 127.0.0.1 again after its instance has stopped, and a test of another package had taken it.

Ruled out: a socket that the relay leaves open (20 runs with the race detector pass alone). Reproduced beside a process that binds 12,000 ports of 127.0.0.1 in turn: one failure in 300 runs before, none in 300 after.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -224,9 +224,13 @@
 	r.found[m.Name] = found
 }
 
+// unusedAddress returns an unused port of a random loopback address. On 127.0.0.1, tests
+// of other packages could take the port before it is opened, or while an instance
+// restarts.
 func unusedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	address := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: address})
 	require.NoError(t, err)
 	defer func() { require.NoError(t, probe.Close()) }()
 	return netip.MustParseAddrPort(probe.LocalAddr().String())
