--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -115,7 +115,9 @@
 // whether the store answers.
 type kindStatus struct {
 	// known is set once the kind has been read.
-	known    bool
+	known bool
+	// era is the era of the store to which revision belongs.
+	era      uint64
 	revision uint64
 	// confirmed is the time at which the store last confirmed the kind.
 	confirmed time.Time
@@ -181,11 +183,25 @@
 		c.recordConfirmation(now, e.Kind, e.Revision)
 	case Unavailable:
 		c.recordFailedCall(e.Kind, e.Err)
+	case EraChanged:
+		c.applyEra(e)
+	case AnswerIgnored:
+		c.recordChange(Change{Event: "answer_ignored", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("era=%d held_revision=%d", e.Era, e.Held)})
 	case PeerStateFetched:
 		c.applyPeerState(now, e)
 	}
 }
 
+// applyEra records the era of the store.
+func (c *Catalog) applyEra(e EraChanged) {
+	if c.status[e.Kind].known {
+		c.recordChange(Change{Event: "store_era_changed", Kind: e.Kind, Revision: e.Revision,
+			Detail: fmt.Sprintf("era=%d before=%d held_revision=%d", e.Era, e.Before, e.Held)})
+	}
+	c.status[e.Kind].era = e.Era
+	c.confirmationsChanged = true
+}
+
 // applyPeerState applies the state of another instance. The store itself does not
 // count as available because of it.
 func (c *Catalog) applyPeerState(now time.Time, e PeerStateFetched) {
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -152,6 +152,24 @@
 	Err  error
 }
 
+// EraChanged reports that the era of the store is another one than in the answers
+// before: the store was restored from a copy, and gives revisions out again.
+type EraChanged struct {
+	Kind        Kind
+	Era, Before uint64
+	// Revision is that of the answer, Held that of the state.
+	Revision, Held uint64
+}
+
+// AnswerIgnored reports an answer of the store that was not applied, because its
+// revision is lower than that of the state.
+type AnswerIgnored struct {
+	Kind Kind
+	Era  uint64
+	// Revision is that of the answer, Held that of the state.
+	Revision, Held uint64
+}
+
 // PeerStateFetched carries the whole state of a kind from another instance, for an
 // instance that the store has not answered yet. The time of the event is that of the
 // last confirmation by the store.
@@ -164,6 +182,8 @@
 	Age    time.Duration
 }
 
+func (EraChanged) event()           {}
+func (AnswerIgnored) event()        {}
 func (PeerStateFetched) event()     {}
 func (UpstreamsListed) event()      {}
 func (UpstreamsChanged) event()     {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -16,6 +16,8 @@
 	Version uint64
 	// Revisions stores, by kind, the store's revision up to which it is known.
 	Revisions [kindCount]uint64
+	// Eras stores, by kind, the era of the store to which the revision belongs.
+	Eras [kindCount]uint64
 	// Confirmed stores, by kind, the time at which the store last confirmed it;
 	// zero when it has not.
 	Confirmed [kindCount]time.Time
@@ -114,7 +116,7 @@
 	}
 	c.dirty, c.confirmationsChanged = false, false
 	for kind := range c.status {
-		s.Confirmed[kind], s.Revisions[kind] = c.status[kind].confirmed, c.status[kind].revision
+		s.Confirmed[kind], s.Revisions[kind], s.Eras[kind] = c.status[kind].confirmed, c.status[kind].revision, c.status[kind].era
 	}
 	s.AvailableSince = time.Time{}
 	if status := c.status[KindUpstreams]; status.known && !status.unavailable && !status.fetched {
--- a/internal/catalogsync/store.go
+++ b/internal/catalogsync/store.go
@@ -20,6 +20,8 @@
 // Update is a list of changes of one kind.
 type Update struct {
 	Kind catalog.Kind `json:"kind"`
+	// Era is the era of the store to which the revisions belong.
+	Era uint64 `json:"era"`
 	// Base is the revision to which the changes apply; 0 for a complete list.
 	Base uint64 `json:"base"`
 	// Revision is the revision of the kind after the changes.
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -113,6 +113,8 @@
 	// listed is set from a successful list of the store until the store has lost
 	// the history since the revision.
 	listed bool
+	// era is the era of the last answer of the store; 0 before the first one.
+	era uint64
 	// revision is the store's revision of the state; 0 before the first list or
 	// fetched state.
 	revision uint64
@@ -203,6 +205,7 @@
 				return r.err
 			}
 			s.listed = true
+			s.reportAnswer(ctx, r.update)
 			s.apply(ctx, r.update)
 			s.peers.SendUpdate(Update{Kind: s.kind, Base: s.revision, Revision: s.revision})
 			return nil
@@ -257,6 +260,7 @@
 				return r.err
 			}
 			s.failures = 0
+			s.reportAnswer(ctx, r.update)
 			if r.update.Revision < s.revision {
 				// A peer's newer update has arrived first.
 				return nil
@@ -343,6 +347,18 @@
 	}
 }
 
+// reportAnswer emits events for an answer of the store that has another era, or that
+// is older than the state and therefore ignored.
+func (s *kindSyncer) reportAnswer(ctx context.Context, answer Update) {
+	if answer.Era != s.era {
+		s.emit(ctx, catalog.EraChanged{Kind: s.kind, Era: answer.Era, Before: s.era, Revision: answer.Revision, Held: s.revision}, 0)
+		s.era = answer.Era
+	}
+	if answer.Revision < s.revision {
+		s.emit(ctx, catalog.AnswerIgnored{Kind: s.kind, Era: answer.Era, Revision: answer.Revision, Held: s.revision}, 0)
+	}
+}
+
 // reportStoreFailed lets fetchPeerStates start.
 func (s *kindSyncer) reportStoreFailed() {
 	select {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -74,6 +74,7 @@
 	upstreams atomic.Int64
 	snapshots atomic.Int64
 	version   atomic.Int64
+	era       atomic.Int64
 	// confirmed is when the store last confirmed each catalog.Kind, in Unix
 	// milliseconds; 0 before the first confirmation.
 	confirmed [3]atomic.Int64
@@ -89,6 +90,7 @@
 	"upstream_displaced",
 	"upstream_invalid", "upstream_older_incarnation", "cookie_collision", "configuration_adopted", "configuration_invalid",
 	"configuration_older", "evacuation_started", "evacuation_ended", "entry_invalid", "peer_state_fetched", "state_known",
+	"store_era_changed", "answer_ignored",
 }
 
 // NewMetrics returns metrics with their own registry. It returns the errors of the
@@ -149,6 +151,7 @@
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
 	gauge("chivemast_upstreams_known", "Upstream incarnations that cookies resolve to.", m.upstreams.Load)
 	gauge("chivemast_config_version", "Configuration version in force.", m.version.Load)
+	gauge("chivemast_store_era", "Era of the store in its last answer about upstreams.", m.era.Load)
 	for kind := range m.confirmed {
 		gauge("chivemast_"+catalog.Kind(kind).String()+"_age_ms", "Time since the store confirmed this knowledge, in ms.",
 			func() int64 { return time.Now().UnixMilli() - m.confirmed[kind].Load() })
@@ -260,6 +263,7 @@
 	m.snapshots.Add(1)
 	m.upstreams.Store(int64(snapshot.UpstreamCount()))
 	m.version.Store(int64(snapshot.Version))
+	m.era.Store(int64(snapshot.Eras[catalog.KindUpstreams]))
 	for kind, confirmed := range snapshot.Confirmed {
 		if confirmed.IsZero() {
 			continue
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -19,6 +19,10 @@
 	ConfigVersion    uint64           `json:"config_version"`
 	UpstreamRevision uint64           `json:"upstreams_revision"`
 	AgeMS            map[string]int64 `json:"age_ms"`
+	// Revisions and Eras hold the store's revision of each known kind and the era of the
+	// store to which it belongs.
+	Revisions map[string]uint64 `json:"revisions"`
+	Eras      map[string]uint64 `json:"eras"`
 	// Watches lists the kinds that this instance watches in the store, on behalf of
 	// its peers too.
 	Watches []string `json:"watches"`
@@ -51,6 +55,7 @@
 	s := Status{
 		Instance: instance.settings.Instance, FailureDomain: instance.settings.FailureDomain,
 		Ready: instance.ready.Load(), ShuttingDown: instance.shuttingDown.Load(), AgeMS: map[string]int64{},
+		Revisions: map[string]uint64{}, Eras: map[string]uint64{},
 	}
 	limited, overflowed := instance.log.LostLines()
 	s.LinesLost = limited + overflowed
@@ -72,7 +77,8 @@
 		if confirmed.IsZero() {
 			continue
 		}
-		s.AgeMS[catalog.Kind(kind).String()] = now.Sub(confirmed).Milliseconds()
+		name := catalog.Kind(kind).String()
+		s.AgeMS[name], s.Revisions[name], s.Eras[name] = now.Sub(confirmed).Milliseconds(), snapshot.Revisions[kind], snapshot.Eras[kind]
 	}
 	for _, entry := range snapshot.All() {
 		s.Upstreams = append(s.Upstreams, UpstreamStatus{
