--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -119,6 +119,8 @@
 	// era is the era of the store to which revision belongs.
 	era      uint64
 	revision uint64
+	// unsettled is set from a change of the era until EraSettled.
+	unsettled bool
 	// confirmed is the time at which the store last confirmed the kind.
 	confirmed time.Time
 	// unavailable is set from a failed call to the store until the next
@@ -184,22 +186,49 @@
 	case Unavailable:
 		c.recordFailedCall(e.Kind, e.Err)
 	case EraChanged:
-		c.applyEra(e)
+		c.applyEra(now, e)
+	case EraSettled:
+		c.recordChange(Change{Event: "store_era_settled", Kind: e.Kind, Revision: c.status[e.Kind].revision, Detail: fmt.Sprintf("era=%d", e.Era)})
+		c.status[e.Kind].unsettled = false
 	case AnswerIgnored:
-		c.recordChange(Change{Event: "answer_ignored", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("era=%d held_revision=%d", e.Era, e.Held)})
+		c.recordChange(Change{Event: "answer_ignored", Kind: e.Kind, Revision: e.Answer.Revision,
+			Detail: fmt.Sprintf("era=%d held_era=%d held_revision=%d", e.Answer.Era, e.Held.Era, e.Held.Revision)})
 	case PeerStateFetched:
 		c.applyPeerState(now, e)
 	}
 }
 
-// applyEra records the era of the store.
-func (c *Catalog) applyEra(e EraChanged) {
-	if c.status[e.Kind].known {
-		c.recordChange(Change{Event: "store_era_changed", Kind: e.Kind, Revision: e.Revision,
-			Detail: fmt.Sprintf("era=%d before=%d held_revision=%d", e.Era, e.Before, e.Held)})
+// applyEra applies the first state of another era. Revisions of the earlier state are
+// forgotten, because they are not comparable to the new ones.
+func (c *Catalog) applyEra(now time.Time, e EraChanged) {
+	status := &c.status[e.Kind]
+	if e.Restored {
+		c.recordChange(Change{Event: "store_era_changed", Kind: e.Kind, Revision: e.After.Revision,
+			Detail: fmt.Sprintf("era=%d before=%d held_revision=%d", e.After.Era, e.Before.Era, e.Before.Revision)})
+		c.forgetRevisions(e.Kind)
+		status.regained = now
+	}
+	status.era, status.revision, status.unsettled = e.After.Era, 0, e.Restored
+	c.dirty = true
+	for _, event := range e.Events {
+		c.apply(now, event)
+	}
+}
+
+// forgetRevisions makes the next change of each entry of a kind count as newer.
+func (c *Catalog) forgetRevisions(kind Kind) {
+	switch {
+	case kind == KindUpstreams:
+		for _, entry := range c.byCookie {
+			forgotten := *entry
+			forgotten.Revision = 0
+			c.replaceEntry(entry, &forgotten)
+		}
+	case kind == KindConfiguration && c.config != nil:
+		config := *c.config
+		config.Revision = 0
+		c.config = &config
 	}
-	c.status[e.Kind].era = e.Era
-	c.confirmationsChanged = true
 }
 
 // applyPeerState applies the state of another instance. The store itself does not
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -7,7 +7,8 @@
 )
 
 // applyConfiguration adopts a configuration unless its revision is not newer, or
-// its version is lower, than that of the one in force.
+// its version is lower, than that of the one in force. The version is the operators'
+// own order, which also holds between eras.
 func (c *Catalog) applyConfiguration(next Configuration) {
 	if c.config != nil && next.Revision <= c.config.Revision {
 		return
@@ -35,7 +36,18 @@
 		Detail: fmt.Sprintf("version=%d routes=%d services=%d", next.Version, len(next.Routes), len(next.Services))})
 }
 
+// applyEvacuationList replaces the evacuations. A list of a restored store that has not
+// settled ends none, and does not start one again that this instance saw end: the copy
+// may be from before.
 func (c *Catalog) applyEvacuationList(now time.Time, list EvacuationsListed) {
+	if c.status[KindEvacuations].unsettled {
+		for _, domain := range list.Domains {
+			if _, ended := c.coldDomainUntil[domain]; !ended {
+				c.setEvacuated(now, domain, true)
+			}
+		}
+		return
+	}
 	listed := make(map[string]bool, len(list.Domains))
 	for _, domain := range list.Domains {
 		listed[domain] = true
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -23,6 +24,17 @@
 	return [...]string{"upstreams", "configuration", "evacuations"}[k]
 }
 
+// Position is a point in the history of the store. Revisions are comparable only within
+// an era: a store that is restored from a copy starts a new era, and gives the revisions
+// after that of the copy out again.
+type Position struct{ Era, Revision uint64 }
+
+// Compare orders positions by their era and then by their revision: it returns -1, 0 or
+// 1.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
 // Upstream is the entry of one upstream in the platform's store.
 type Upstream struct {
 	// ID is the key of the upstream's entry.
@@ -83,7 +95,7 @@
 }
 
 // Event is an input of Apply. Events of one kind arrive in the order of their
-// revisions. A list that is older than the state is ignored, and so is a
+// positions; their revisions belong to the era of the last EraChanged. A list that is older than the state is ignored, and so is a
 // configuration that is not newer than the one in force.
 type Event interface{ event() }
 
@@ -152,22 +164,31 @@
 	Err  error
 }
 
-// EraChanged reports that the era of the store is another one than in the answers
-// before: the store was restored from a copy, and gives revisions out again.
+// EraChanged carries the first state of a kind that belongs to another era.
 type EraChanged struct {
-	Kind        Kind
-	Era, Before uint64
-	// Revision is that of the answer, Held that of the state.
-	Revision, Held uint64
+	Kind Kind
+	// Before is the position of the state so far, After that of Events.
+	Before, After Position
+	// Restored is set when there is a state of an earlier era. What was written since
+	// the copy may be missing from Events until it has been written again, so that they
+	// are merged with that state; EraSettled ends this.
+	Restored bool
+	Events   []Event
+}
+
+// EraSettled reports that the next list is complete: what the store lost has been
+// written again.
+type EraSettled struct {
+	Kind Kind
+	Era  uint64
 }
 
 // AnswerIgnored reports an answer of the store that was not applied, because its
-// revision is lower than that of the state.
+// position is before that of the state.
 type AnswerIgnored struct {
 	Kind Kind
-	Era  uint64
-	// Revision is that of the answer, Held that of the state.
-	Revision, Held uint64
+	// Answer is the position of the answer, Held that of the state.
+	Answer, Held Position
 }
 
 // PeerStateFetched carries the whole state of a kind from another instance, for an
@@ -183,6 +204,7 @@
 }
 
 func (EraChanged) event()           {}
+func (EraSettled) event()           {}
 func (AnswerIgnored) event()        {}
 func (PeerStateFetched) event()     {}
 func (UpstreamsListed) event()      {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -55,6 +55,11 @@
 	Total int
 }
 
+// Position returns the position up to which a kind is known.
+func (s *Snapshot) Position(kind Kind) Position {
+	return Position{Era: s.Eras[kind], Revision: s.Revisions[kind]}
+}
+
 // Route returns the route of a service address, or nil.
 func (s *Snapshot) Route(address netip.AddrPort) *Route { return s.routes[address] }
 
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -10,6 +10,12 @@
 // applyUpstreamList applies the entries of a list and marks the upstreams that it
 // lacks as missing.
 func (c *Catalog) applyUpstreamList(now time.Time, list UpstreamsListed) {
+	if c.status[KindUpstreams].unsettled {
+		for _, entry := range list.Entries {
+			c.mergeUpstream(now, entry)
+		}
+		return
+	}
 	listed := make(map[string]bool, len(list.Entries))
 	for _, entry := range list.Entries {
 		listed[entry.Upstream.ID] = !entry.Removed
@@ -22,6 +28,25 @@
 	}
 }
 
+// mergeUpstream applies an entry of a restored store whose upstreams may not have
+// written again yet: unknown upstreams, later incarnations, and drains, which are never
+// undone. Otherwise the known state is at least as new as the copy.
+func (c *Catalog) mergeUpstream(now time.Time, change UpstreamChange) {
+	u, entry := change.Upstream, c.byID[change.Upstream.ID]
+	switch {
+	case entry == nil:
+		c.applyUpstreamChange(now, change)
+	case change.Removed || change.Invalid != nil:
+	case u.Born > entry.Born:
+		c.applyUpstreamChange(now, change)
+	case u.Born == entry.Born && u.Draining && !entry.Draining:
+		draining := *entry
+		draining.Draining = true
+		c.replaceEntry(entry, &draining)
+		c.recordChange(Change{Event: "upstream_changed", Subject: u.ID, Revision: u.Revision, Detail: draining.describe()})
+	}
+}
+
 // applyUpstreamChange applies a removal, an invalid entry, or a valid one. A removal
 // of an unknown upstream that carries its address adds the upstream as missing.
 func (c *Catalog) applyUpstreamChange(now time.Time, change UpstreamChange) {
--- a/internal/catalogsync/restore_store_test.go
+++ b/internal/catalogsync/restore_store_test.go
@@ -143,6 +143,8 @@
 type simClient struct {
 	store *simStore
 	name  string
+	// ignoresEras makes all answers name era 0.
+	ignoresEras bool
 }
 
 // read returns the content that a call sees.
@@ -152,10 +154,15 @@
 	if c.store.down || c.store.cut[c.name] {
 		return nil, 0, errDown
 	}
+	state = c.store.current()
 	if stale {
-		return c.store.at(time.Now().Add(-c.store.lag)), c.store.dropped, nil
+		state = c.store.at(time.Now().Add(-c.store.lag))
 	}
-	return c.store.current(), c.store.dropped, nil
+	if c.ignoresEras {
+		state = state.clone()
+		state.era = 0
+	}
+	return state, c.store.dropped, nil
 }
 
 // List implements Store.
--- a/internal/catalogsync/restore_test.go
+++ b/internal/catalogsync/restore_test.go
@@ -32,15 +32,15 @@
 	name   string
 	syncer *Syncer
 	stop   context.CancelFunc
-	// withoutEras is set for an instance of a version that neither sends nor reads eras.
+	// withoutEras is set for an instance of a version without eras in its messages.
 	withoutEras bool
 	// undisturbedSince is the time of the last start, or of the last cut's end.
 	undisturbedSince time.Time
 
 	mu       sync.Mutex
 	snapshot *catalog.Snapshot
-	// version is the highest configuration version that was in force, drained and
-	// evacuated what was known to be draining and evacuated.
+	// version is the highest configuration version that was in force, drained the
+	// upstreams that were known to be draining.
 	version  uint64
 	drained  map[string]bool
 	problems []string
@@ -50,6 +50,8 @@
 type simFleet struct {
 	store *simStore
 	rng   *rand.Rand
+	// ignoresEras makes all instances take the store for one without eras.
+	ignoresEras bool
 	// loss is the probability that a message between instances is lost.
 	loss float64
 
@@ -68,10 +70,11 @@
 	return others
 }
 
-func (f *simFleet) random() float64 {
+// loses draws whether a message is lost.
+func (f *simFleet) loses() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.rng.Float64()
+	return f.rng.Float64() < f.loss
 }
 
 // start starts an instance in the place of the one with its number, if there is one.
@@ -81,7 +84,7 @@
 		fleet: f, name: fmt.Sprintf("edge-%d", number), stop: cancel, withoutEras: withoutEras, undisturbedSince: time.Now(), drained: map[string]bool{},
 	}
 	events := make(chan Event)
-	instance.syncer = New(simClient{f.store, instance.name}, instance, events)
+	instance.syncer = New(simClient{f.store, instance.name, f.ignoresEras}, instance, events)
 	f.mu.Lock()
 	if number < len(f.instances) {
 		f.instances[number].stop()
@@ -144,7 +147,7 @@
 // SendUpdate implements Peers.
 func (instance *simInstance) SendUpdate(update Update) {
 	for _, other := range instance.fleet.others(instance.name) {
-		if instance.fleet.random() < instance.fleet.loss {
+		if instance.fleet.loses() {
 			continue
 		}
 		sent := update
@@ -155,6 +158,35 @@
 	}
 }
 
+// FetchState implements Peers: it returns the state of an instance that holds a later
+// position.
+func (instance *simInstance) FetchState(ctx context.Context, kind catalog.Kind, newerThan catalog.Position) (PeerState, error) {
+	for {
+		for _, other := range instance.fleet.others(instance.name) {
+			snapshot := other.published()
+			if snapshot == nil || snapshot.Confirmed[kind].IsZero() || snapshot.Position(kind).Compare(newerThan) <= 0 {
+				continue
+			}
+			state := PeerState{
+				Update: Update{Kind: kind, Era: snapshot.Eras[kind], Revision: snapshot.Revisions[kind]},
+				Age:    time.Since(snapshot.Confirmed[kind]), Source: other.name,
+			}
+			if instance.withoutEras || other.withoutEras {
+				state.Update.Era = 0
+			}
+			if event := snapshot.StateEvent(kind); event != nil {
+				state.Update.Events = []catalog.Event{event}
+			}
+			return state, nil
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return PeerState{}, ctx.Err()
+		}
+	}
+}
+
 // simDomains are the failure domains that are evacuated.
 var simDomains = []string{"a", "b", "c"}
 
@@ -210,7 +242,10 @@
 // that was not disturbed, unless the store was.
 func (s *simulation) expectVersion(expected uint64) {
 	written := time.Now()
-	if written.Sub(s.disturbedUntil) < stableAfter {
+	s.fleet.mu.Lock()
+	disturbedUntil := s.disturbedUntil
+	s.fleet.mu.Unlock()
+	if written.Sub(disturbedUntil) < stableAfter {
 		return
 	}
 	go func() {
@@ -291,13 +326,13 @@
 	case 0:
 		s.fleet.start(s.ctx, number, mixed && s.rng.IntN(2) == 0)
 	case 1:
-		name := s.fleet.instances[number].name
+		name := fmt.Sprintf("edge-%d", number)
 		s.store.set(func(store *simStore) { store.cut[name] = true })
-		for_ := time.Duration(500+s.rng.IntN(4000)) * time.Millisecond
+		span := time.Duration(500+s.rng.IntN(4000)) * time.Millisecond
 		s.fleet.mu.Lock()
-		s.fleet.instances[number].undisturbedSince = time.Now().Add(for_)
+		s.fleet.instances[number].undisturbedSince = time.Now().Add(span)
 		s.fleet.mu.Unlock()
-		time.AfterFunc(for_, func() { s.store.set(func(store *simStore) { delete(store.cut, name) }) })
+		time.AfterFunc(span, func() { s.store.set(func(store *simStore) { delete(store.cut, name) }) })
 	case 2:
 		s.fleet.mu.Lock()
 		s.fleet.loss = s.rng.Float64() * 0.5
@@ -318,7 +353,10 @@
 		case draw < 4:
 			s.disturb(mixed)
 		case draw < 5:
-			s.store.set(func(store *simStore) { store.lag = time.Duration(s.rng.IntN(2)*s.rng.IntN(1500)) * time.Millisecond })
+			lag, span := time.Duration(s.rng.IntN(1500))*time.Millisecond, time.Duration(s.rng.IntN(4000))*time.Millisecond
+			s.disturbStore(time.Now().Add(span))
+			s.store.set(func(store *simStore) { store.lag = lag })
+			time.AfterFunc(span, func() { s.store.set(func(store *simStore) { store.lag = 0 }) })
 		case draw < 6:
 			s.store.set(func(store *simStore) { store.dropped = store.current().revision })
 		default:
@@ -326,16 +364,22 @@
 		}
 	}
 	s.restore()
-	s.store.set(func(store *simStore) { store.lag, store.cut = 0, map[string]bool{} })
+	s.store.set(func(store *simStore) { store.cut = map[string]bool{} })
 	time.Sleep(8 * time.Second)
-	return append(s.problems, s.finalProblems()...)
+	return s.finalProblems()
 }
 
-// finalProblems compares each instance with the store, a while after the last change.
+// finalProblems returns all problems, after comparing each instance with the store a
+// while after the last change.
 func (s *simulation) finalProblems() (problems []string) {
 	truth := s.store.truth()
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	problems = s.problems
 	for _, instance := range s.fleet.instances {
+		instance.mu.Lock()
 		problems = append(problems, instance.problems...)
+		instance.mu.Unlock()
 		if instance.withoutEras {
 			continue
 		}
@@ -371,12 +415,12 @@
 }
 
 // newSimulation returns a simulation with the configuration in the store.
-func newSimulation(ctx context.Context, seed uint64) *simulation {
+func newSimulation(ctx context.Context, seed uint64, ignoresEras bool) *simulation {
 	s := &simulation{
 		store: newSimStore(), rng: rand.New(rand.NewPCG(seed, 1)), ctx: ctx, running: map[string]catalog.Upstream{}, evacuated: map[string]bool{},
 		config: catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s"}}},
 	}
-	s.fleet = &simFleet{store: s.store, rng: rand.New(rand.NewPCG(seed, 2))}
+	s.fleet = &simFleet{ignoresEras: ignoresEras, store: s.store, rng: rand.New(rand.NewPCG(seed, 2))}
 	s.store.setConfig(s.config)
 	return s
 }
@@ -388,15 +432,30 @@
 	for seed := range *restoreSeeds {
 		for _, mixed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("seed=%d/mixed=%t", seed, mixed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					problems := newSimulation(ctx, uint64(seed)).run(2+seed%4, mixed)
-					cancel()
-					time.Sleep(changeBound) // Calls and checks that still run end.
-					synctest.Wait()
-					require.Empty(t, problems)
-				})
+				require.Empty(t, runSchedule(t, uint64(seed), mixed, false))
 			})
 		}
 	}
 }
+
+// Guards against checks of TestRestoredStoreSchedules that find nothing: they must
+// reject instances that compare revisions of different eras.
+func TestChecksRejectInstancesThatIgnoreEras(t *testing.T) {
+	var problems []string
+	for seed := range uint64(25) {
+		problems = append(problems, runSchedule(t, seed, false, true)...)
+	}
+	require.NotEmpty(t, problems)
+}
+
+// runSchedule runs a schedule in virtual time and returns what was wrong.
+func runSchedule(t *testing.T, seed uint64, mixed, ignoresEras bool) (problems []string) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		problems = newSimulation(ctx, seed, ignoresEras).run(2+int(seed%4), mixed)
+		cancel()
+		time.Sleep(changeBound) // Calls and checks that still run end.
+		synctest.Wait()
+	})
+	return problems
+}
--- a/internal/catalogsync/store.go
+++ b/internal/catalogsync/store.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -30,6 +31,23 @@
 	Events []catalog.Event `json:"-"`
 }
 
+// Position returns the position of the kind after the changes.
+func (u *Update) Position() catalog.Position {
+	return catalog.Position{Era: u.Era, Revision: u.Revision}
+}
+
+// OutdatedError reports an answer of the store from before the state that this instance
+// held when it asked: a replica lags, or the store has lost changes without a new era.
+type OutdatedError struct {
+	Kind         catalog.Kind
+	Answer, Held catalog.Position
+}
+
+func (e *OutdatedError) Error() string {
+	return fmt.Sprintf("answer about %s of era %d at revision %d is older than the state of era %d at revision %d",
+		e.Kind, e.Answer.Era, e.Answer.Revision, e.Held.Era, e.Held.Revision)
+}
+
 // Store gives access to the platform's store.
 type Store interface {
 	// List returns all entries of a kind. With stale, a replica that lags may
@@ -49,9 +67,9 @@
 	// SendUpdate sends an update from the store to the peers.
 	SendUpdate(update Update)
 	// FetchState fetches the whole state of a kind from another instance that holds a
-	// newer revision than newerThan, for an instance that starts while the store is
-	// unavailable. It waits for such an instance and fails when ctx ends.
-	FetchState(ctx context.Context, kind catalog.Kind, newerThan uint64) (PeerState, error)
+	// later position than newerThan, for an instance that cannot list the kind in the
+	// store. It waits for such an instance and fails when ctx ends.
+	FetchState(ctx context.Context, kind catalog.Kind, newerThan catalog.Position) (PeerState, error)
 }
 
 // PeerState is the whole state of a kind from another instance.
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -36,6 +37,12 @@
 	// peerStateInterval is the time after which an instance that the store does not
 	// answer looks for a newer state of another instance.
 	peerStateInterval = time.Second
+	// settleDelay is the time from the first answer of another era after which a list
+	// counts as complete: what operators and upstreams wrote since the copy has been
+	// written again, and the entries of upstreams that ended have expired after three
+	// missed reports, 2.3 s. A random part of up to settleSpread spreads the lists.
+	settleDelay  = 3 * time.Second
+	settleSpread = 500 * time.Millisecond
 	// peerUpdateQueue is the number of updates of one kind from peers that may be
 	// queued. An update that finds the queue full is dropped; the base revision
 	// of the next one shows the gap.
@@ -111,13 +118,20 @@
 	now         func() time.Time
 
 	// listed is set from a successful list of the store until the store has lost
-	// the history since the revision.
+	// the history since the position, or another era is noticed.
 	listed bool
-	// era is the era of the last answer of the store; 0 before the first one.
-	era uint64
-	// revision is the store's revision of the state; 0 before the first list or
+	// position is the store's position of the state; zero before the first list or
 	// fetched state.
-	revision uint64
+	position catalog.Position
+	// settleAt is the time at which the kind is listed again after a change of the era;
+	// zero when that is not needed.
+	settleAt time.Time
+	// noticedEra is the highest era that a peer has named. While fresh is set, no replica
+	// may answer lists, because the store may have been restored.
+	noticedEra uint64
+	fresh      bool
+	// stopFetching stops fetchPeerStates; nil while it does not run.
+	stopFetching context.CancelFunc
 	// confirmed is the time at which the store last confirmed the revision, to
 	// this instance or to a peer.
 	confirmed time.Time
@@ -126,21 +140,21 @@
 }
 
 // run lists the kind and then watches the store or waits for updates from peers,
-// until ctx ends. Until the first list succeeds, it also fetches the state of other
-// instances.
+// until ctx ends. While it cannot list, it also fetches the state of other instances.
 func (s *kindSyncer) run(ctx context.Context) {
-	fetching, stopFetching := context.WithCancel(ctx)
-	defer stopFetching()
-	go s.fetchPeerStates(fetching)
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case !s.listed:
+			s.startFetching(ctx)
 			if err = s.list(ctx); err == nil {
-				stopFetching()
+				s.stopFetching()
+				s.stopFetching = nil
 			}
+		case s.untilSettled(1) == 0:
+			err = s.list(ctx)
 		case s.peers.IsWatcher(s.now(), s.kind) || s.now().Sub(s.confirmed) >= staleAfter:
-			err = s.watch(ctx, watchTimeout, true)
+			err = s.watch(ctx, s.untilSettled(watchTimeout), true)
 		default:
 			err = s.awaitUpdate(ctx)
 		}
@@ -148,27 +162,53 @@
 			s.backOff(ctx, err)
 		}
 	}
+	if s.stopFetching != nil {
+		s.stopFetching()
+	}
+}
+
+// untilSettled returns the time until the kind has to be listed again after a change
+// of the era, at least 0, and limit if that is sooner or no such list is due.
+func (s *kindSyncer) untilSettled(limit time.Duration) time.Duration {
+	if s.settleAt.IsZero() {
+		return limit
+	}
+	return min(max(s.settleAt.Sub(s.now()), 0), limit)
 }
 
-// fetchPeerStates passes the state of another instance to run, and each newer one,
-// until ctx ends. It starts after peerStateDelay or the first failed call.
-func (s *kindSyncer) fetchPeerStates(ctx context.Context) {
-	wait := time.NewTimer(peerStateDelay)
+// startFetching starts fetchPeerStates unless it runs: without state, after
+// peerStateDelay or the first failed call; with state, after peerStateInterval.
+func (s *kindSyncer) startFetching(ctx context.Context) {
+	if s.stopFetching != nil {
+		return
+	}
+	ctx, s.stopFetching = context.WithCancel(ctx)
+	if s.position.Revision == 0 {
+		go s.fetchPeerStates(ctx, s.position, peerStateDelay, s.storeFailed)
+	} else {
+		go s.fetchPeerStates(ctx, s.position, peerStateInterval, nil)
+	}
+}
+
+// fetchPeerStates passes a state of another instance that is later than newest to run,
+// and each later one, until ctx ends. It starts after delay, or sooner with a signal on
+// start.
+func (s *kindSyncer) fetchPeerStates(ctx context.Context, newest catalog.Position, delay time.Duration, start <-chan struct{}) {
+	wait := time.NewTimer(delay)
 	defer wait.Stop()
 	select {
 	case <-ctx.Done():
 		return
-	case <-s.storeFailed:
+	case <-start:
 	case <-wait.C:
 	}
-	var newest uint64
 	for {
 		state, err := s.peers.FetchState(ctx, s.kind, newest)
 		if err != nil {
 			// The context has ended: the store has answered, or the instance stops.
 			return
 		}
-		newest = state.Update.Revision
+		newest = state.Update.Position()
 		select {
 		case s.peerStates <- state:
 		case <-ctx.Done():
@@ -184,16 +224,16 @@
 }
 
 // list reads the whole kind. After an even number of failures, 0 included, a replica
-// may answer: the watch that follows returns the changes that the replica lacks.
-// States and updates from other instances are applied meanwhile. It fails with the
-// error of the store.
+// may answer, unless the era has changed: the watch that follows returns the changes
+// that the replica lacks. States and updates from other instances are applied
+// meanwhile. It fails with the error of the store, or with *OutdatedError.
 func (s *kindSyncer) list(ctx context.Context) error {
 	type result struct {
 		update Update
 		err    error
 	}
 	results := make(chan result, 1)
-	stale := s.failures%2 == 0
+	asked, stale := s.position, s.failures%2 == 0 && !s.fresh && s.settleAt.IsZero()
 	go func() {
 		update, err := s.store.List(ctx, s.kind, stale)
 		results <- result{update, err}
@@ -204,11 +244,7 @@
 			if r.err != nil {
 				return r.err
 			}
-			s.listed = true
-			s.reportAnswer(ctx, r.update)
-			s.apply(ctx, r.update)
-			s.peers.SendUpdate(Update{Kind: s.kind, Base: s.revision, Revision: s.revision})
-			return nil
+			return s.applyList(ctx, r.update, asked)
 		case state := <-s.peerStates:
 			s.applyPeerState(ctx, state)
 		case update := <-s.peerUpdates:
@@ -217,74 +253,148 @@
 	}
 }
 
-// applyPeerState applies the state of another instance unless a newer one is known.
+// applyList applies a list that was requested at the position asked, and confirms it to
+// the peers. It fails with *OutdatedError.
+func (s *kindSyncer) applyList(ctx context.Context, list Update, asked catalog.Position) error {
+	if list.Position().Compare(asked) < 0 || list.Era < s.position.Era {
+		return s.ignoreAnswer(ctx, list)
+	}
+	s.listed, s.fresh = true, false
+	if list.Position().Compare(s.position) < 0 {
+		// Newer updates from peers have arrived first.
+		return nil
+	}
+	if list.Era == s.position.Era && s.untilSettled(1) == 0 {
+		s.settleAt = time.Time{}
+		s.emit(ctx, catalog.EraSettled{Kind: s.kind, Era: list.Era}, 0)
+	}
+	s.apply(ctx, list)
+	s.peers.SendUpdate(Update{Kind: s.kind, Era: s.position.Era, Base: s.position.Revision, Revision: s.position.Revision})
+	return nil
+}
+
+// ignoreAnswer emits an event for an answer that is older than the state and returns
+// its *OutdatedError.
+func (s *kindSyncer) ignoreAnswer(ctx context.Context, answer Update) error {
+	s.emit(ctx, catalog.AnswerIgnored{Kind: s.kind, Answer: answer.Position(), Held: s.position}, 0)
+	return &OutdatedError{Kind: s.kind, Answer: answer.Position(), Held: s.position}
+}
+
+// applyPeerState applies the state of another instance unless a later one is known.
 func (s *kindSyncer) applyPeerState(ctx context.Context, state PeerState) {
-	if s.listed || state.Update.Revision <= s.revision {
+	if s.listed || state.Update.Position().Compare(s.position) <= 0 {
 		return
 	}
-	s.revision = state.Update.Revision
+	event := catalog.PeerStateFetched{
+		Kind: s.kind, Revision: state.Update.Revision, Events: state.Update.Events, Source: state.Source, Age: state.Age,
+	}
 	if confirmed := s.now().Add(-state.Age); confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
-	s.emit(ctx, catalog.PeerStateFetched{
-		Kind: s.kind, Revision: s.revision, Events: state.Update.Events, Source: state.Source, Age: state.Age,
-	}, state.Age)
+	if state.Update.Era != s.position.Era {
+		s.startEra(ctx, state.Update.Position(), []catalog.Event{event}, state.Age)
+		return
+	}
+	s.position = state.Update.Position()
+	s.emit(ctx, event, state.Age)
+}
+
+// startEra emits the first state of another era. A state of an earlier era is kept and
+// merged with it until settleAt.
+func (s *kindSyncer) startEra(ctx context.Context, position catalog.Position, events []catalog.Event, age time.Duration) {
+	restored := s.position.Revision > 0
+	if restored {
+		s.settleAt = s.now().Add(settleDelay + time.Duration(rand.Int64N(int64(settleSpread))))
+	}
+	s.emit(ctx, catalog.EraChanged{Kind: s.kind, Before: s.position, After: position, Restored: restored, Events: events}, age)
+	s.position = position
 }
 
 // applyPeerUpdate applies an update from a peer unless changes before it are missing.
+// An update of another era is not applied: an earlier one is out of date or comes from
+// a version without eras, and a later one makes this instance list the kind.
 func (s *kindSyncer) applyPeerUpdate(ctx context.Context, update Update) {
-	if update.Base <= s.revision {
+	switch {
+	case update.Era > s.position.Era:
+		s.noticeEra(update.Era)
+	case update.Era == s.position.Era && update.Base <= s.position.Revision:
 		s.apply(ctx, update)
 	}
 }
 
+// noticeEra makes run list the kind again because a peer has named a later era, once
+// for each era, because the peer may be wrong.
+func (s *kindSyncer) noticeEra(era uint64) {
+	if s.position.Revision > 0 && era > s.noticedEra {
+		s.noticedEra, s.listed, s.fresh = era, false, true
+	}
+}
+
 // watch waits for changes in the store, at most the time wait, applies them and, if send
 // is set, sends them to the peers. It also applies the updates from peers that arrive
 // meanwhile, so that a silent connection to the store does not delay this
-// instance. It fails with the error of the watch.
+// instance. It ends early when another era is noticed. It fails with the error of the
+// watch, or with *OutdatedError.
 func (s *kindSyncer) watch(ctx context.Context, wait time.Duration, send bool) error {
 	type result struct {
 		update Update
 		err    error
 	}
 	results := make(chan result, 1)
-	revision := s.revision
+	revision := s.position.Revision
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
 	go func() {
-		update, err := s.store.Watch(ctx, s.kind, revision, wait)
+		update, err := s.store.Watch(call, s.kind, revision, wait)
 		results <- result{update, err}
 	}()
-	for {
+	for s.listed {
 		select {
 		case r := <-results:
 			if r.err != nil {
 				return r.err
 			}
-			s.failures = 0
-			s.reportAnswer(ctx, r.update)
-			if r.update.Revision < s.revision {
-				// A peer's newer update has arrived first.
-				return nil
-			}
-			s.apply(ctx, r.update)
-			if !send {
-				return nil
-			}
-			s.peers.SendUpdate(r.update)
-			if len(r.update.Events) > 0 {
-				s.pause(ctx, changePause)
-			}
-			return nil
+			return s.applyWatch(ctx, r.update, send)
 		case update := <-s.peerUpdates:
 			s.applyPeerUpdate(ctx, update)
 		}
 	}
+	return nil
+}
+
+// applyWatch applies the answer to a watch and, if send is set, sends it to the peers.
+// The changes of another era are not applied, because the state lacks earlier ones. It
+// fails with *OutdatedError.
+func (s *kindSyncer) applyWatch(ctx context.Context, update Update, send bool) error {
+	switch {
+	case update.Era < s.position.Era:
+		return s.ignoreAnswer(ctx, update)
+	case update.Era > s.position.Era:
+		s.listed, s.fresh = false, true
+		return nil
+	}
+	s.failures = 0
+	if update.Revision < s.position.Revision {
+		// A peer's newer update has arrived first.
+		return nil
+	}
+	s.apply(ctx, update)
+	if !send {
+		return nil
+	}
+	s.peers.SendUpdate(update)
+	if len(update.Events) > 0 {
+		s.pause(ctx, changePause)
+	}
+	return nil
 }
 
 // awaitUpdate waits for an update from a peer and applies it, until the state is
-// older than staleAfter. When the update's base shows a gap, the changes are read
-// from the store. The peers have received the update as well, and are not told.
+// older than staleAfter or the kind has to be listed. When the update's base shows a
+// gap, the changes are read from the store. The peers have received the update as well,
+// and are not told.
 func (s *kindSyncer) awaitUpdate(ctx context.Context) error {
-	timer := time.NewTimer(staleAfter - s.now().Sub(s.confirmed))
+	timer := time.NewTimer(s.untilSettled(staleAfter - s.now().Sub(s.confirmed)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -292,25 +402,31 @@
 	case <-timer.C:
 		return nil
 	case update := <-s.peerUpdates:
-		if update.Base > s.revision {
+		if update.Era == s.position.Era && update.Base > s.position.Revision {
 			return s.watch(ctx, 0, false)
 		}
-		s.apply(ctx, update)
+		s.applyPeerUpdate(ctx, update)
 		return nil
 	}
 }
 
-// apply emits the events of an update, unless its revision is older than the state,
-// and then a confirmation.
+// apply emits the events of an update and a confirmation, unless the update is older
+// than the state, and moves the state to the update's position.
 func (s *kindSyncer) apply(ctx context.Context, update Update) {
+	if update.Position().Compare(s.position) < 0 {
+		return
+	}
 	s.confirmed = s.now()
-	if update.Revision >= s.revision {
-		for _, event := range update.Events {
-			s.emit(ctx, event, 0)
-		}
+	if update.Era != s.position.Era {
+		confirmed := catalog.Confirmed{Kind: s.kind, Revision: update.Revision}
+		s.startEra(ctx, update.Position(), append(slices.Clip(update.Events), confirmed), 0)
+		return
+	}
+	for _, event := range update.Events {
+		s.emit(ctx, event, 0)
 	}
-	s.revision = max(s.revision, update.Revision)
-	s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.revision}, 0)
+	s.position = update.Position()
+	s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: update.Revision}, 0)
 }
 
 // backOff records and emits a failed call and then waits. The backoff is random,
@@ -347,18 +463,6 @@
 	}
 }
 
-// reportAnswer emits events for an answer of the store that has another era, or that
-// is older than the state and therefore ignored.
-func (s *kindSyncer) reportAnswer(ctx context.Context, answer Update) {
-	if answer.Era != s.era {
-		s.emit(ctx, catalog.EraChanged{Kind: s.kind, Era: answer.Era, Before: s.era, Revision: answer.Revision, Held: s.revision}, 0)
-		s.era = answer.Era
-	}
-	if answer.Revision < s.revision {
-		s.emit(ctx, catalog.AnswerIgnored{Kind: s.kind, Era: answer.Era, Revision: answer.Revision, Held: s.revision}, 0)
-	}
-}
-
 // reportStoreFailed lets fetchPeerStates start.
 func (s *kindSyncer) reportStoreFailed() {
 	select {
--- a/internal/catalogsync/sync_test.go
+++ b/internal/catalogsync/sync_test.go
@@ -23,6 +23,7 @@
 	silent      bool
 	silentLists bool
 	lostHistory bool
+	era         uint64
 	revision    uint64
 	lists       []bool
 	watches     int
@@ -43,7 +44,7 @@
 	if s.down {
 		return Update{}, errDown
 	}
-	return Update{Kind: kind, Revision: s.revision, Events: []catalog.Event{catalog.EvacuationsListed{Revision: s.revision}}}, nil
+	return Update{Kind: kind, Era: s.era, Revision: s.revision, Events: []catalog.Event{catalog.EvacuationsListed{Revision: s.revision}}}, nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration) (Update, error) {
@@ -63,13 +64,16 @@
 	deadline := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		current := s.revision
+		current, era := s.revision, s.era
 		s.mu.Unlock()
+		if current < revision {
+			return Update{}, fmt.Errorf("watch: %w", ErrHistoryGone)
+		}
 		if current > revision {
-			return Update{Kind: kind, Base: revision, Revision: current, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: current}}}, nil
+			return Update{Kind: kind, Era: era, Base: revision, Revision: current, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: current}}}, nil
 		}
 		if !time.Now().Before(deadline) {
-			return Update{Kind: kind, Base: revision, Revision: revision}, nil
+			return Update{Kind: kind, Era: era, Base: revision, Revision: revision}, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -109,13 +113,13 @@
 	m.sent = append(m.sent, update)
 }
 
-func (m *fakePeers) FetchState(ctx context.Context, kind catalog.Kind, newerThan uint64) (PeerState, error) {
+func (m *fakePeers) FetchState(ctx context.Context, kind catalog.Kind, newerThan catalog.Position) (PeerState, error) {
 	for {
 		m.mu.Lock()
 		m.fetches++
 		state := m.state
 		m.mu.Unlock()
-		if state != nil && state.Revision > newerThan {
+		if state != nil && state.Position().Compare(newerThan) > 0 {
 			update := *state
 			update.Kind = kind
 			return PeerState{Update: update, Age: 3 * time.Second, Source: "edge-a-1"}, nil
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -91,14 +91,14 @@
 // logMissingState logs once that neither the store nor another instance has provided
 // the state that new flows need, when that takes longer than stateMissingAfter.
 func (instance *Instance) logMissingState(now time.Time, missing *missingState) {
-	held := instance.holdings().Revisions
+	held := instance.holdings().Positions
 	if missing.logged || held.Complete() || now.Sub(missing.began) < stateMissingAfter {
 		return
 	}
 	missing.logged = true
 	var kinds []string
 	for _, kind := range catalog.Kinds() {
-		if held[kind] == 0 {
+		if held[kind].Revision == 0 {
 			kinds = append(kinds, kind.String())
 		}
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -90,7 +90,7 @@
 	"upstream_displaced",
 	"upstream_invalid", "upstream_older_incarnation", "cookie_collision", "configuration_adopted", "configuration_invalid",
 	"configuration_older", "evacuation_started", "evacuation_ended", "entry_invalid", "peer_state_fetched", "state_known",
-	"store_era_changed", "answer_ignored",
+	"store_era_changed", "store_era_settled", "answer_ignored",
 }
 
 // NewMetrics returns metrics with their own registry. It returns the errors of the
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,14 +57,14 @@
 	if snapshot == nil || snapshot.Confirmed[kind].IsZero() {
 		return catalogsync.Update{}, 0, false
 	}
-	update := catalogsync.Update{Kind: kind, Revision: snapshot.Revisions[kind]}
+	update := catalogsync.Update{Kind: kind, Era: snapshot.Eras[kind], Revision: snapshot.Revisions[kind]}
 	if event := snapshot.StateEvent(kind); event != nil {
 		update.Events = []catalog.Event{event}
 	}
 	return update, time.Since(snapshot.Confirmed[kind]), true
 }
 
-// holdings returns the revisions of the published state and the time of its oldest
+// holdings returns the positions of the published state and the time of its oldest
 // confirmation.
 func (instance *Instance) holdings() relay.Holdings {
 	snapshot := instance.snapshot.Load()
@@ -74,7 +74,7 @@
 	var h relay.Holdings
 	for kind, confirmed := range snapshot.Confirmed {
 		if !confirmed.IsZero() {
-			h.Revisions[kind] = snapshot.Revisions[kind]
+			h.Positions[kind] = snapshot.Position(catalog.Kind(kind))
 		}
 		if kind == 0 || confirmed.Before(h.Confirmed) {
 			h.Confirmed = confirmed
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -69,7 +69,7 @@
 	defer ticker.Stop()
 	for {
 		lacking := instance.relay.Lacking(time.Now())
-		if lacking == 0 || !instance.holdings().Revisions.Complete() {
+		if lacking == 0 || !instance.holdings().Positions.Complete() {
 			return lacking
 		}
 		select {
--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -89,8 +89,10 @@
 		From: names.member(mention{Member: m.From}), Hello: m.Hello, Announcement: m.Announcement,
 		Silent: encodeIncarnations(m.Silent), Lost: encodeIncarnations(m.Lost),
 	}
-	if m.Revisions != nil {
-		w.Revisions = m.Revisions[:]
+	if m.Positions != nil {
+		for _, position := range m.Positions {
+			w.Revisions, w.Eras = append(w.Revisions, position.Revision), append(w.Eras, position.Era)
+		}
 	}
 	for _, member := range m.Members {
 		w.Members = append(w.Members, names.member(member))
@@ -105,6 +107,21 @@
 	return proto.Marshal(w)
 }
 
+// positionsFrom returns the positions of the revisions and eras of all kinds. A version
+// without eras reports none.
+func positionsFrom(revisions, eras []uint64) *Positions {
+	positions := &Positions{}
+	for kind := range positions {
+		if kind < len(revisions) {
+			positions[kind].Revision = revisions[kind]
+		}
+		if kind < len(eras) {
+			positions[kind].Era = eras[kind]
+		}
+	}
+	return positions
+}
+
 func tenths(v float64) uint32 { return uint32(min(max(math.Round(10*v), 0), math.MaxUint32)) }
 
 func decodeBinary(data []byte) (*message, error) {
@@ -118,8 +135,7 @@
 		format: formatBinary,
 	}
 	if len(w.Revisions) > 0 {
-		m.Revisions = &Revisions{}
-		copy(m.Revisions[:], w.Revisions)
+		m.Positions = positionsFrom(w.Revisions, w.Eras)
 	}
 	if w.From != nil {
 		m.From = names.member(w.From).Member
@@ -251,7 +267,7 @@
 }
 
 func (t *nameTable) update(u catalogsync.Update) *relayv1.Update {
-	w := &relayv1.Update{Kind: uint32(u.Kind), Base: u.Base, Revision: u.Revision}
+	w := &relayv1.Update{Kind: uint32(u.Kind), Era: u.Era, Base: u.Base, Revision: u.Revision}
 	for _, event := range u.Events {
 		if encoded := t.event(event); encoded != nil {
 			w.Events = append(w.Events, encoded)
@@ -261,7 +277,7 @@
 }
 
 func (r *nameReader) update(w *relayv1.Update) (catalogsync.Update, error) {
-	u := catalogsync.Update{Kind: catalog.Kind(w.Kind), Base: w.Base, Revision: w.Revision}
+	u := catalogsync.Update{Kind: catalog.Kind(w.Kind), Era: w.Era, Base: w.Base, Revision: w.Revision}
 	if int64(w.Kind) >= int64(len(catalog.Kinds())) || w.Base > w.Revision {
 		return u, fmt.Errorf("unknown kind or decreasing revision: kind %d from revision %d to %d", w.Kind, w.Base, w.Revision)
 	}
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -16,6 +16,18 @@
 	"github.com/chivemast/chivemast/internal/load"
 )
 
+// reported returns positions of era 2 with the revisions of all kinds; a kind with
+// revision 0 has no state.
+func reported(revisions ...uint64) *Positions {
+	positions := &Positions{}
+	for kind, revision := range revisions {
+		if revision > 0 {
+			positions[kind] = catalog.Position{Era: 2, Revision: revision}
+		}
+	}
+	return positions
+}
+
 func exampleUpstream(n int) catalog.Upstream {
 	return catalog.Upstream{
 		ID: fmt.Sprintf("i-%010x", n), Born: 1768993801216, Token: 1<<63 + uint64(n), Address: netip.MustParseAddrPort("10.1.64.20:8628"),
@@ -26,7 +38,7 @@
 // exampleUpdate has an event of each type.
 func exampleUpdate() catalogsync.Update {
 	invalid := &RemoteError{Reason: "field state: unknown"}
-	return catalogsync.Update{Kind: catalog.KindUpstreams, Base: 8, Revision: 12, Events: []catalog.Event{
+	return catalogsync.Update{Kind: catalog.KindUpstreams, Era: 2, Base: 8, Revision: 12, Events: []catalog.Event{
 		catalog.UpstreamsListed{Entries: []catalog.UpstreamChange{{Upstream: exampleUpstream(1)}}, Revision: 12},
 		catalog.UpstreamsChanged{Revision: 12, Changes: []catalog.UpstreamChange{
 			{Upstream: catalog.Upstream{ID: "i-2", Revision: 10}, Removed: true},
@@ -47,7 +59,7 @@
 func exampleMessage() *message {
 	update, heard := exampleUpdate(), int64(1234)
 	return &message{
-		From: member(1, "a"), Hello: true, Announcement: true, Revisions: &Revisions{1, 0, 3}, Update: &update,
+		From: member(1, "a"), Hello: true, Announcement: true, Positions: reported(1, 0, 3), Update: &update,
 		Members: []mention{{Member: member(2, "b"), HeardMS: &heard}, {Member: member(3, "a")}},
 		Silent:  []UpstreamIncarnation{{ID: "i-1", Born: 7}}, Lost: []UpstreamIncarnation{{ID: "i-2", Born: 8}, {ID: "i-2", Born: 8}},
 	}
@@ -102,9 +114,9 @@
 		require.NoError(t, err)
 		received, err := decodeMessage(data)
 		require.NoError(t, err)
-		m.receive(now, received, 7, Revisions{1, 1, 1})
+		m.receive(now, received, 7, *reported(1, 1, 1))
 	}
-	receive(start, &message{From: member(1, "a"), Revisions: &Revisions{1, 1, 1}})
+	receive(start, &message{From: member(1, "a"), Positions: reported(1, 1, 1)})
 	for n := range 10 {
 		receive(start.Add(time.Duration(n)*lackingAfter), &message{From: member(1, "a"), Silent: []UpstreamIncarnation{{ID: "i"}}})
 	}
@@ -198,28 +210,71 @@
 	require.NoError(t, err)
 	received, err := decodeMessage(hello)
 	require.NoError(t, err)
-	m.receive(start, received, 7, Revisions{1, 1, 1})
+	m.receive(start, received, 7, *reported(1, 1, 1))
 	require.Equal(t, formatJSON, m.byName["edge-a-1"].format)
-	require.Equal(t, []Member{member(1, "a")}, m.stateSources(catalog.KindUpstreams, 0), "it may be asked for its state")
+	require.Equal(t, []Member{member(1, "a")}, m.stateSources(catalog.KindUpstreams, catalog.Position{}), "it may be asked for its state")
 
-	current, err := (&message{From: member(2, "a"), Hello: true, Revisions: &Revisions{}}).encode(formatJSON)
+	current, err := (&message{From: member(2, "a"), Hello: true, Positions: &Positions{}}).encode(formatJSON)
 	require.NoError(t, err)
 	received, err = decodeMessage(current)
 	require.NoError(t, err)
-	m.receive(start, received, 8, Revisions{1, 1, 1})
+	m.receive(start, received, 8, *reported(1, 1, 1))
 	require.Equal(t, formatBinary, m.byName["edge-a-2"].format, "the first hello of this version is JSON as well")
 
-	m.receive(start, &message{From: member(2, "a")}, 8, Revisions{1, 1, 1})
+	m.receive(start, &message{From: member(2, "a")}, 8, *reported(1, 1, 1))
 	require.Equal(t, formatBinary, m.byName["edge-a-2"].format, "a later JSON message without revisions changes nothing")
-	m.receive(start, &message{From: member(2, "a")}, 9, Revisions{1, 1, 1})
+	m.receive(start, &message{From: member(2, "a")}, 9, *reported(1, 1, 1))
 	require.Equal(t, formatJSON, m.byName["edge-a-2"].format, "the next incarnation may be an earlier version")
 }
 
+// Guards against revisions of a version without eras that count as later than those of
+// a store that was restored.
+func TestVersionWithoutErasIsBehindEveryEra(t *testing.T) {
+	withoutEras, err := proto.Marshal(&relayv1.Message{
+		Names: []string{"a"}, From: &relayv1.Member{Name: "edge-a-1", Address: []byte{10, 0, 1, 1, 0, 80}},
+		Revisions: []uint64{90, 90, 90}, Update: &relayv1.Update{Base: 90, Revision: 90},
+	})
+	require.NoError(t, err)
+	for _, data := range [][]byte{
+		withoutEras, []byte(`{"from":{"name":"edge-a-1","domain":"a","address":"10.0.1.1:80"},"revisions":[90,90,90],"update":{"kind":0,"base":90,"revision":90}}`),
+	} {
+		received, err := decodeMessage(data)
+		require.NoError(t, err)
+		require.Zero(t, received.Update.Era)
+		m := newMembership(member(0, "a"))
+		m.receive(start, received, 7, *reported(5, 5, 5))
+		require.Empty(t, m.stateSources(catalog.KindUpstreams, catalog.Position{Era: 2, Revision: 5}))
+		require.Len(t, m.stateSources(catalog.KindUpstreams, catalog.Position{}), 1, "an instance without state takes any")
+	}
+}
+
+// Guards against an instance that stops watching a restored store because members that
+// have not noticed the restoration go on confirming their state.
+func TestMemberOfEarlierEraDoesNotCountAsWatcher(t *testing.T) {
+	relay, record := startRelay(t, "a-9", "a")
+	for n, era := range []uint64{1, 1, 2, 3} {
+		sender := member(n, "a")
+		relay.handleMessage(time.Now(), &message{From: sender, Update: &catalogsync.Update{Kind: catalog.KindEvacuations, Era: era, Revision: 9}}, 7)
+	}
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	var watching []string
+	for name, state := range relay.membership.byName {
+		if !state.watched[catalog.KindEvacuations].IsZero() {
+			watching = append(watching, name)
+		}
+	}
+	require.ElementsMatch(t, []string{"edge-a-2", "edge-a-3"}, watching)
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	require.Len(t, record.updates, 4)
+}
+
 // Guards against lists of members that take a large part of a link: with the names of
 // the users' largest deployment, 12 members took 1.2 KB in JSON.
 func TestSizeOfMemberList(t *testing.T) {
 	heard := int64(12_345)
-	m := &message{From: member(1, "sunshine"), Revisions: &Revisions{100_000, 100_000, 100_000}}
+	m := &message{From: member(1, "sunshine"), Positions: reported(100_000, 100_000, 100_000)}
 	for n := range maxMembersPerMessage {
 		m.Members = append(m.Members, mention{Member: member(100+n, "sunshine"), HeardMS: &heard})
 	}
--- a/internal/relay/json.go
+++ b/internal/relay/json.go
@@ -9,13 +9,14 @@
 )
 
 // jsonMessage is the JSON form of a message. Versions without the binary format read
-// and send nothing else, and ignore Announcement and Revisions.
+// and send nothing else, and ignore Announcement, Revisions and Eras.
 type jsonMessage struct {
 	From         Member                `json:"from"`
 	Hello        bool                  `json:"hello,omitempty"`
 	Members      []mention             `json:"members,omitempty"`
 	Announcement bool                  `json:"announcement,omitempty"`
-	Revisions    *Revisions            `json:"revisions,omitempty"`
+	Revisions    []uint64              `json:"revisions,omitempty"`
+	Eras         []uint64              `json:"eras,omitempty"`
 	Update       *wireUpdate           `json:"update,omitempty"`
 	Silent       []UpstreamIncarnation `json:"silent,omitempty"`
 	Lost         []UpstreamIncarnation `json:"lost,omitempty"`
@@ -23,9 +24,14 @@
 
 func (m *message) encodeJSON() ([]byte, error) {
 	j := jsonMessage{
-		From: m.From, Hello: m.Hello, Members: m.Members, Announcement: m.Announcement, Revisions: m.Revisions,
+		From: m.From, Hello: m.Hello, Members: m.Members, Announcement: m.Announcement,
 		Silent: m.Silent, Lost: m.Lost,
 	}
+	if m.Positions != nil {
+		for _, position := range m.Positions {
+			j.Revisions, j.Eras = append(j.Revisions, position.Revision), append(j.Eras, position.Era)
+		}
+	}
 	if m.Update != nil {
 		j.Update = encodeUpdate(*m.Update)
 	}
@@ -38,9 +44,12 @@
 		return nil, err
 	}
 	m := &message{
-		From: j.From, Hello: j.Hello, Members: j.Members, Announcement: j.Announcement, Revisions: j.Revisions,
+		From: j.From, Hello: j.Hello, Members: j.Members, Announcement: j.Announcement,
 		Silent: j.Silent, Lost: j.Lost,
 	}
+	if len(j.Revisions) > 0 {
+		m.Positions = positionsFrom(j.Revisions, j.Eras)
+	}
 	if j.Update != nil {
 		update, err := j.Update.decode()
 		if err != nil {
@@ -54,6 +63,7 @@
 // wireUpdate is the JSON form of a catalogsync.Update.
 type wireUpdate struct {
 	Kind     catalog.Kind `json:"kind"`
+	Era      uint64       `json:"era,omitempty"`
 	Base     uint64       `json:"base"`
 	Revision uint64       `json:"revision"`
 	Events   []wireEvent  `json:"events,omitempty"`
@@ -90,7 +100,7 @@
 }
 
 func encodeUpdate(u catalogsync.Update) *wireUpdate {
-	w := &wireUpdate{Kind: u.Kind, Base: u.Base, Revision: u.Revision}
+	w := &wireUpdate{Kind: u.Kind, Era: u.Era, Base: u.Base, Revision: u.Revision}
 	for _, event := range u.Events {
 		switch e := event.(type) {
 		case catalog.UpstreamsListed:
@@ -123,7 +133,7 @@
 }
 
 func (w *wireUpdate) decode() (catalogsync.Update, error) {
-	u := catalogsync.Update{Kind: w.Kind, Base: w.Base, Revision: w.Revision}
+	u := catalogsync.Update{Kind: w.Kind, Era: w.Era, Base: w.Base, Revision: w.Revision}
 	if w.Kind < 0 || int(w.Kind) >= len(catalog.Kinds()) || w.Base > w.Revision {
 		return u, fmt.Errorf("unknown kind or decreasing revision: kind %d from revision %d to %d", w.Kind, w.Base, w.Revision)
 	}
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -77,9 +77,9 @@
 	// from the store; zero when it has sent none. Its length is the number of
 	// kinds in catalog.Kinds.
 	watched [3]time.Time
-	// revisions is the state that the member last reported to hold, reportedAt the
+	// positions is the state that the member last reported to hold, reportedAt the
 	// time of that report; zero when this incarnation has reported none.
-	revisions  Revisions
+	positions  Positions
 	reportedAt time.Time
 	// lackingSince is the time from which all reports named missing state; zero after
 	// a report of complete state.
@@ -100,7 +100,7 @@
 	state := m.byName[member.Name]
 	if state.session != session {
 		// Another incarnation holds nothing of what the earlier one reported.
-		state.revisions, state.reportedAt, state.lackingSince, state.format = Revisions{}, time.Time{}, time.Time{}, formatJSON
+		state.positions, state.reportedAt, state.lackingSince, state.format = Positions{}, time.Time{}, time.Time{}, formatJSON
 	}
 	state.member, state.lastHeard, state.session = member, now, session
 	m.byName[member.Name] = state
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -101,11 +101,11 @@
 	// Members lists instances that the sender's membership contains.
 	Members []mention
 	// Announcement tells the receiver which state it can fetch from the sender. A
-	// receiver that lacks state answers with its own revisions.
+	// receiver that lacks state answers with its own positions.
 	Announcement bool
-	// Revisions is the state that the sender holds; nil from a version that does not
+	// Positions is the state that the sender holds; nil from a version that does not
 	// report it.
-	Revisions *Revisions
+	Positions *Positions
 	// Update is a change, or the confirmation of a revision, that the sender
 	// received from the store.
 	Update *catalogsync.Update
@@ -127,16 +127,16 @@
 
 const (
 	// formatJSON is what every version can read. Versions that read nothing else do
-	// not report revisions.
+	// not report positions.
 	formatJSON format = iota
 	// formatBinary is a relayv1.Message.
 	formatBinary
 )
 
 // senderFormat returns the format that the sender of a message can read: the one that it
-// used, and the binary one if it reports revisions.
+// used, and the binary one if it reports positions.
 func (m *message) senderFormat() format {
-	if m.Revisions != nil {
+	if m.Positions != nil {
 		return formatBinary
 	}
 	return m.format
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -38,39 +38,41 @@
 	lackingAfter = 100 * time.Millisecond
 	// announceFor is how long announcements go on after the last such report.
 	announceFor = 3 * time.Second
-	// reportedFor is how long the revisions that a member reported count as current.
+	// reportedFor is how long the positions that a member reported count as current.
 	reportedFor = time.Second
 	// remoteHellos is the part of the regular hellos that goes to other failure
 	// domains, so that their members stay known. Bytes between failure domains are dear.
 	remoteHellos = 0.15
 )
 
-// Revisions stores, by kind, the store's revision of the state that an instance
-// holds; 0 for a kind without state. Its length is the number of kinds in
-// catalog.Kinds.
-type Revisions [3]uint64
+// Positions stores, by kind, the store's position of the state that an instance
+// holds, with revision 0 for a kind without state. Its length is the number of kinds
+// in catalog.Kinds.
+type Positions [3]catalog.Position
 
 // Complete tells whether there is state of every kind.
-func (r Revisions) Complete() bool { return !slices.Contains(r[:], 0) }
+func (p Positions) Complete() bool {
+	return !slices.ContainsFunc(p[:], func(position catalog.Position) bool { return position.Revision == 0 })
+}
 
 // Holdings is the state that an instance can provide to others.
 type Holdings struct {
-	Revisions Revisions
+	Positions Positions
 	// Confirmed is the time at which the store last confirmed the kind with the
-	// oldest confirmation; zero unless Revisions is complete.
+	// oldest confirmation; zero unless Positions is complete.
 	Confirmed time.Time
 }
 
-// recordRevisions records the revisions that a member reports, and returns whether
+// recordPositions records the positions that a member reports, and returns whether
 // announcements start because the member keeps lacking state.
-func (m *membership) recordRevisions(now time.Time, name string, revisions Revisions) (announce bool) {
+func (m *membership) recordPositions(now time.Time, name string, positions Positions) (announce bool) {
 	state, known := m.byName[name]
 	if !known {
 		return false
 	}
-	state.revisions, state.reportedAt = revisions, now
+	state.positions, state.reportedAt = positions, now
 	switch {
-	case revisions.Complete():
+	case positions.Complete():
 		state.lackingSince = time.Time{}
 	case state.lackingSince.IsZero():
 		state.lackingSince = now
@@ -82,11 +84,11 @@
 	return announce
 }
 
-// receive records the sender of a message, its revisions and the members that it lists.
+// receive records the sender of a message, its positions and the members that it lists.
 // It returns the answer, and whether announcements start because the sender keeps
 // lacking state. A hello is answered with a list of members; an announcement with the
-// own revisions while they are incomplete; other messages have no answer.
-func (m *membership) receive(now time.Time, received *message, session peerauth.Session, own Revisions) (answer *message, announce bool) {
+// own positions while they are incomplete; other messages have no answer.
+func (m *membership) receive(now time.Time, received *message, session peerauth.Session, own Positions) (answer *message, announce bool) {
 	m.recordMessage(now, received.From, session)
 	for _, mentioned := range received.Members {
 		m.recordMention(now, mentioned)
@@ -96,11 +98,11 @@
 		state.format = max(state.format, received.senderFormat())
 		m.byName[received.From.Name] = state
 	}
-	if received.Revisions != nil {
-		announce = m.recordRevisions(now, received.From.Name, *received.Revisions)
+	if received.Positions != nil {
+		announce = m.recordPositions(now, received.From.Name, *received.Positions)
 	}
 	if received.Hello || (received.Announcement && !own.Complete()) {
-		answer = &message{From: m.self, Revisions: &own}
+		answer = &message{From: m.self, Positions: &own}
 	}
 	if received.Hello {
 		answer.Members = m.list(now, received.From.FailureDomain)
@@ -110,12 +112,12 @@
 
 // holds tells whether the member reported complete state within reportedFor.
 func (s memberState) holds(now time.Time) bool {
-	return s.revisions.Complete() && now.Sub(s.reportedAt) < reportedFor
+	return s.positions.Complete() && now.Sub(s.reportedAt) < reportedFor
 }
 
 // lacks tells whether the member reported incomplete state within reportedFor.
 func (s memberState) lacks(now time.Time) bool {
-	return !s.reportedAt.IsZero() && !s.revisions.Complete() && now.Sub(s.reportedAt) < reportedFor
+	return !s.reportedAt.IsZero() && !s.positions.Complete() && now.Sub(s.reportedAt) < reportedFor
 }
 
 // lacking returns the number of members that reported incomplete state within
@@ -132,11 +134,11 @@
 // round lists the messages that an instance sends now, and the time until the next
 // round.
 type round struct {
-	// hellos lists members that are asked for their lists and revisions.
+	// hellos lists members that are asked for their lists and positions.
 	hellos []Member
 	// seeds tells whether the seeds are asked as well.
 	seeds bool
-	// announce lists members that are told this instance's revisions.
+	// announce lists members that are told this instance's positions.
 	announce []Member
 	wait     time.Duration
 }
@@ -146,7 +148,7 @@
 // while the store is quiet, or after a member has reported missing state for
 // lackingAfter. Both address the members in turn.
 func (m *membership) nextRound(now time.Time, own Holdings) round {
-	if !own.Revisions.Complete() {
+	if !own.Positions.Complete() {
 		mayHold := func(state memberState) bool { return !state.lacks(now) }
 		return round{seeds: true, hellos: m.addressNext(now, maxSearched, mayHold), wait: searchInterval}
 	}
@@ -234,14 +236,14 @@
 	return s.lastHeard
 }
 
-// stateSources returns the members that reported state of a kind that is newer than a
-// revision, those heard last first. Without any, it returns the members that were
-// heard but report no revisions, because they run an older version.
-func (m *membership) stateSources(kind catalog.Kind, newerThan uint64) []Member {
+// stateSources returns the members that reported state of a kind that is later than a
+// position, those heard last first. Without any, it returns the members that were
+// heard but report no positions, because they run an older version.
+func (m *membership) stateSources(kind catalog.Kind, newerThan catalog.Position) []Member {
 	var reported, unknown []memberState
 	for _, state := range m.byName {
 		switch {
-		case state.revisions[kind] > newerThan:
+		case state.positions[kind].Compare(newerThan) > 0:
 			reported = append(reported, state)
 		case state.session != 0 && state.reportedAt.IsZero():
 			unknown = append(unknown, state)
@@ -259,10 +261,10 @@
 	return members
 }
 
-// forgetRevision removes the revision of a kind that a member reported.
-func (m *membership) forgetRevision(name string, kind catalog.Kind) {
+// forgetPosition removes the position of a kind that a member reported.
+func (m *membership) forgetPosition(name string, kind catalog.Kind) {
 	if state, known := m.byName[name]; known {
-		state.revisions[kind] = 0
+		state.positions[kind] = catalog.Position{}
 		m.byName[name] = state
 	}
 }
--- a/internal/relay/recovery_test.go
+++ b/internal/relay/recovery_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/peerauth"
 )
 
@@ -41,7 +42,7 @@
 	if !i.holds {
 		return Holdings{}
 	}
-	return Holdings{Revisions: Revisions{7, 7, 7}, Confirmed: start.Add(-2 * storeQuietAfter)}
+	return Holdings{Positions: *reported(7, 7, 7), Confirmed: start.Add(-2 * storeQuietAfter)}
 }
 
 // recoverySim simulates instances that are restarted while the store is unavailable. It
@@ -98,7 +99,7 @@
 	}
 	for _, i := range sim.instances {
 		for _, other := range sim.instances {
-			i.view.receive(start, &message{From: other.self, Revisions: &Revisions{7, 7, 7}}, other.session, Revisions{})
+			i.view.receive(start, &message{From: other.self, Positions: reported(7, 7, 7)}, other.session, Positions{})
 		}
 	}
 	return sim
@@ -132,7 +133,7 @@
 		return
 	}
 	next := i.view.nextRound(sim.now, i.holdings())
-	revisions := i.holdings().Revisions
+	revisions := i.holdings().Positions
 	hellos := next.hellos
 	if next.seeds {
 		for _, seed := range sim.instances[:min(3, len(sim.instances))] {
@@ -140,11 +141,11 @@
 		}
 	}
 	for _, to := range hellos {
-		sim.send(i, to, &message{From: i.self, Hello: true, Revisions: &revisions})
+		sim.send(i, to, &message{From: i.self, Hello: true, Positions: &revisions})
 	}
 	for _, to := range next.announce {
 		if !sim.withoutOffer {
-			sim.send(i, to, &message{From: i.self, Announcement: true, Revisions: &revisions})
+			sim.send(i, to, &message{From: i.self, Announcement: true, Positions: &revisions})
 		}
 	}
 	sim.after(next.wait, func() { sim.runRounds(i, incarnation) })
@@ -160,9 +161,9 @@
 		if !i.alive || i == from {
 			return
 		}
-		own := i.holdings().Revisions
+		own := i.holdings().Positions
 		if session != 0 && session != i.session {
-			sim.send(i, from.self, &message{From: i.self, Hello: true, Revisions: &own, Members: i.view.list(sim.now, from.self.FailureDomain)})
+			sim.send(i, from.self, &message{From: i.self, Hello: true, Positions: &own, Members: i.view.list(sim.now, from.self.FailureDomain)})
 			return
 		}
 		answer, announce := i.view.receive(sim.now, m, sender, own)
@@ -182,7 +183,7 @@
 		return
 	}
 	incarnation := i.incarnation
-	for _, member := range nextSources(sim.now, i.view.stateSources(0, 0), i.running) {
+	for _, member := range nextSources(sim.now, i.view.stateSources(0, catalog.Position{}), i.running) {
 		source := sim.find(member.Name)
 		serving := source.incarnation
 		i.running[member.Name] = sim.now
@@ -192,7 +193,7 @@
 			}
 			delete(i.running, member.Name)
 			if !sim.running(source, serving) || !source.holds {
-				i.view.forgetRevision(member.Name, 0)
+				i.view.forgetPosition(member.Name, 0)
 				sim.fetch(i)
 				return
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,7 +84,7 @@
 	// State returns this instance's state of a kind and the time since the
 	// store confirmed it; known is false while there is none.
 	State func(catalog.Kind) (update catalogsync.Update, age time.Duration, known bool)
-	// Holdings returns the revisions of the state that State returns. It is called
+	// Holdings returns the positions of the state that State returns. It is called
 	// for every hello.
 	Holdings func() Holdings
 	// TakeOverFlows takes over the flow records of an instance that shuts down.
@@ -109,7 +109,7 @@
 
 	mu         sync.Mutex
 	membership *membership
-	// sourcesChanged is closed and replaced when a member reports revisions, so that
+	// sourcesChanged is closed and replaced when a member reports positions, so that
 	// FetchState looks for a source again.
 	sourcesChanged chan struct{}
 	// wake makes sendHellos start its next round at once.
@@ -220,7 +220,10 @@
 	}
 	if m.Update != nil {
 		r.mu.Lock()
-		r.membership.recordWatch(now, m.From.Name, m.Update.Kind)
+		// A member that has not noticed a restoration does not watch the current era.
+		if m.Update.Era >= r.cfg.Holdings().Positions[m.Update.Kind].Era {
+			r.membership.recordWatch(now, m.From.Name, m.Update.Kind)
+		}
 		r.mu.Unlock()
 		r.cfg.OnUpdate(*m.Update)
 	}
@@ -235,7 +238,7 @@
 // recordMessage records a message in the membership, reports a sender that was unknown
 // or only mentioned before, and returns the answer, or nil.
 func (r *Relay) recordMessage(now time.Time, m *message, senderSession peerauth.Session) *message {
-	own := r.cfg.Holdings().Revisions
+	own := r.cfg.Holdings().Positions
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	heard := m.From.Name == r.cfg.Self.Name || r.membership.byName[m.From.Name].session != 0
@@ -243,7 +246,7 @@
 	if announce {
 		r.wakeHellos()
 	}
-	if m.Revisions != nil {
+	if m.Positions != nil {
 		close(r.sourcesChanged)
 		r.sourcesChanged = make(chan struct{})
 	}
@@ -253,10 +256,10 @@
 	return answer
 }
 
-// ownMessage returns a message with this instance's revisions.
+// ownMessage returns a message with this instance's positions.
 func (r *Relay) ownMessage() *message {
-	revisions := r.cfg.Holdings().Revisions
-	return &message{From: r.cfg.Self, Revisions: &revisions}
+	positions := r.cfg.Holdings().Positions
+	return &message{From: r.cfg.Self, Positions: &positions}
 }
 
 func (r *Relay) membersFor(now time.Time, domain string) []mention {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -133,7 +133,7 @@
 func TestMembersOfLargeDomainStayKnown(t *testing.T) {
 	const size, loss, settled, span = 50, 0.05, 20 * time.Second, 120 * time.Second
 	rng := rand.New(rand.NewPCG(1, 1))
-	holdings := Holdings{Revisions: Revisions{1, 1, 1}}
+	holdings := Holdings{Positions: *reported(1, 1, 1)}
 	var views []*membership
 	byName := map[string]*membership{}
 	for n := range size {
@@ -145,7 +145,7 @@
 		if to == nil || rng.Float64() < loss {
 			return nil
 		}
-		answer, _ := to.receive(now, received, 1, holdings.Revisions)
+		answer, _ := to.receive(now, received, 1, holdings.Positions)
 		return answer
 	}
 	for _, m := range views {
@@ -165,7 +165,7 @@
 				targets = append(targets, views[0].self)
 			}
 			for _, target := range targets {
-				if answer := deliver(now, byName[target.Name], &message{From: m.self, Hello: true, Revisions: &holdings.Revisions}); answer != nil {
+				if answer := deliver(now, byName[target.Name], &message{From: m.self, Hello: true, Positions: &holdings.Positions}); answer != nil {
 					deliver(now, m, answer)
 				}
 			}
@@ -246,11 +246,11 @@
 		OnSilentUpstream: func(s UpstreamIncarnation) { r.mu.Lock(); r.silent = append(r.silent, s); r.mu.Unlock() },
 		OnLostRequest:    func(s UpstreamIncarnation) { r.mu.Lock(); r.lost = append(r.lost, s); r.mu.Unlock() },
 		State: func(kind catalog.Kind) (catalogsync.Update, time.Duration, bool) {
-			return catalogsync.Update{Kind: kind, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
+			return catalogsync.Update{Kind: kind, Era: 2, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
 				2 * time.Second, kind == catalog.KindEvacuations
 		},
 		OnLoad:   func(domain string, report LoadReport) { r.mu.Lock(); r.loads[domain] = &report; r.mu.Unlock() },
-		Holdings: func() Holdings { return Holdings{Revisions: Revisions{0, 0, 9}} },
+		Holdings: func() Holdings { return Holdings{Positions: *reported(0, 0, 9)} },
 		TakeOverFlows: func(flows []forward.HandoverFlow) bool {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -344,7 +344,7 @@
 	serve(t, seed)
 	starting, _ := startRelay(t, "a-2", "a", netip.MustParseAddrPort("127.0.0.1:1"), seed.cfg.Self.Address)
 
-	state, err := starting.FetchState(t.Context(), catalog.KindEvacuations, 0)
+	state, err := starting.FetchState(t.Context(), catalog.KindEvacuations, catalog.Position{})
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, state.Age, 2*time.Second)
 	require.Less(t, state.Age, 3*time.Second)
@@ -352,9 +352,9 @@
 	require.Equal(t, "a-1", state.Source)
 	brief, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	_, err = starting.FetchState(brief, catalog.KindUpstreams, 0)
+	_, err = starting.FetchState(brief, catalog.KindUpstreams, catalog.Position{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
-	_, err = starting.FetchState(brief, catalog.KindEvacuations, 9)
+	_, err = starting.FetchState(brief, catalog.KindEvacuations, catalog.Position{Era: 2, Revision: 9})
 	require.ErrorIs(t, err, context.DeadlineExceeded, "the state is not newer")
 	_, err = starting.requestState(t.Context(), seed.cfg.Self, catalog.KindUpstreams)
 	require.ErrorContains(t, err, "503")
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -58,10 +58,10 @@
 var ErrNoPeer = errors.New("no instance is known that the request may be sent to")
 
 // FetchState implements catalogsync.Peers: it requests the state of a kind from members
-// that reported a newer revision, and returns the first state that arrives. It waits for
+// that reported a later position, and returns the first state that arrives. It waits for
 // such a member, and asks another one after a failure or slowRequestAfter, until ctx
 // ends; then it fails with the error of ctx, joined with that of the last request.
-func (r *Relay) FetchState(ctx context.Context, kind catalog.Kind, newerThan uint64) (catalogsync.PeerState, error) {
+func (r *Relay) FetchState(ctx context.Context, kind catalog.Kind, newerThan catalog.Position) (catalogsync.PeerState, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
@@ -92,12 +92,12 @@
 			return catalogsync.PeerState{}, fmt.Errorf("fetch the state of %s from another instance: %w", kind, errors.Join(ctx.Err(), last))
 		case answer := <-results:
 			delete(running, answer.source)
-			if answer.err == nil && answer.state.Update.Revision > newerThan {
+			if answer.err == nil && answer.state.Update.Position().Compare(newerThan) > 0 {
 				retry.Stop()
 				return answer.state, nil
 			}
 			last = answer.err
-			r.forgetRevision(answer.source, kind)
+			r.forgetPosition(answer.source, kind)
 		case <-changed:
 		case <-retry.C:
 		}
@@ -123,17 +123,17 @@
 	return next
 }
 
-// forgetRevision removes the reported revision of a member that did not provide its
+// forgetPosition removes the reported position of a member that did not provide its
 // state, until the member reports again.
-func (r *Relay) forgetRevision(name string, kind catalog.Kind) {
+func (r *Relay) forgetPosition(name string, kind catalog.Kind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.membership.forgetRevision(name, kind)
+	r.membership.forgetPosition(name, kind)
 }
 
 // stateSources returns the members to request state from, and a channel that is closed
-// when a member reports its revisions.
-func (r *Relay) stateSources(kind catalog.Kind, newerThan uint64) ([]Member, <-chan struct{}) {
+// when a member reports its positions.
+func (r *Relay) stateSources(kind catalog.Kind, newerThan catalog.Position) ([]Member, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.membership.stateSources(kind, newerThan), r.sourcesChanged
