Restore the store in the soak and check the state at its end

The soak had no fault in which the store loses changes, and no check that notices an instance whose state differs from the store for good. The fault store_restored restores a copy of up to 9 s before; operators and upstreams then write again. After the recovery time every instance must have the last configuration in force and list exactly the running upstreams.

The faults that share the configuration now lock it, so that configure no longer needs a goroutine of its own.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -3,5 +3,6 @@
 // callers and upstreams observe. Proxies in front of the store delay or reset the
 // connections of an instance, or block them in one or both directions. Signals
 // pause, kill, stop and reload processes. Upstreams crash, drain, restart under
-// their id, and lose their address to an upstream of another service.
+// their id, and lose their address to an upstream of another service. The store refuses
+// calls, loses its history, and is restored from a copy.
 package soak
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,10 +28,15 @@
 	// lastNumber is the number of the last upstream that was added. Addresses and
 	// tokens of new upstreams follow from it.
 	lastNumber int
-	// configVersion is the version of config, the last configuration in the store.
-	configVersion uint64
-	config        catalog.Configuration
-	log           func(format string, args ...any)
+	// shared is the configuration, which all faults share.
+	shared *sharedConfiguration
+	log    func(format string, args ...any)
+}
+
+// sharedConfiguration is the last configuration that was written to the store.
+type sharedConfiguration struct {
+	mu     sync.Mutex
+	config catalog.Configuration
 }
 
 // domains holds the failure domains of a run.
@@ -55,6 +61,7 @@
 		injector.checker.recordFault(partStore, time.Now())
 		injector.fleet.store.DropHistory()
 	}},
+	{"store_restored", func(ctx context.Context, injector *faultInjector) { injector.restoreStore(ctx) }},
 	{"crash", func(ctx context.Context, injector *faultInjector) { injector.crashUpstream(ctx) }},
 	{"restart_same_id", func(ctx context.Context, injector *faultInjector) { injector.restartUpstream(ctx) }},
 	{"drain", func(ctx context.Context, injector *faultInjector) { injector.drainUpstream(ctx) }},
@@ -170,6 +177,50 @@
 	injector.checker.recordFault(partStore, time.Now())
 }
 
+// restoreStore makes the store refuse calls for up to 2 seconds, restores it from a copy
+// that is up to maxCopies intervals old, and lets operators and upstreams write again
+// what was lost, each within 0.3 seconds. The entries of upstreams that have ended
+// expire after crashedListingTime.
+func (injector *faultInjector) restoreStore(ctx context.Context) {
+	fleet := injector.fleet
+	injector.checker.recordFault(partStore, time.Now().Add(5*time.Second))
+	fleet.mu.Lock()
+	backup := fleet.copies[injector.rng.IntN(len(fleet.copies))]
+	fleet.mu.Unlock()
+	fleet.store.RefuseCalls(http.StatusServiceUnavailable)
+	injector.sleepBetween(ctx, time.Millisecond, 2*time.Second)
+	fleet.store.Restore(backup)
+	fleet.store.RefuseCalls(0)
+	injector.log("store restored")
+	injector.sleepBetween(ctx, time.Millisecond, 300*time.Millisecond)
+	injector.writeAgain()
+	injector.checker.recordFault(partStore, time.Now())
+	if injector.sleepBetween(ctx, crashedListingTime, crashedListingTime+time.Millisecond) {
+		running := fleet.runningIDs()
+		for _, id := range fleet.store.UpstreamIDs() {
+			if _, known := running[id]; !known {
+				fleet.store.RemoveUpstream(id)
+			}
+		}
+	}
+}
+
+// writeAgain writes what operators and running upstreams have in force to the store.
+func (injector *faultInjector) writeAgain() {
+	injector.shared.mu.Lock()
+	injector.fleet.store.SetConfiguration(injector.shared.config)
+	injector.shared.mu.Unlock()
+	injector.checker.mu.Lock()
+	for _, domain := range domains {
+		_, evacuated := injector.checker.evacuatedAt[domain]
+		injector.fleet.store.SetEvacuation(domain, evacuated)
+	}
+	injector.checker.mu.Unlock()
+	for _, u := range injector.fleet.runningIDs() {
+		injector.fleet.store.SetUpstream(u)
+	}
+}
+
 // removableUpstreams returns the upstreams that are not draining and whose service has
 // more than two such upstreams, so that a service keeps at least two.
 func (injector *faultInjector) removableUpstreams() []*upstream {
@@ -301,15 +352,17 @@
 // caller uses it. The configuration version grows by a random number from 1 to 5.
 func (injector *faultInjector) toggleExtraRoute() {
 	extra := catalog.Route{Name: "extra", Address: extraAddress, Split: []catalog.Weight{{Service: services[0], Weight: 1}}}
-	injector.configVersion += 1 + uint64(injector.rng.IntN(5))
-	injector.config.Version = injector.configVersion
-	present := len(injector.config.Routes) > len(services)
+	injector.shared.mu.Lock()
+	defer injector.shared.mu.Unlock()
+	config := &injector.shared.config
+	config.Version += 1 + uint64(injector.rng.IntN(5))
+	present := len(config.Routes) > len(services)
 	if present {
-		injector.config.Routes = injector.config.Routes[:len(services)]
+		config.Routes = config.Routes[:len(services)]
 	} else {
-		injector.config.Routes = append(slices.Clone(injector.config.Routes), extra)
+		config.Routes = append(slices.Clone(config.Routes), extra)
 	}
-	injector.fleet.store.SetConfiguration(injector.config)
+	injector.fleet.store.SetConfiguration(*config)
 	injector.checker.mu.Lock()
 	defer injector.checker.mu.Unlock()
 	if present {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/peerauth"
 	"github.com/chivemast/chivemast/platform/standin"
 )
@@ -42,6 +43,10 @@
 	// restartDelay is the shortest time from the end of a process to its next start;
 	// the longest is twice as long.
 	restartDelay = 500 * time.Millisecond
+	// copyInterval is the time between two copies of the store, and maxCopies the number
+	// of copies that are kept.
+	copyInterval = 500 * time.Millisecond
+	maxCopies    = 18
 	// signalHandlerDelay is the time after the start of a process within which it
 	// may not handle signals yet.
 	signalHandlerDelay = 500 * time.Millisecond
@@ -98,6 +103,8 @@
 	mu sync.Mutex
 	// upstreams holds the running upstreams.
 	upstreams []*upstream
+	// copies holds the last copies of the store, oldest first, at most maxCopies.
+	copies []*standin.Copy
 }
 
 // loopbackAddress returns the loopback address of number n in a group. The slot of
@@ -135,6 +142,34 @@
 	return nil
 }
 
+// copyStore copies the store every copyInterval until ctx ends.
+func (fleet *fleet) copyStore(ctx context.Context) {
+	ticker := time.NewTicker(copyInterval)
+	defer ticker.Stop()
+	for {
+		fleet.mu.Lock()
+		fleet.copies = append(fleet.copies, fleet.store.Copy())
+		fleet.copies = fleet.copies[max(len(fleet.copies)-maxCopies, 0):]
+		fleet.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// runningIDs returns the running upstreams by their ids.
+func (fleet *fleet) runningIDs() map[string]catalog.Upstream {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	running := map[string]catalog.Upstream{}
+	for _, u := range fleet.upstreams {
+		running[u.ID] = u.Upstream
+	}
+	return running
+}
+
 // prepareInstance opens the log file of the instance with index n and writes its
 // settings.
 func (fleet *fleet) prepareInstance(n int, instance *instance) error {
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -1,3 +1,8 @@
+//
+// The kind store_restored, added later, has changed the schedules of the seeds above.
+//
+//	702: after the fault store_restored, an instance did not list an upstream for good,
+//	because it compared revisions of the restored store with those of before.
 package soak
 
 // Seeds that have failed, with the cause. scripts/test.sh runs some of them.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -118,6 +118,7 @@
 	injector.sleepBetween(ctx, recoveryTime, recoveryTime+time.Millisecond)
 	recoveredAt := time.Now()
 	injector.sleepBetween(ctx, measureTime, measureTime+time.Millisecond)
+	fleet.checkStates(ctx, injector.shared)
 	cancel()
 	callers.Wait()
 	report := &Report{Seed: cfg.Seed, Violations: checker.violations, FaultCount: count}
@@ -141,18 +142,19 @@
 	if err := fleet.startStore(ctx); err != nil {
 		return err
 	}
-	injector.configVersion = 1
-	injector.config = catalog.Configuration{Version: 1}
+	injector.shared = &sharedConfiguration{config: catalog.Configuration{Version: 1}}
+	config := &injector.shared.config
 	for n, service := range services {
-		injector.config.Services = append(injector.config.Services, catalog.Service{Name: service, ColdRate: 10, ColdDuration: 2 * time.Second, HealthPath: "/health"})
-		injector.config.Routes = append(injector.config.Routes, catalog.Route{Name: service, Address: serviceAddresses[n], Split: []catalog.Weight{{Service: service, Weight: 1}}})
+		config.Services = append(config.Services, catalog.Service{Name: service, ColdRate: 10, ColdDuration: 2 * time.Second, HealthPath: "/health"})
+		config.Routes = append(config.Routes, catalog.Route{Name: service, Address: serviceAddresses[n], Split: []catalog.Weight{{Service: service, Weight: 1}}})
 		fleet.checker.allowedServices[serviceAddresses[n]] = map[string]bool{service: true}
 		for u := range upstreamsPerService {
 			injector.addUpstream("", service, domains[u%len(domains)], netip.AddrPort{})
 		}
 	}
 	fleet.checker.allowedServices[extraAddress] = map[string]bool{services[0]: true}
-	fleet.store.SetConfiguration(injector.config)
+	fleet.store.SetConfiguration(*config)
+	go fleet.copyStore(ctx)
 	for n, instance := range fleet.instances {
 		if err := errors.Join(fleet.prepareInstance(n, instance)); err != nil {
 			return err
@@ -218,16 +220,11 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		fault := faults[injector.rng.IntN(len(faults))]
 		// Faults overlap, so each has its own random source and range of numbers for
-		// new upstreams. The fault configure changes the configuration that all share
-		// and so runs on this goroutine.
+		// new upstreams.
 		injectorCopy := *injector
 		injectorCopy.rng = rand.New(rand.NewPCG(injector.rng.Uint64(), uint64(count)))
 		injectorCopy.lastNumber = 20 + 8*count
-		if fault.name == "configure" {
-			fault.run(ctx, injector)
-		} else {
-			running.Go(func() { fault.run(ctx, &injectorCopy) })
-		}
+		running.Go(func() { fault.run(ctx, &injectorCopy) })
 		injector.log("start fault %s", fault.name)
 		count++
 		injector.sleepBetween(ctx, 100*time.Millisecond, 1500*time.Millisecond)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -46,7 +46,8 @@
 go list ./... | grep -Ev "$simulations" | xargs go test -race -timeout 20m "${skip[@]}"
 go list ./... | grep -E "$simulations" | xargs go test -timeout 20m "${skip[@]}"
 
-# A short run of the fault soak with fixed seeds that have found faults before; see
+# Short runs of the fault soak with fixed seeds that have found faults before; see
 # internal/soak/regressions.go.
 go build -o "$work/" ./cmd/chivemast-edge ./cmd/soak
 "$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak-logs" --seed 112 --seeds 3 --jobs 3 --faults 4s
+"$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak-logs" --seed 702
