Compare revisions of the platform only within an era in chivemastd

Answers of the object API name the era; a read or watch from another era returns all objects; a write may name the era that it expects. The client turns each revision into a position, an ordered number of era and revision, so that heartbeats, pushes, redirects and tables keep one total order. configsync merges the objects of a new era with those in force: what was written after the first message of the era counts at once, the copy only when the platform has confirmed it 3 s later, when operators have written again. Versions, which a restored platform counts anew, are compared within an era only.

--- a/gen/chivemast/v1/chivemastv1connect/platform.connect.go
+++ b/gen/chivemast/v1/chivemastv1connect/platform.connect.go
@@ -51,8 +51,8 @@
 	Get(context.Context, *v1.GetRequest) (*v1.GetResponse, error)
 	// List returns the objects changed after a revision, deleted ones included.
 	List(context.Context, *v1.ListRequest) (*v1.ListResponse, error)
-	// Put writes an object if its version is the expected one, and fails with
-	// code aborted otherwise.
+	// Put writes an object if its version, and the era of the store if given, are the
+	// expected ones, and fails with code aborted otherwise.
 	Put(context.Context, *v1.PutRequest) (*v1.PutResponse, error)
 	// Watch streams the changes after a revision, and a progress message at least
 	// every second.
@@ -161,8 +161,8 @@
 	Get(context.Context, *v1.GetRequest) (*v1.GetResponse, error)
 	// List returns the objects changed after a revision, deleted ones included.
 	List(context.Context, *v1.ListRequest) (*v1.ListResponse, error)
-	// Put writes an object if its version is the expected one, and fails with
-	// code aborted otherwise.
+	// Put writes an object if its version, and the era of the store if given, are the
+	// expected ones, and fails with code aborted otherwise.
 	Put(context.Context, *v1.PutRequest) (*v1.PutResponse, error)
 	// Watch streams the changes after a revision, and a progress message at least
 	// every second.
--- a/internal/action/action.go
+++ b/internal/action/action.go
@@ -61,14 +61,16 @@
 // ReadFailed.
 type ReadInstances struct{}
 
-// WriteObject writes an object on the condition that its version is ExpectedVersion. The
-// result is a WriteResult.
+// WriteObject writes an object on the condition that its version is ExpectedVersion and
+// the platform's era ExpectedEra. The result is a WriteResult.
 type WriteObject struct {
 	Key   string
 	Value []byte
 	// ExpectedVersion is the version that the object must have; 0 for a key that was never
 	// written.
 	ExpectedVersion uint64
+	// ExpectedEra is the era that the platform must be in.
+	ExpectedEra uint64
 	// ChangeID identifies the write; it is unique.
 	ChangeID string
 }
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -2,7 +2,9 @@
 // every instance. A few instances of each failure domain watch the platform;
 // the others receive the objects from their peers. Objects are adopted in the
 // order of the platform's store-wide revision, and an adopted object is never
-// replaced by an older version.
+// replaced by an older version. All revisions are positions (package position): after
+// the platform was restored from a copy, its objects are merged with those in force
+// until operators have written again what was lost.
 package configsync
 
 import (
@@ -28,6 +30,9 @@
 	// DefaultInstancesInterval keeps the reads of the instance list at 0.033
 	// calls/s per instance, well below the target of 0.2.
 	DefaultInstancesInterval = 30 * time.Second
+	// DefaultSettleDelay leaves operators time to write again what a restored platform
+	// has lost. It is the users' bound for a change to be in force.
+	DefaultSettleDelay = 3 * time.Second
 	// DefaultRegressionRetry keeps the calls to a platform that lost
 	// revisions at 0.1/s.
 	DefaultRegressionRetry = 10 * time.Second
@@ -71,6 +76,9 @@
 	// RegressionRetry is the time between two attempts to read or watch a
 	// platform whose revision is lower than the one held here.
 	RegressionRetry time.Duration
+	// SettleDelay is the time from the first message of another era of the platform
+	// until its objects replace those of the era before. Until then the two are merged.
+	SettleDelay time.Duration
 	// PauseLimit is the time since the last tick above which this instance counts
 	// as having been paused: an open watch and an open read are restarted. After
 	// more than PauseLimit/6 without a tick, watch messages confirm nothing for
@@ -86,7 +94,7 @@
 		{&c.ReconnectMin, DefaultReconnectMin}, {&c.ReconnectMax, DefaultReconnectMax},
 		{&c.WatchSilence, DefaultWatchSilence}, {&c.PullTimeout, DefaultPullTimeout}, {&c.ReadTimeout, DefaultReadTimeout}, {&c.PullDelay, DefaultPullDelay},
 		{&c.RepairDelay, DefaultRepairDelay}, {&c.InstancesInterval, DefaultInstancesInterval},
-		{&c.RegressionRetry, DefaultRegressionRetry}, {&c.PauseLimit, DefaultPauseLimit},
+		{&c.RegressionRetry, DefaultRegressionRetry}, {&c.SettleDelay, DefaultSettleDelay}, {&c.PauseLimit, DefaultPauseLimit},
 	} {
 		if *d.field == 0 {
 			*d.field = d.value
@@ -96,8 +104,8 @@
 }
 
 // RegressionError reports that the platform is at a lower revision than this
-// instance held when it asked, for example because the platform was restored
-// from a backup. Such an answer is not adopted.
+// instance held when it asked, although its era has not risen. Such an answer is not
+// adopted.
 type RegressionError struct {
 	PlatformRevision, HeldRevision uint64
 }
@@ -133,8 +141,10 @@
 	PushesSent, PushesReceived    uint64
 	PullsSent, PullsReceived      uint64
 	// Gaps counts received pushes that start above the revision held here.
-	Gaps                             uint64
-	Regressions, VersionErrors       uint64
+	Gaps                       uint64
+	Regressions, VersionErrors uint64
+	// Restorations counts the changes of the platform's era.
+	Restorations                     uint64
 	Malformed, WatchesLost, Pauses   uint64
 	ReadsFailed, InstanceReadsFailed uint64
 }
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -18,7 +18,7 @@
 // domain and to the watcher of rank 0 of each other domain, if their heartbeats do
 // not report the revision.
 func (s *Sync) pushUpdates(now time.Time) []action.Action {
-	if s.view == nil || s.store.revision == 0 {
+	if s.view == nil || s.store.position() == 0 {
 		return nil
 	}
 	if s.rank >= WatchersPerDomain || !slices.ContainsFunc(s.view.Members, s.needsPush) {
@@ -61,7 +61,7 @@
 // watcher would send it all objects several times.
 func (s *Sync) needsPush(m membership.Member) bool {
 	p := s.peer(m.Name)
-	return m.Name != s.self && p.knownRevision > 0 && p.knownRevision < s.store.revision && p.pushedRevision < s.store.revision
+	return m.Name != s.self && p.knownRevision > 0 && p.knownRevision < s.store.position() && p.pushedRevision < s.store.position()
 }
 
 // pushTo sends a member, once per revision, all objects changed after the
@@ -71,7 +71,7 @@
 		return nil
 	}
 	p := s.peer(m.Name)
-	p.pushedRevision = s.store.revision
+	p.pushedRevision = s.store.position()
 	s.stats.PushesSent++
 	return []action.Action{s.pushMessage(m, p.knownRevision)}
 }
@@ -81,7 +81,7 @@
 	return action.SendPeer{Instance: m.Name, Address: m.Address, Message: &pb.PeerMessage{
 		From: s.self, Incarnation: s.view.Self.Incarnation,
 		Body: &pb.PeerMessage_ObjectPush{ObjectPush: &pb.ObjectPush{
-			Since: since, Revision: s.store.revision, Objects: s.store.changedSince(since),
+			Since: since, Revision: s.store.position(), Objects: s.store.changedSince(since),
 		}},
 	}}
 }
@@ -102,7 +102,7 @@
 	if s.lastPull.from == from {
 		s.lastPull = pull{}
 	}
-	if push.GetSince() > s.store.revision {
+	if push.GetSince() > s.store.position() {
 		s.stats.Gaps++
 		if s.view == nil {
 			return nil, nil
@@ -122,14 +122,14 @@
 func (s *Sync) HandlePull(now time.Time, from string, req *pb.ObjectPull) []action.Action {
 	s.detectPause(now)
 	s.stats.PullsReceived++
-	if s.view == nil || s.store.revision <= req.GetSince() {
+	if s.view == nil || s.store.position() <= req.GetSince() {
 		return nil
 	}
 	m, ok := s.view.Member(from)
 	if !ok {
 		return nil
 	}
-	s.peer(from).pushedRevision = s.store.revision
+	s.peer(from).pushedRevision = s.store.position()
 	return []action.Action{s.pushMessage(m, req.GetSince())}
 }
 
@@ -142,7 +142,7 @@
 	}
 	var candidates, fallback []membership.Member
 	for _, m := range s.view.Members {
-		if m.Name == s.self || m.State == membership.Suspect || s.peer(m.Name).knownRevision <= s.store.revision {
+		if m.Name == s.self || m.State == membership.Suspect || s.peer(m.Name).knownRevision <= s.store.position() {
 			continue
 		}
 		if m.FailureDomain == s.view.Self.FailureDomain && m.Name != s.lastPull.from {
@@ -168,10 +168,10 @@
 }
 
 func (s *Sync) pullFrom(now time.Time, m membership.Member) []action.Action {
-	s.lastPull = pull{from: m.Name, since: s.store.revision, at: now}
+	s.lastPull = pull{from: m.Name, since: s.store.position(), at: now}
 	s.stats.PullsSent++
 	return []action.Action{action.SendPeer{Instance: m.Name, Address: m.Address, Message: &pb.PeerMessage{
 		From: s.self, Incarnation: s.view.Self.Incarnation,
-		Body: &pb.PeerMessage_ObjectPull{ObjectPull: &pb.ObjectPull{Since: s.store.revision}},
+		Body: &pb.PeerMessage_ObjectPull{ObjectPull: &pb.ObjectPull{Since: s.store.position()}},
 	}}}
 }
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -44,7 +44,7 @@
 	if !s.Ready() && !s.read.open && !now.Before(s.read.next) {
 		s.startCall(&s.read, now)
 		s.stats.Reads++
-		actions = append(actions, action.ReadObjects{Since: s.store.revision})
+		actions = append(actions, action.ReadObjects{Since: s.store.position()})
 	}
 	switch watcher := s.rank < WatchersPerDomain; {
 	case !watcher && s.watch.open:
@@ -57,7 +57,7 @@
 		s.startCall(&s.watch, now)
 		s.lastWatchMessageAt, s.watchRejected = now, false
 		s.stats.Watches++
-		actions = append(actions, action.WatchObjects{Since: s.store.revision})
+		actions = append(actions, action.WatchObjects{Since: s.store.position()})
 	}
 	return append(actions, s.tickInstances(now)...)
 }
@@ -79,7 +79,7 @@
 
 // startCall marks a platform call as open and notes the revision held now.
 func (s *Sync) startCall(c *platformCall, now time.Time) {
-	c.open, c.issuedAt, c.floor = true, now, s.store.revision
+	c.open, c.issuedAt, c.floor = true, now, s.store.position()
 }
 
 // scheduleRetry closes a failed call and sets the time of the next attempt:
@@ -141,7 +141,7 @@
 // fault is recorded for Err and the watch is restarted after a backoff.
 func (s *Sync) HandleWatch(now time.Time, objects []*pb.Object, revision uint64) ([]*pb.Object, []action.Action) {
 	s.detectPause(now)
-	if now.Before(s.confirmationsFrom) && revision < s.store.revision {
+	if now.Before(s.confirmationsFrom) && revision < s.store.position() {
 		return nil, nil
 	}
 	if s.watch.open && s.isRegression(revision, s.watch.floor) {
@@ -195,8 +195,11 @@
 	return true
 }
 
-// recordConfirmation raises the time at which the held objects were current.
+// recordConfirmation raises the time at which the platform confirmed the held objects.
 func (s *Sync) recordConfirmation(at time.Time) {
+	if at.After(s.platformAt) {
+		s.platformAt = at
+	}
 	if at.After(s.confirmedAt) {
 		s.confirmedAt = at
 	}
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"strings"
+	"time"
+
+	"github.com/chivemast/chivemast/internal/position"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 )
@@ -11,19 +14,30 @@
 // objects.
 type store struct {
 	objects  map[string]*pb.Object // by object key
-	revision uint64                // all changes up to it are held
+	revision uint64                // all changes up to it are in force
+	restored *restored             // nil unless the platform was restored
 }
 
 // adopt stores the objects that were changed in (since, revision], where since is
-// not above the revision of the store. It returns the objects that changed,
+// not above the position of the store. It returns the objects that changed,
 // ordered by revision. One invalid object rejects all of them, because a change
-// up to revision would be missing otherwise.
-func (s *store) adopt(objects []*pb.Object, revision uint64) ([]*pb.Object, error) {
+// up to revision would be missing otherwise. Objects of another era than those in
+// force are merged with them for the time settle.
+func (s *store) adopt(now time.Time, settle time.Duration, objects []*pb.Object, revision uint64) ([]*pb.Object, error) {
 	for _, o := range objects {
 		if err := s.validate(o, revision); err != nil {
 			return nil, err
 		}
 	}
+	earlier := func(o *pb.Object) bool { return position.Era(o.GetRevision()) < position.Era(revision) }
+	switch era := position.Era(s.position()); {
+	case position.Era(revision) < era:
+		return nil, nil
+	case s.restored != nil, s.revision > 0 && era < position.Era(revision), s.revision == 0 && slices.ContainsFunc(objects, earlier):
+		return s.merge(now, settle, objects, revision), nil
+	}
+	// A peer that has not settled sends objects of an earlier era as well.
+	objects = slices.DeleteFunc(slices.Clone(objects), earlier)
 	var changed []*pb.Object
 	for _, o := range objects {
 		known := s.objects[o.GetKey()]
@@ -51,10 +65,10 @@
 		return &MalformedError{Key: o.GetKey(), Reason: "revision is above that of the message"}
 	}
 	known := s.objects[o.GetKey()]
-	if known == nil {
+	if known == nil || position.Era(known.GetRevision()) != position.Era(o.GetRevision()) {
 		return nil
 	}
-	// In one store, the version and the revision of a key rise together.
+	// In one era, the version and the revision of a key rise together.
 	newer := o.GetRevision() > known.GetRevision()
 	if newer != (o.GetVersion() > known.GetVersion()) {
 		return &VersionError{Key: o.GetKey(), OfferedVersion: o.GetVersion(), HeldVersion: known.GetVersion()}
@@ -62,7 +76,8 @@
 	return nil
 }
 
-// changedSince returns the objects changed after a revision, ordered by revision.
+// changedSince returns the objects changed after a revision, ordered by revision, and
+// those of a restored platform that are not in force yet.
 func (s *store) changedSince(revision uint64) []*pb.Object {
 	var out []*pb.Object
 	for _, o := range s.objects {
@@ -70,6 +85,13 @@
 			out = append(out, o)
 		}
 	}
+	if s.restored != nil {
+		for key, o := range s.restored.objects {
+			if o.GetRevision() > revision && s.objects[key] != o {
+				out = append(out, o)
+			}
+		}
+	}
 	sortByRevision(out)
 	return out
 }
--- a/internal/configsync/sync.go
+++ b/internal/configsync/sync.go
@@ -42,6 +42,7 @@
 	platformRead      bool      // the platform answered a read or a watch
 	majorityAnswered  bool      // see updateMajorityAnswered
 	confirmedAt       time.Time // see ConfirmedAt
+	platformAt        time.Time // latest time at which the platform confirmed the objects to this instance
 	lastTick          time.Time // last tick, or a later message that revealed a pause
 
 	// State of the exchange with peers.
@@ -96,7 +97,8 @@
 // List returns the existing objects whose keys have a prefix, ordered by key.
 func (s *Sync) List(prefix string) []*pb.Object { return s.store.list(prefix) }
 
-// Revision returns the store-wide revision up to which all changes are held.
+// Revision returns the store-wide revision up to which all changes are in force. After
+// the platform was restored it stays that of the era before until Settle.
 func (s *Sync) Revision() uint64 { return s.store.revision }
 
 // ConfirmedAt returns the latest time at which the objects held here are known to
@@ -183,19 +185,23 @@
 		ready = ready || m.Ready
 		highest = max(highest, m.Revision)
 	}
-	s.majorityAnswered = ready && answered > len(s.cfg.Peers)/2 && s.store.revision >= highest
+	s.majorityAnswered = ready && answered > len(s.cfg.Peers)/2 && s.store.position() >= highest
 }
 
 // adopt stores the objects and returns those that changed and the resulting
 // pushes. It returns false if one object is invalid and nothing was adopted.
 func (s *Sync) adopt(now time.Time, objects []*pb.Object, revision uint64) ([]*pb.Object, []action.Action, bool) {
-	before := s.store.revision
-	changed, err := s.store.adopt(objects, revision)
+	before := s.store.position()
+	restored := s.store.restored != nil
+	changed, err := s.store.adopt(now, s.cfg.SettleDelay, objects, revision)
 	if err != nil {
 		s.recordFault(err)
 		return nil, nil, false
 	}
-	if s.store.revision == before {
+	if s.store.restored != nil && !restored {
+		s.stats.Restorations++
+	}
+	if s.store.position() == before {
 		return changed, nil, true
 	}
 	s.repairPushAt = now.Add(s.cfg.RepairDelay)
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
@@ -61,6 +62,8 @@
 			c.delay = 2503*time.Millisecond - c.delay
 		case 10:
 			c.nodes[f.A].start()
+		case 11:
+			c.restore(time.Duration(2*f.B+2) * time.Second)
 		}
 		c.run(time.Duration(f.Steps) * 100 * time.Millisecond)
 	}
@@ -114,8 +117,39 @@
 	require.LessOrEqual(t, rate, 0.2)
 }
 
-// Guards against adopting objects of a platform that was restored from a backup
-// and is below the revision held by the instances.
+// Guards against a configuration that a restored platform has confirmed and that never
+// comes into force, because another one had its revision before, and against a return
+// to the copy; and against this test finding nothing when eras are missing.
+func TestConfigurationOfRestoredPlatformComesIntoForce(t *testing.T) {
+	for _, withoutEras := range []bool{false, true} {
+		c := newCluster(6, 1)
+		c.withoutEras = withoutEras
+		for _, key := range []string{"teams/a", "teams/b", "teams/a", "teams/c", "teams/a"} {
+			c.put(key, false)
+			c.run(2 * time.Second)
+		}
+		c.platformDown = true
+		c.run(time.Second)
+		c.restore(7 * time.Second)
+		c.platformDown = false
+		c.run(5 * time.Second)
+		for range 3 {
+			c.put("teams/a", false)
+		}
+		c.run(3 * time.Second)
+		for _, n := range c.nodes {
+			latest := bytes.Equal(c.written["teams/a"].GetValue(), n.sync.Get("teams/a").GetValue())
+			require.NotEqual(t, withoutEras, latest, "%s, without eras: %t", nodeName(n.id), withoutEras)
+		}
+		if !withoutEras {
+			c.run(5 * time.Second)
+			require.NoError(t, c.converged())
+		}
+	}
+}
+
+// Guards against adopting objects of a platform that is below the revision held by the
+// instances although its era has not risen.
 func TestRestoredPlatformIsNotAdopted(t *testing.T) {
 	c := newCluster(6, 1)
 	for range 5 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -214,6 +214,10 @@
 }
 
 func (node *Node) tick(now time.Time) []action.Action {
+	node.now = now
+	if settled := node.sync.Settle(); len(settled) > 0 {
+		node.applyObjects(settled)
+	}
 	node.advanceTime(now)
 	node.attributeWork(WorkHealth)
 	node.refreshHealthReports(now)
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -12,6 +12,7 @@
 	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/health"
 	"github.com/chivemast/chivemast/internal/placement"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // planState is the state that an instance keeps between two plans of a service's table.
@@ -125,7 +126,7 @@
 	}
 	node.writeCount++
 	return action.WriteObject{
-		Key: key, Value: value, ExpectedVersion: s.tableVersion,
+		Key: key, Value: value, ExpectedVersion: s.tableVersion, ExpectedEra: position.Era(node.sync.Revision()),
 		ChangeID: fmt.Sprintf("%s/%d/%d", node.self.Name, node.self.Incarnation, node.writeCount),
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,13 +17,15 @@
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // MaxMessageBytes is the largest accepted answer of the platform, in bytes. It holds 300
 // services with tables of at most 16 KB each and leaves room for growth.
 const MaxMessageBytes = 16 << 20
 
-// Client is a client of the platform's object API. The synchronous methods may be
+// Client is a client of the platform's object API. All revisions that it returns, also
+// those of objects, and that it is passed are positions: they include the era. The synchronous methods may be
 // called at any time. Actions passed to Enqueue are executed, and events are sent, only
 // while Run is running.
 type Client struct {
@@ -155,12 +157,33 @@
 	return &CallError{Call: kind, Key: key, Outcome: outcome, Sent: sent, Err: err}
 }
 
+// toPositions replaces the revisions of the objects of an answer by positions, which
+// include the era of the answer, and returns the position of revision. It fails with
+// *position.RangeError.
+func toPositions(era, revision uint64, objects ...*pb.Object) (uint64, error) {
+	for _, object := range objects {
+		if object == nil {
+			continue
+		}
+		at, err := position.Of(era, object.GetRevision())
+		if err != nil {
+			return 0, err
+		}
+		object.Revision = at
+	}
+	return position.Of(era, revision)
+}
+
 // Get reads one object, nil if the key was never written, and the revision of the
 // whole store. It fails with *CallError.
 func (c *Client) Get(ctx context.Context, key string) (object *pb.Object, revision uint64, err error) {
 	err = c.callOnce(ctx, CallGet, key, func(ctx context.Context) error {
 		answer, err := c.api.Get(ctx, &pb.GetRequest{Key: key})
-		object, revision = answer.GetObject(), answer.GetRevision()
+		if err != nil {
+			return err
+		}
+		object = answer.GetObject()
+		revision, err = toPositions(answer.GetEra(), answer.GetRevision(), object)
 		return err
 	})
 	return object, revision, err
@@ -171,8 +194,12 @@
 // store. It fails with *CallError.
 func (c *Client) List(ctx context.Context, prefix string, since uint64) (objects []*pb.Object, revision uint64, err error) {
 	err = c.callOnce(ctx, CallList, prefix, func(ctx context.Context) error {
-		answer, err := c.api.List(ctx, &pb.ListRequest{Prefix: prefix, SinceRevision: since})
-		objects, revision = answer.GetObjects(), answer.GetRevision()
+		answer, err := c.api.List(ctx, &pb.ListRequest{Prefix: prefix, SinceRevision: position.Revision(since), SinceEra: position.Era(since)})
+		if err != nil {
+			return err
+		}
+		objects = answer.GetObjects()
+		revision, err = toPositions(answer.GetEra(), answer.GetRevision(), objects...)
 		return err
 	})
 	return objects, revision, err
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -124,7 +124,7 @@
 
 func (c *Client) writeObject(ctx context.Context, a action.WriteObject) {
 	result := action.WriteResult{Key: a.Key, ChangeID: a.ChangeID}
-	object, err := c.Put(ctx, Write{Key: a.Key, Value: a.Value, ExpectedVersion: a.ExpectedVersion, ChangeID: a.ChangeID})
+	object, err := c.Put(ctx, Write{Key: a.Key, Value: a.Value, ExpectedVersion: a.ExpectedVersion, ExpectedEra: &a.ExpectedEra, ChangeID: a.ChangeID})
 	var conflict *ConflictError
 	var unknown *UnknownOutcomeError
 	switch {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -7,6 +7,7 @@
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // watchCommand starts a watch, or stops it if start is false.
@@ -102,7 +103,8 @@
 // receiveWatch sends the messages of a watch as events until the watch ends. It
 // stops the silence timer while it waits for the receiver of events.
 func (c *Client) receiveWatch(ctx context.Context, reachedRevision *atomic.Uint64, silenceTimer *time.Timer) error {
-	stream, err := c.api.Watch(ctx, &pb.WatchRequest{Prefix: c.cfg.Prefix, SinceRevision: reachedRevision.Load()})
+	since := reachedRevision.Load()
+	stream, err := c.api.Watch(ctx, &pb.WatchRequest{Prefix: c.cfg.Prefix, SinceRevision: position.Revision(since), SinceEra: position.Era(since)})
 	if err != nil {
 		return err
 	}
@@ -112,11 +114,15 @@
 		// The time that the receiver of events needs must not count as silence.
 		silenceTimer.Stop()
 		c.backoffs[CallWatch].recordResult(false)
-		c.sendEvent(ctx, action.ObjectsRead{Objects: message.GetObjects(), Revision: message.GetRevision(), Watched: true})
+		revision, err := toPositions(message.GetEra(), message.GetRevision(), message.GetObjects()...)
+		if err != nil {
+			return err
+		}
+		c.sendEvent(ctx, action.ObjectsRead{Objects: message.GetObjects(), Revision: revision, Watched: true})
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		reachedRevision.Store(max(reachedRevision.Load(), message.GetRevision()))
+		reachedRevision.Store(max(reachedRevision.Load(), revision))
 		silenceTimer.Reset(c.cfg.WatchSilence)
 	}
 	if err := stream.Err(); err != nil {
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // Write is a conditional write of an object.
@@ -16,6 +17,9 @@
 	// ExpectedVersion is the version that the stored object must have, 0 for a key that
 	// was never written. A deleted object keeps its version.
 	ExpectedVersion uint64
+	// ExpectedEra is the era that the platform must be in; nil for any. Without it, a
+	// write may meet another object of the expected version after a restoration.
+	ExpectedEra *uint64
 	// Delete is true to replace the object by a tombstone.
 	Delete bool
 	// ChangeID identifies the write, so that Put can find out after a lost answer
@@ -29,7 +33,8 @@
 // conditional write again. Since versions never decrease, at most one of these
 // writes can take effect.
 //
-// Put fails with *ConflictError if the object has another version. It fails with
+// Put fails with *ConflictError if the object has another version, or the platform is in
+// another era than the expected one. It fails with
 // *UnknownOutcomeError if the write may have taken effect, because WriteTimeout or
 // parent ended before the object could be read back, or because later writes have
 // replaced it. It fails with *CallError or *ObjectSizeError if the write did not take
@@ -73,9 +78,13 @@
 func (c *Client) putOnce(ctx context.Context, w Write) (object *pb.Object, err error) {
 	err = c.callOnce(ctx, CallPut, w.Key, func(ctx context.Context) error {
 		answer, err := c.api.Put(ctx, &pb.PutRequest{
-			Key: w.Key, Value: w.Value, ExpectedVersion: w.ExpectedVersion, Delete: w.Delete, ChangeId: w.ChangeID,
+			Key: w.Key, Value: w.Value, ExpectedVersion: w.ExpectedVersion, ExpectedEra: w.ExpectedEra, Delete: w.Delete, ChangeId: w.ChangeID,
 		})
+		if err != nil {
+			return err
+		}
 		object = answer.GetObject()
+		_, err = toPositions(answer.GetEra(), 0, object)
 		return err
 	})
 	return object, err
@@ -100,16 +109,18 @@
 
 // resolveLostAnswer reads an object back after a write whose answer was lost.
 // resolved is false if the object could not be read or still has the expected
-// version; the write may then be sent again.
+// version in the expected era; the write may then be sent again.
 func (c *Client) resolveLostAnswer(ctx context.Context, w Write) (object *pb.Object, resolved bool, err error) {
-	current, _, err := c.RetryGet(ctx, w.Key)
+	current, at, err := c.RetryGet(ctx, w.Key)
 	switch {
 	case err != nil:
 		return nil, false, err
-	case current.GetVersion() <= w.ExpectedVersion:
-		return nil, false, nil
 	case current.GetChangeId() == w.ChangeID:
 		return current, true, nil
+	case w.ExpectedEra != nil && position.Era(at) > *w.ExpectedEra:
+		return nil, true, &ConflictError{Key: w.Key, ExpectedVersion: w.ExpectedVersion, Current: current}
+	case current.GetVersion() <= w.ExpectedVersion:
+		return nil, false, nil
 	case current.GetVersion() == w.ExpectedVersion+1:
 		return nil, true, &ConflictError{Key: w.Key, ExpectedVersion: w.ExpectedVersion, Current: current}
 	default:
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -1,8 +1,3 @@
-//
-// The kind store_restored, added later, has changed the schedules of the seeds above.
-//
-//	702: after the fault store_restored, an instance did not list an upstream for good,
-//	because it compared revisions of the restored store with those of before.
 package soak
 
 // Seeds that have failed, with the cause. scripts/test.sh runs some of them.
@@ -13,3 +8,8 @@
 //	of the upstream had been refused.
 //	101, 103, 107: two overlapping faults restarted the same instance. One of the
 //	two processes was never stopped and ran on during later seeds.
+//
+// The kind store_restored, added later, has changed the schedules of the seeds above.
+//
+//	702: after the fault store_restored, an instance did not list an upstream for good,
+//	because it compared revisions of the restored store with those of before.
