Keep lease terms exclusive when the platform is restored

A restored platform loses tables of lease slots that instances have adopted, and nobody writes them again. Instances ordered tables by their version, which a restored platform counts anew, and took a reported revision of one era for a change of another.

Tables are ordered by position. The entry of a restored platform that differs from the known one is not acted upon until its lost holder or successor has noticed the new era and their grants have expired. No grants go to members that report an earlier era. Nothing is written until the platform has settled and grants of before have expired; a write names its era; a write whose answer was lost may have taken effect in the earlier era, so its slots wait as well. Epochs of lost tables are not used again, and a term without records is not clean.

Evidence: random schedules with restorations (TestSchedulesKeepTenuresExclusive).

--- a/internal/configsync/restored.go
+++ b/internal/configsync/restored.go
@@ -47,12 +47,10 @@
 			continue
 		}
 		r.objects[o.GetKey()] = o
-		switch {
-		case known == nil || o.GetRevision() > r.base:
-			changed = append(changed, o)
-			s.objects[o.GetKey()] = o
-		case known.GetChangeId() == o.GetChangeId() && known.GetVersion() == o.GetVersion():
+		sameWrite := known.GetChangeId() == o.GetChangeId() && known.GetVersion() == o.GetVersion()
+		if known == nil || o.GetRevision() > r.base || sameWrite {
 			s.objects[o.GetKey()] = o
+			changed = append(changed, o)
 		}
 	}
 	r.revision = max(r.revision, revision)
--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -84,7 +84,7 @@
 // failure domain.
 func (manager *Manager) assignHolder(now time.Time, t *pb.SlotTable, i int, to membership.Member) {
 	e := t.GetSlots()[i]
-	e.Epoch++
+	e.Epoch = max(e.Epoch, manager.slots[i].epochFloor) + 1
 	e.Holder, e.HolderIncarnation = to.Name, to.Incarnation
 	m, ok := manager.view.Member(e.GetSuccessor())
 	if ok && manager.eligible(m) && m.Name != to.Name && m.FailureDomain != to.FailureDomain {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -4,9 +4,12 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/membership"
+	"github.com/chivemast/chivemast/internal/position"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 )
@@ -35,6 +38,12 @@
 	// slot. Later handovers are not marked clean: a delayed SlotHandover of the
 	// first one would be taken for that of the later one.
 	handoverStarted bool
+	// lost is the entry of an earlier era whose parties may still act for the slot, nil if
+	// there is none. While it is set, and until quietUntil, this instance does not act for
+	// the slot. epochFloor is the highest epoch in earlier eras. See quarantineSlot.
+	lost       *pb.Slot
+	quietUntil time.Time
+	epochFloor uint64
 	// received is the latest SlotHandover for the slot, zero if none. It is
 	// cleared when the epoch changes or this instance becomes the holder.
 	received receivedHandover
@@ -65,14 +74,19 @@
 	self membership.Member
 	rng  *rand.Rand
 
-	table   *pb.SlotTable // nil when absent or invalid
-	version uint64        // object version of the latest adopted table
-	slots   [flow.LeaseSlotCount]slotState
+	table    *pb.SlotTable // nil when absent or invalid
+	version  uint64        // object version of the latest adopted table
+	revision uint64        // its configuration revision
+	slots    [flow.LeaseSlotCount]slotState
 
 	// pending is the write whose outcome is unknown, nil if there is none.
-	pending     *pendingWrite
-	nextWrite   time.Time // earliest time of the next new write
-	writesBegun uint64    // writes begun by this incarnation; part of the change id
+	pending   *pendingWrite
+	nextWrite time.Time // earliest time of the next new write
+	// writesFrom is the time before which nothing is written after the platform was
+	// restored: by then, no instance acts by a lost table any more, except for those
+	// that are partitioned from the others.
+	writesFrom  time.Time
+	writesBegun uint64 // writes begun by this incarnation; part of the change id
 	// grantStops is keyed by instance name. An entry is removed when grants
 	// resume.
 	grantStops       map[string]grantStop
@@ -103,36 +117,49 @@
 	}
 }
 
-// AdoptTable replaces the slot table by one with a higher object version and ignores
-// any other; revision is the configuration revision of the object. A nil table
+// AdoptTable replaces the slot table by one with a higher configuration revision, and
+// ignores any other; version is the object version. A nil table
 // means that the object was deleted or, in a write result, cannot be decoded: all
 // lease terms end, and this instance does not write a first table, because a
 // version is known. A table with a wrong number of slots is treated as nil and sets
 // Err. AdoptTable has to be called before membership.SetLocal reports the revision.
 func (manager *Manager) AdoptTable(now time.Time, table *pb.SlotTable, version, revision uint64) {
-	if version <= manager.version {
+	if revision <= manager.revision {
 		return
 	}
-	if manager.pending != nil && version > manager.pending.expected {
+	restored := manager.revision > 0 && position.Era(revision) > position.Era(manager.revision)
+	if restored {
+		manager.writesFrom = manager.quietFrom(now)
+	}
+	pending := manager.pending
+	if manager.pending != nil && (version > manager.pending.expected || restored) {
 		// The pending write has taken effect, or its condition on the version
-		// can no longer hold.
+		// and the era can no longer hold.
 		manager.pending = nil
 	}
 	for name, s := range manager.grantStops {
-		if s.revision == 0 {
+		if s.revision == 0 || restored {
 			s.revision = revision
 			manager.grantStops[name] = s
 		}
 	}
 	old := manager.table
-	manager.version, manager.table = version, table
+	manager.version, manager.revision, manager.table = version, revision, table
 	if table != nil && len(table.GetSlots()) != flow.LeaseSlotCount {
 		manager.stats.TableErrors++
 		manager.err = &TableError{Version: version, Reason: "wrong number of slots"}
 		manager.table = nil
 	}
 	for i := range manager.slots {
-		manager.adoptSlot(now, i, slotEntry(old, i), slotEntry(manager.table, i))
+		before, entry := slotEntry(old, i), slotEntry(manager.table, i)
+		if restored {
+			manager.leaveEra(now, i, before, entry)
+			if pending != nil && !proto.Equal(before, slotEntry(pending.table, i)) {
+				// The write may have taken effect in the earlier era.
+				manager.quarantineSlot(now, i, slotEntry(pending.table, i))
+			}
+		}
+		manager.adoptSlot(now, i, before, entry)
 	}
 }
 
@@ -157,7 +184,7 @@
 		s.until, s.handoverTarget = time.Time{}, ""
 		return
 	}
-	if s.epoch == e.GetEpoch() && manager.holds(old) {
+	if s.epoch == e.GetEpoch() && manager.holds(old) && s.lost == nil && !now.Before(s.quietUntil) {
 		return
 	}
 	// A lease term is clean only if the records came from the holder of the
@@ -281,6 +308,7 @@
 	manager.lastTick, manager.view, manager.grants = now, view, grants
 	manager.recordIncarnations(now)
 	manager.resumeGrants()
+	manager.endQuarantines(now)
 	var actions []action.Action
 	switch {
 	case manager.pending != nil:
@@ -354,6 +382,9 @@
 		if !manager.holds(e) || s.handoverTarget != "" || manager.releasing || manager.removedInstances[manager.self.Name] {
 			continue
 		}
+		if e.GetEpoch() <= s.epochFloor || s.lost != nil || manager.lastTick.Before(s.quietUntil) {
+			continue
+		}
 		s.until = manager.grantEnd(e)
 		if manager.pending == nil {
 			continue
@@ -382,7 +413,8 @@
 func (manager *Manager) resumeGrants() {
 	for name, s := range manager.grantStops {
 		m, ok := manager.view.Member(name)
-		if ok && (s.revision > 0 && m.Revision >= s.revision || m.Incarnation > s.incarnation) {
+		reported := s.revision > 0 && m.Revision >= s.revision && position.Era(m.Revision) == position.Era(s.revision)
+		if ok && (reported || m.Incarnation > s.incarnation) {
 			manager.grants.SetGrantsStopped(name, false)
 			delete(manager.grantStops, name)
 		}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -7,6 +7,7 @@
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/flow"
 	"github.com/chivemast/chivemast/internal/membership"
+	"github.com/chivemast/chivemast/internal/position"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 )
@@ -17,8 +18,12 @@
 var writerSeed = flow.NameHash("lease/slots")
 
 // planWrite plans all changes of the table that this instance has to make and
-// begins one write with all of them. It returns nil if nothing changes.
+// begins one write with all of them. It returns nil if nothing changes, and until a
+// restored platform has settled.
 func (manager *Manager) planWrite(now time.Time) []action.Action {
+	if now.Before(manager.writesFrom) || manager.revision > 0 && position.Era(manager.revision) != position.Era(manager.view.Self.Revision) {
+		return nil
+	}
 	if manager.table == nil {
 		return manager.bootstrap(now)
 	}
@@ -65,6 +70,9 @@
 		e.HolderIncarnation, e.Clean = manager.self.Incarnation, false
 		manager.stats.Reclaims++
 	}
+	if floor := manager.slots[i].epochFloor; e.GetEpoch() <= floor {
+		e.Epoch, e.Clean = floor+1, false
+	}
 	m, ok := manager.view.Member(e.GetSuccessor())
 	if ok && m.Incarnation > e.GetSuccessorIncarnation() {
 		e.SuccessorIncarnation = m.Incarnation
@@ -120,14 +128,14 @@
 	}
 	manager.grants.SetGrantsStopped(e.GetHolder(), true)
 	manager.grantStops[e.GetHolder()] = grantStop{incarnation: e.GetHolderIncarnation()}
-	manager.assignToSelf(e, best)
+	manager.assignToSelf(e, manager.slots[i].epochFloor, best)
 	manager.stats.Takeovers++
 }
 
 // assignToSelf makes this instance the holder of a slot in a new table, with a
-// new epoch that is not clean.
-func (manager *Manager) assignToSelf(e *pb.Slot, successor membership.Member) {
-	e.Epoch++
+// new epoch above floor that is not clean.
+func (manager *Manager) assignToSelf(e *pb.Slot, floor uint64, successor membership.Member) {
+	e.Epoch = max(e.Epoch, floor) + 1
 	e.Holder, e.HolderIncarnation, e.Clean = manager.self.Name, manager.self.Incarnation, false
 	e.Successor, e.SuccessorIncarnation = successor.Name, successor.Incarnation
 }
@@ -151,7 +159,7 @@
 		return
 	}
 	if best, found := manager.bestSuccessor(now, t, i, manager.self); found {
-		manager.assignToSelf(e, best)
+		manager.assignToSelf(e, manager.slots[i].epochFloor, best)
 		manager.stats.Takeovers++
 	}
 }
--- a/internal/lease/write.go
+++ b/internal/lease/write.go
@@ -7,6 +7,7 @@
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/codec"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // pendingWrite is a conditional write of the slot table whose outcome is unknown.
@@ -14,6 +15,7 @@
 	table    *pb.SlotTable
 	value    []byte
 	expected uint64 // object version on which the write is conditional
+	era      uint64 // era of the platform on which the write is conditional
 	changeID string
 	// answerLost is true once the answer to an attempt was lost. From then on,
 	// the failure of a later attempt does not show that none took effect.
@@ -34,7 +36,7 @@
 	}
 	manager.writesBegun++
 	manager.pending = &pendingWrite{
-		table: table, value: value, expected: manager.version,
+		table: table, value: value, expected: manager.version, era: position.Era(manager.view.Self.Revision),
 		changeID: fmt.Sprintf("%s/%x/%d", manager.self.Name, manager.self.Incarnation, manager.writesBegun),
 	}
 	return manager.sendWrite(now)
@@ -46,7 +48,7 @@
 	w := manager.pending
 	w.resendAt = now.Add(manager.cfg.AnswerTimeout)
 	return []action.Action{action.WriteObject{
-		Key: Key, Value: w.value, ExpectedVersion: w.expected, ChangeID: w.changeID,
+		Key: Key, Value: w.value, ExpectedVersion: w.expected, ExpectedEra: w.era, ChangeID: w.changeID,
 	}}
 }
 
@@ -77,6 +79,10 @@
 	own := w != nil && result.ChangeID == w.changeID
 	switch result.Outcome {
 	case action.WriteApplied, action.WriteConflict:
+		if manager.fromLaterEra(result) {
+			manager.handleLostAnswer(now, own)
+			break
+		}
 		if result.Object.GetVersion() == 0 {
 			manager.handleLostAnswer(now, own)
 			break
@@ -105,8 +111,15 @@
 	return nil
 }
 
+// fromLaterEra reports whether a write conflicted with the table of a later era than the
+// one in force. That table is adopted with the other objects of the restored platform.
+// An earlier attempt may have taken effect before, so that the write stays pending.
+func (manager *Manager) fromLaterEra(result action.WriteResult) bool {
+	return result.Outcome == action.WriteConflict && position.Era(result.Object.GetRevision()) > position.Era(manager.revision)
+}
+
 // handleOlderTable sets Err if the platform has an older table than this
-// instance, for example after a restore from a backup. The older table is not
+// instance, although its era has not risen. The older table is not
 // adopted, so every write conflicts. The write is abandoned, and the next one waits
 // for half to one RebalanceInterval; but if an answer to an attempt was lost, the
 // write stays pending and is sent again at its resendAt.
--- a/internal/membership/grants.go
+++ b/internal/membership/grants.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/chivemast/chivemast/internal/position"
+)
 
 // A grant is the acknowledgement of a heartbeat. The sender of that heartbeat,
 // which receives the grant, may act on it until LeaseDuration after sending, by
@@ -11,9 +15,11 @@
 // acknowledge returns the sequence number to acknowledge to a peer and records
 // the grant that the acknowledgement is. It returns 0, which grants nothing, when
 // grants to the peer are stopped, when no heartbeat was received from its current
-// incarnation, and while a grant to an earlier incarnation may be in use.
+// incarnation, while a grant to an earlier incarnation may be in use, and while the peer
+// reports a revision of an earlier era of the platform: in the era of this instance,
+// another one may have its lease slots.
 func (m *Membership) acknowledge(now time.Time, p *peer) uint64 {
-	if p.grantsStopped || p.receivedSequence == 0 || now.Before(p.noGrantBefore) {
+	if p.grantsStopped || p.receivedSequence == 0 || now.Before(p.noGrantBefore) || position.Era(p.Revision) < position.Era(m.revision) {
 		return 0
 	}
 	until := p.receivedAt.Add(m.cfg.LeaseDuration + m.cfg.LeaseMargin)
