Keep withholding grants when a second takeover fails

A successor withholds grants from a holder that it has replaced until the holder reports the table that did it. A later takeover of another slot of the same holder reset that revision, and when its write failed, grants resumed although the holder still had the old table: two instances had a term for one slot.

The revision of the first takeover is kept beside the mark for the write whose outcome is unknown.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,9 +62,11 @@
 	// incarnation is the incarnation of the replaced holder in the table.
 	incarnation uint64
 	// revision is the configuration revision that the replaced holder has to
-	// report before it gets grants again, 0 while the outcome of the write is
-	// unknown. With an older table it would use a grant for the slots it lost.
+	// report before it gets grants again, 0 if no write has replaced it yet. With an
+	// older table it would use a grant for the slots it lost.
 	revision uint64
+	// writing is set while the outcome of a write that replaces it is unknown.
+	writing bool
 }
 
 // Manager keeps the lease terms of one instance and plans the writes of the slot
@@ -138,8 +140,8 @@
 		manager.pending = nil
 	}
 	for name, s := range manager.grantStops {
-		if s.revision == 0 || restored {
-			s.revision = revision
+		if s.writing || restored {
+			s.revision, s.writing = revision, false
 			manager.grantStops[name] = s
 		}
 	}
@@ -413,7 +415,7 @@
 func (manager *Manager) resumeGrants() {
 	for name, s := range manager.grantStops {
 		m, ok := manager.view.Member(name)
-		reported := s.revision > 0 && m.Revision >= s.revision && position.Era(m.Revision) == position.Era(s.revision)
+		reported := !s.writing && s.revision > 0 && m.Revision >= s.revision && position.Era(m.Revision) == position.Era(s.revision)
 		if ok && (reported || m.Incarnation > s.incarnation) {
 			manager.grants.SetGrantsStopped(name, false)
 			delete(manager.grantStops, name)
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -127,7 +127,9 @@
 		return
 	}
 	manager.grants.SetGrantsStopped(e.GetHolder(), true)
-	manager.grantStops[e.GetHolder()] = grantStop{incarnation: e.GetHolderIncarnation()}
+	stop := manager.grantStops[e.GetHolder()]
+	stop.incarnation, stop.writing = e.GetHolderIncarnation(), true
+	manager.grantStops[e.GetHolder()] = stop
 	manager.assignToSelf(e, manager.slots[i].epochFloor, best)
 	manager.stats.Takeovers++
 }
--- a/internal/lease/write.go
+++ b/internal/lease/write.go
@@ -156,10 +156,13 @@
 	}
 	manager.delayNextWrite(now, manager.cfg.RetryDelay)
 	for name, s := range manager.grantStops {
-		if s.revision == 0 {
-			manager.grants.SetGrantsStopped(name, false)
-			delete(manager.grantStops, name)
+		if s.writing = false; s.revision > 0 {
+			// An earlier write has replaced the holder.
+			manager.grantStops[name] = s
+			continue
 		}
+		manager.grants.SetGrantsStopped(name, false)
+		delete(manager.grantStops, name)
 	}
 }
 
