Show eras in chivemast edge and in revisions

An era beside each age tells whether all instances have noticed that the store was restored. chivemast prints positions as a revision and an era; the numbers in JSON stay. Versions of chivemast-edge without eras are shown as before.

--- a/cmd/chivemast/apply.go
+++ b/cmd/chivemast/apply.go
@@ -12,6 +12,7 @@
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/platform"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // changeResult is the result of a command that changes an object, and of diff.
@@ -30,9 +31,9 @@
 
 func (r *changeResult) writeText(w io.Writer) {
 	if r.Unchanged {
-		fmt.Fprintf(w, "%s unchanged at version %d (revision %d)\n", r.Key, r.Version, r.Revision)
+		fmt.Fprintf(w, "%s unchanged at version %d (revision %s)\n", r.Key, r.Version, position.String(r.Revision))
 	} else {
-		fmt.Fprintf(w, "%s accepted as version %d (revision %d, change %s)\n", r.Key, r.Version, r.Revision, r.ChangeID)
+		fmt.Fprintf(w, "%s accepted as version %d (revision %s, change %s)\n", r.Key, r.Version, position.String(r.Revision), r.ChangeID)
 	}
 	if len(r.Changes) > 0 {
 		fmt.Fprint(w, formatChanges(r.Changes))
@@ -92,7 +93,7 @@
 	}
 	if result.releasesDropped {
 		fmt.Fprintf(c.Root().ErrWriter, "chivemast: warning: the platform did not keep the released addresses with the tombstone of %s; "+
-			"reuse them only when all instances have revision %d in force and the idle timeouts have passed\n", result.Key, result.Revision)
+			"reuse them only when all instances have revision %s in force and the idle timeouts have passed\n", result.Key, position.String(result.Revision))
 	}
 	var conflictErr error
 	if !result.Unchanged {
--- a/cmd/chivemast/edge.go
+++ b/cmd/chivemast/edge.go
@@ -115,7 +115,11 @@
 	fmt.Fprintf(w, "%s (%s): %s, configuration %d, upstreams at revision %d, %d mates, watches %s\n",
 		s.Instance, s.FailureDomain, state, s.ConfigVersion, s.UpstreamRevision, len(s.Peers), strings.Join(s.Watches, ","))
 	for _, kind := range []string{"upstreams", "configuration", "evacuations"} {
-		fmt.Fprintf(w, "  %s confirmed %s ago\n", kind, time.Duration(s.AgeMS[kind])*time.Millisecond)
+		fmt.Fprintf(w, "  %s confirmed %s ago", kind, time.Duration(s.AgeMS[kind])*time.Millisecond)
+		if era, reported := s.Eras[kind]; reported {
+			fmt.Fprintf(w, " at revision %d of era %d", s.Revisions[kind], era)
+		}
+		fmt.Fprintln(w)
 	}
 	for _, count := range s.Messages {
 		if messages {
--- a/cmd/chivemast/edge_test.go
+++ b/cmd/chivemast/edge_test.go
@@ -15,7 +15,7 @@
 // answers with a fixed status; nothing listens at the other address.
 func TestEdgeShowsStatusAndAges(t *testing.T) {
 	body := `{"instance":"edge-a-1","failure_domain":"a","ready":true,"config_version":12,"upstreams_revision":21,` +
-		`"age_ms":{"upstreams":230,"configuration":1500,"evacuations":40},"watches":["upstreams"],"mates":["edge-a-2"],` +
+		`"age_ms":{"upstreams":230,"configuration":1500,"evacuations":40},"revisions":{"upstreams":21},"eras":{"upstreams":2},"watches":["upstreams"],"mates":["edge-a-2"],` +
 		`"messages":[{"kind":"hello","direction":"sent","messages":12,"bytes":960}],` +
 		`"upstreams":[{"id":"i-1","service":"s","failure_domain":"a","address":"10.0.0.1:80","state":"draining"}]}`
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -27,7 +27,7 @@
 
 	var out, errOut bytes.Buffer
 	require.Equal(t, int(exitOK), run(t.Context(), []string{"chivemast", "edge", "--upstreams", "--messages", address}, nil, &out, &errOut), errOut.String())
-	for _, text := range []string{"edge-a-1 (a): ready, configuration 12", "upstreams confirmed 230ms ago", "draining", "watches upstreams", "12 messages", "960 bytes"} {
+	for _, text := range []string{"edge-a-1 (a): ready, configuration 12", "upstreams confirmed 230ms ago at revision 21 of era 2\n", "configuration confirmed 1.5s ago\n", "draining", "watches upstreams", "12 messages", "960 bytes"} {
 		require.Contains(t, out.String(), text)
 	}
 	out.Reset()
--- a/cmd/chivemast/exit.go
+++ b/cmd/chivemast/exit.go
@@ -7,6 +7,7 @@
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/document"
 	"github.com/chivemast/chivemast/internal/platform"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // exitCode is an exit code of the command line. Scripts depend on the numbers, so
@@ -134,9 +135,9 @@
 
 func (e *unconfirmedError) Error() string {
 	if e.Unlisted {
-		return fmt.Sprintf("the list of instances could not be read, so revision %d is not confirmed; run chivemast status later", e.Revision)
+		return fmt.Sprintf("the list of instances could not be read, so revision %s is not confirmed; run chivemast status later", position.String(e.Revision))
 	}
-	return fmt.Sprintf("%d instances have not confirmed revision %d: %v", len(e.Instances), e.Revision, e.Instances)
+	return fmt.Sprintf("%d instances have not confirmed revision %s: %v", len(e.Instances), position.String(e.Revision), e.Instances)
 }
 
 // differentError reports how many differences diff found.
--- a/cmd/chivemast/read.go
+++ b/cmd/chivemast/read.go
@@ -18,6 +18,7 @@
 	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/platform"
+	"github.com/chivemast/chivemast/internal/position"
 	"github.com/chivemast/chivemast/internal/settings"
 )
 
@@ -110,7 +111,7 @@
 		return err
 	}
 	return writeResult(c, result, func(w io.Writer) {
-		fmt.Fprintf(w, "// %s version %d, revision %d, change %s%s\n", key, result.Version, result.Revision, result.ChangeID,
+		fmt.Fprintf(w, "// %s version %d, revision %s, change %s%s\n", key, result.Version, position.String(result.Revision), result.ChangeID,
 			map[bool]string{true: ", deleted"}[result.Deleted])
 		if len(result.Value) > 0 {
 			var indented bytes.Buffer
@@ -137,7 +138,7 @@
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "KEY\tVERSION\tREVISION\tDELETED\tCHANGE")
 		for _, o := range result.Objects {
-			fmt.Fprintf(t, "%s\t%d\t%d\t%t\t%s\n", o.Key, o.Version, o.Revision, o.Deleted, o.ChangeID)
+			fmt.Fprintf(t, "%s\t%d\t%s\t%t\t%s\n", o.Key, o.Version, position.String(o.Revision), o.Deleted, o.ChangeID)
 		}
 		_ = t.Flush()
 	})
--- a/cmd/chivemast/report.go
+++ b/cmd/chivemast/report.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // fleetStatus is the combined state of all instances, the result of status.
@@ -207,7 +208,7 @@
 }
 
 func (f *fleetStatus) writeText(w io.Writer, all bool) {
-	fmt.Fprintf(w, "revision %d, %d instances, %d silent, %d not confirmed\n", f.Revision, len(f.Instances), len(f.Silent), len(f.Unconfirmed))
+	fmt.Fprintf(w, "revision %s, %d instances, %d silent, %d not confirmed\n", position.String(f.Revision), len(f.Instances), len(f.Silent), len(f.Unconfirmed))
 	if f.PlatformError != "" {
 		fmt.Fprintf(w, "platform: %s\n", f.PlatformError)
 	}
@@ -245,7 +246,7 @@
 		case i.answer.GetReady():
 			state = "ready"
 		}
-		return fmt.Sprintf("%s\t%s\t%d\t%v ago\t%s\t%d", i.Name, i.FailureDomain, i.answer.GetRevision(),
+		return fmt.Sprintf("%s\t%s\t%s\t%v ago\t%s\t%d", i.Name, i.FailureDomain, position.String(i.answer.GetRevision()),
 			milliseconds(i.answer.GetConfirmationAgeMs()), state, i.answer.GetSlotsHeld())
 	})
 }
--- a/cmd/chivemast/reuse.go
+++ b/cmd/chivemast/reuse.go
@@ -14,6 +14,7 @@
 	"github.com/chivemast/chivemast/internal/codec"
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/platform"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 const tablePrefix = "tables/"
@@ -31,7 +32,7 @@
 }
 
 func (r *addressReuse) String() string {
-	return fmt.Sprintf("address %s of %s, released by %s at revision %d", r.Address, r.To, r.From, r.Revision)
+	return fmt.Sprintf("address %s of %s, released by %s at revision %s", r.Address, r.To, r.From, position.String(r.Revision))
 }
 
 // findReuses returns the addresses that a team adds and that another service has
--- a/cmd/chivemast/reuseerror.go
+++ b/cmd/chivemast/reuseerror.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/position"
 )
 
 // addressMoveError lists addresses that one change would move between services.
@@ -34,7 +35,7 @@
 }
 
 func (e *reuseInstancesError) Error() string {
-	return fmt.Sprintf("%s: %d instances have not reported revision %d: %v", e.Reuse, len(e.Instances), e.Required, e.Instances)
+	return fmt.Sprintf("%s: %d instances have not reported revision %s: %v", e.Reuse, len(e.Instances), position.String(e.Required), e.Instances)
 }
 
 // reuseTablesError lists the keys of placement tables of other services that still
--- a/internal/position/position.go
+++ b/internal/position/position.go
@@ -3,7 +3,10 @@
 // that is restored from a copy starts a new era and gives revisions out again.
 package position
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+)
 
 // eraBits is the number of high bits that hold the era; the others hold the revision.
 const eraBits = 24
@@ -30,6 +33,14 @@
 	return era<<(64-eraBits) | revision, nil
 }
 
+// String returns the revision of a position, and its era if that is not 0.
+func String(position uint64) string {
+	if era := Era(position); era > 0 {
+		return fmt.Sprintf("%d of era %d", Revision(position), era)
+	}
+	return strconv.FormatUint(position, 10)
+}
+
 // Era returns the era of a position.
 func Era(position uint64) uint64 { return position >> (64 - eraBits) }
 
--- a/internal/position/position_test.go
+++ b/internal/position/position_test.go
@@ -24,4 +24,8 @@
 	position, err := Of(0, 23)
 	require.NoError(t, err)
 	require.EqualValues(t, 23, position, "a platform without eras keeps its revisions")
+	require.Equal(t, "23", String(position))
+	position, err = Of(2, 23)
+	require.NoError(t, err)
+	require.Equal(t, "23 of era 2", String(position))
 }
