--- a/internal/measure/platform.go
+++ b/internal/measure/platform.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/declare"
+	"github.com/chivemast/chivemast/internal/position"
 	"github.com/chivemast/chivemast/internal/standin/platform"
 )
 
@@ -115,7 +117,7 @@
 func (i *instance) writeObject(generation int, a action.WriteObject) {
 	w := i.world
 	result := action.WriteResult{Key: a.Key, ChangeID: a.ChangeID, Outcome: action.WriteApplied}
-	object, err := w.store.Put(&pb.PutRequest{Key: a.Key, Value: a.Value, ExpectedVersion: a.ExpectedVersion, ChangeId: a.ChangeID})
+	object, err := w.store.Put(&pb.PutRequest{Key: a.Key, Value: a.Value, ExpectedVersion: a.ExpectedVersion, ExpectedEra: &a.ExpectedEra, ChangeId: a.ChangeID})
 	var conflict *platform.ConflictError
 	var lost *platform.LostResponseError
 	switch {
@@ -139,6 +141,20 @@
 	}
 }
 
+// restorePlatform ends an outage of the platform with the content of a copy. After a time
+// the operators write their declarations again.
+func (w *World) restorePlatform(backup *platform.Copy, writtenAfter time.Duration) {
+	if err := w.store.Restore(backup); err != nil {
+		panic(fmt.Sprintf("cannot restore the platform: %v", err))
+	}
+	w.store.SetDown(false)
+	w.runAfter(writtenAfter, func() {
+		for team := range w.options.Teams {
+			w.ChangeTeam(team, func(*declare.Team) {})
+		}
+	})
+}
+
 // publishInstances sets the platform's instance list to the running instances.
 func (w *World) publishInstances() {
 	var list []*pb.InstanceInfo
@@ -183,14 +199,14 @@
 
 // recordRevision records, for each change that is newly in force at the
 // instance, the time since the platform accepted it. The first revision after a
-// start is not counted.
+// start or a restoration of the platform is not counted.
 func (i *instance) recordRevision() {
 	n, ok := i.core.(interface{ Revision() uint64 })
 	if !ok {
 		return
 	}
 	revision := n.Revision()
-	if i.lastRevision != 0 {
+	if i.lastRevision != 0 && position.Era(i.lastRevision) == position.Era(revision) {
 		for r := i.lastRevision + 1; r <= revision; r++ {
 			if at, ok := i.world.acceptedAt[r]; ok {
 				i.world.inForceDelays = append(i.world.inForceDelays, i.world.virtualNow.Sub(at))
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -8,6 +8,7 @@
 
 	"github.com/chivemast/chivemast/internal/declare"
 	"github.com/chivemast/chivemast/internal/standin/caller"
+	"github.com/chivemast/chivemast/internal/standin/platform"
 	"github.com/chivemast/chivemast/internal/standin/upstream"
 )
 
@@ -33,6 +34,15 @@
 			w.At(10*time.Second, func() { w.SetUpstreamDraining(0, 0, 2, true) })
 			w.At(30*time.Second, func() { w.SetUpstreamDraining(0, 0, 2, false) })
 		}},
+		// The platform loses the start of a drain and the tables that followed from it.
+		{Name: "platform_restored", OnlyProduct: true, Script: func(w *World) {
+			var backup *platform.Copy
+			w.At(9*time.Second, func() { backup = w.store.Copy() })
+			w.At(10*time.Second, func() { w.SetUpstreamDraining(0, 0, 2, true) })
+			w.At(15*time.Second, func() { w.store.SetDown(true) })
+			w.At(16*time.Second, func() { w.restorePlatform(backup, 300*time.Millisecond) })
+			w.At(35*time.Second, func() { w.SetUpstreamDraining(0, 0, 2, false) })
+		}},
 		// 3,000 new flows/s at each of nine instances, as in today's deployment.
 		{Name: "drain_full_rate", OnlyPlannedChanges: true, OnlyProduct: true, Prepare: loadFullRate, Script: func(w *World) {
 			w.At(8*time.Second, func() { w.SetUpstreamDraining(0, 0, 2, true) })
--- a/internal/measure/scenario_test.go
+++ b/internal/measure/scenario_test.go
@@ -55,7 +55,7 @@
 func TestInstanceFailuresBreakNoFlow(t *testing.T) {
 	for _, s := range Scenarios() {
 		switch s.Name {
-		case "kill", "kill_during_drain", "freeze", "platform_down_kill_join":
+		case "kill", "kill_during_drain", "freeze", "platform_down_kill_join", "platform_restored":
 		default:
 			continue
 		}
