Wait for the parties of every lost lease entry

A slot that differs from the copy and from a write without an answer has two entries of the earlier era; only the second was kept.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -38,10 +38,10 @@
 	// slot. Later handovers are not marked clean: a delayed SlotHandover of the
 	// first one would be taken for that of the later one.
 	handoverStarted bool
-	// lost is the entry of an earlier era whose parties may still act for the slot, nil if
-	// there is none. While it is set, and until quietUntil, this instance does not act for
-	// the slot. epochFloor is the highest epoch in earlier eras. See quarantineSlot.
-	lost       *pb.Slot
+	// lost has the entries of earlier eras whose parties may still act for the slot.
+	// While there are any, and until quietUntil, this instance does not act for the slot.
+	// epochFloor is the highest epoch in earlier eras. See quarantineSlot.
+	lost       []*pb.Slot
 	quietUntil time.Time
 	epochFloor uint64
 	// received is the latest SlotHandover for the slot, zero if none. It is
@@ -186,7 +186,7 @@
 		s.until, s.handoverTarget = time.Time{}, ""
 		return
 	}
-	if s.epoch == e.GetEpoch() && manager.holds(old) && s.lost == nil && !now.Before(s.quietUntil) {
+	if s.epoch == e.GetEpoch() && manager.holds(old) && len(s.lost) == 0 && !now.Before(s.quietUntil) {
 		return
 	}
 	// A lease term is clean only if the records came from the holder of the
@@ -384,7 +384,7 @@
 		if !manager.holds(e) || s.handoverTarget != "" || manager.releasing || manager.removedInstances[manager.self.Name] {
 			continue
 		}
-		if e.GetEpoch() <= s.epochFloor || s.lost != nil || manager.lastTick.Before(s.quietUntil) {
+		if e.GetEpoch() <= s.epochFloor || len(s.lost) > 0 || manager.lastTick.Before(s.quietUntil) {
 			continue
 		}
 		s.until = manager.grantEnd(e)
--- a/internal/lease/restored.go
+++ b/internal/lease/restored.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,7 +32,7 @@
 func (manager *Manager) quarantineSlot(now time.Time, slot int, before *pb.Slot) {
 	s := &manager.slots[slot]
 	if before.GetHolder() != "" {
-		s.lost = before
+		s.lost = append(s.lost, before)
 	}
 	s.quietUntil = manager.quietFrom(now)
 	s.epochFloor = max(s.epochFloor, before.GetEpoch())
@@ -49,12 +50,13 @@
 func (manager *Manager) endQuarantines(now time.Time) {
 	for i := range manager.slots {
 		s := &manager.slots[i]
-		if s.lost == nil {
+		if len(s.lost) == 0 {
 			continue
 		}
-		if manager.knowsEra(s.lost.GetHolder(), s.lost.GetHolderIncarnation()) || manager.knowsEra(s.lost.GetSuccessor(), s.lost.GetSuccessorIncarnation()) {
-			s.lost, s.quietUntil = nil, manager.quietFrom(now)
-		}
+		s.lost = slices.DeleteFunc(s.lost, func(e *pb.Slot) bool {
+			return manager.knowsEra(e.GetHolder(), e.GetHolderIncarnation()) || manager.knowsEra(e.GetSuccessor(), e.GetSuccessorIncarnation())
+		})
+		s.quietUntil = manager.quietFrom(now)
 	}
 }
 
