--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -95,8 +95,9 @@
 }
 
 // Event is an input of Apply. Events of one kind arrive in the order of their
-// positions; their revisions belong to the era of the last EraChanged. A list that is older than the state is ignored, and so is a
-// configuration that is not newer than the one in force.
+// positions; their revisions belong to the era of the last EraChanged. A list that is
+// older than the state is ignored, and so is a configuration that is not newer than the
+// one in force.
 type Event interface{ event() }
 
 // UpstreamsListed replaces all upstreams. An entry with Removed set describes an
--- a/internal/catalogsync/store.go
+++ b/internal/catalogsync/store.go
@@ -1,5 +1,5 @@
 // Package catalogsync keeps an instance's catalog up to date. It lists each kind of
-// data in the store once. Then it watches the kind in the store while this instance
+// data in the store once, and again after the store was restored. Then it watches the kind in the store while this instance
 // is one of its watchers; otherwise it applies the updates that the watchers of its
 // failure domain send. An instance that has received no update in time calls the
 // store itself.
