--- a/internal/lease/schedule_test.go
+++ b/internal/lease/schedule_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/chivemast/chivemast/internal/flow"
@@ -274,3 +275,14 @@
 		})
 	}
 }
+
+// Guards against two instances with a lease term for one slot when a former holder
+// restarts just after the platform was restored: it reclaims the slot from the copy,
+// while the holder of the lost table has not noticed the restoration yet.
+func TestRestartAfterRestorationKeepsTenuresExclusive(t *testing.T) {
+	require.NoError(t, runSchedule(4, []step{
+		{Kind: "release", A: 4, For: 820 * time.Millisecond}, {Kind: "run", For: 7500 * time.Millisecond},
+		{Kind: "cut", A: 1, B: 3, For: 2500 * time.Millisecond}, {Kind: "release", A: 0, For: 4 * time.Second},
+		{Kind: "restore", A: 2, For: 10 * time.Millisecond},
+	}, brokenPolicy{}))
+}
