--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -176,53 +176,6 @@
 	return min(max(s.settleAt.Sub(s.now()), 0), limit)
 }
 
-// startFetching starts fetchPeerStates unless it runs: without state, after
-// peerStateDelay or the first failed call; with state, after peerStateInterval.
-func (s *kindSyncer) startFetching(ctx context.Context) {
-	if s.stopFetching != nil {
-		return
-	}
-	ctx, s.stopFetching = context.WithCancel(ctx)
-	if s.position.Revision == 0 {
-		go s.fetchPeerStates(ctx, s.position, peerStateDelay, s.storeFailed)
-	} else {
-		go s.fetchPeerStates(ctx, s.position, peerStateInterval, nil)
-	}
-}
-
-// fetchPeerStates passes a state of another instance that is later than newest to run,
-// and each later one, until ctx ends. It starts after delay, or sooner with a signal on
-// start.
-func (s *kindSyncer) fetchPeerStates(ctx context.Context, newest catalog.Position, delay time.Duration, start <-chan struct{}) {
-	wait := time.NewTimer(delay)
-	defer wait.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-start:
-	case <-wait.C:
-	}
-	for {
-		state, err := s.peers.FetchState(ctx, s.kind, newest)
-		if err != nil {
-			// The context has ended: the store has answered, or the instance stops.
-			return
-		}
-		newest = state.Update.Position()
-		select {
-		case s.peerStates <- state:
-		case <-ctx.Done():
-			return
-		}
-		wait.Reset(peerStateInterval)
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // list reads the whole kind. After an even number of failures, 0 included, a replica
 // may answer, unless the era has changed: the watch that follows returns the changes
 // that the replica lacks. States and updates from other instances are applied
@@ -280,56 +233,6 @@
 	return &OutdatedError{Kind: s.kind, Answer: answer.Position(), Held: s.position}
 }
 
-// applyPeerState applies the state of another instance unless a later one is known.
-func (s *kindSyncer) applyPeerState(ctx context.Context, state PeerState) {
-	if s.listed || state.Update.Position().Compare(s.position) <= 0 {
-		return
-	}
-	event := catalog.PeerStateFetched{
-		Kind: s.kind, Revision: state.Update.Revision, Events: state.Update.Events, Source: state.Source, Age: state.Age,
-	}
-	if confirmed := s.now().Add(-state.Age); confirmed.After(s.confirmed) {
-		s.confirmed = confirmed
-	}
-	if state.Update.Era != s.position.Era {
-		s.startEra(ctx, state.Update.Position(), []catalog.Event{event}, state.Age)
-		return
-	}
-	s.position = state.Update.Position()
-	s.emit(ctx, event, state.Age)
-}
-
-// startEra emits the first state of another era. A state of an earlier era is kept and
-// merged with it until settleAt.
-func (s *kindSyncer) startEra(ctx context.Context, position catalog.Position, events []catalog.Event, age time.Duration) {
-	restored := s.position.Revision > 0
-	if restored {
-		s.settleAt = s.now().Add(settleDelay + time.Duration(rand.Int64N(int64(settleSpread))))
-	}
-	s.emit(ctx, catalog.EraChanged{Kind: s.kind, Before: s.position, After: position, Restored: restored, Events: events}, age)
-	s.position = position
-}
-
-// applyPeerUpdate applies an update from a peer unless changes before it are missing.
-// An update of another era is not applied: an earlier one is out of date or comes from
-// a version without eras, and a later one makes this instance list the kind.
-func (s *kindSyncer) applyPeerUpdate(ctx context.Context, update Update) {
-	switch {
-	case update.Era > s.position.Era:
-		s.noticeEra(update.Era)
-	case update.Era == s.position.Era && update.Base <= s.position.Revision:
-		s.apply(ctx, update)
-	}
-}
-
-// noticeEra makes run list the kind again because a peer has named a later era, once
-// for each era, because the peer may be wrong.
-func (s *kindSyncer) noticeEra(era uint64) {
-	if s.position.Revision > 0 && era > s.noticedEra {
-		s.noticedEra, s.listed, s.fresh = era, false, true
-	}
-}
-
 // watch waits for changes in the store, at most the time wait, applies them and, if send
 // is set, sends them to the peers. It also applies the updates from peers that arrive
 // meanwhile, so that a silent connection to the store does not delay this
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -56,19 +56,6 @@
 	epoch       uint64 // epoch of the slot in the local table on receipt
 }
 
-// grantStop records that this instance withholds grants from a holder that it
-// replaces.
-type grantStop struct {
-	// incarnation is the incarnation of the replaced holder in the table.
-	incarnation uint64
-	// revision is the configuration revision that the replaced holder has to
-	// report before it gets grants again, 0 if no write has replaced it yet. With an
-	// older table it would use a grant for the slots it lost.
-	revision uint64
-	// writing is set while the outcome of a write that replaces it is unknown.
-	writing bool
-}
-
 // Manager keeps the lease terms of one instance and plans the writes of the slot
 // table that it is responsible for. It is not safe for concurrent use.
 type Manager struct {
@@ -398,27 +385,3 @@
 		}
 	}
 }
-
-// grantEnd returns the end of the grant that the successor in an entry has made
-// to this instance, zero if there is none. A grant of another incarnation of the
-// successor does not count: it does not know what the named one decided.
-func (manager *Manager) grantEnd(e *pb.Slot) time.Time {
-	m, ok := manager.view.Member(e.GetSuccessor())
-	if !ok || m.Name == manager.self.Name || m.Incarnation != e.GetSuccessorIncarnation() {
-		return time.Time{}
-	}
-	return manager.grants.ReceivedGrantUntil(m.Name)
-}
-
-// resumeGrants resumes grants to replaced holders that have reported the
-// revision of the table that replaced them, or that have restarted.
-func (manager *Manager) resumeGrants() {
-	for name, s := range manager.grantStops {
-		m, ok := manager.view.Member(name)
-		reported := !s.writing && s.revision > 0 && m.Revision >= s.revision && position.Era(m.Revision) == position.Era(s.revision)
-		if ok && (reported || m.Incarnation > s.incarnation) {
-			manager.grants.SetGrantsStopped(name, false)
-			delete(manager.grantStops, name)
-		}
-	}
-}
