--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -20,9 +20,10 @@
 }
 
 const (
-	// coldRate is the number of requests a second that a cold host bears, so that the limit
-	// of the rule is 10 * 1.5 + 5 = 20 a second.
-	coldRate = 10
+	// unseenRate and restartRate are the numbers of requests a second that a cold host
+	// bears in the two cases, so that the limits of the rule are 10 * 1.5 + 5 = 20 and
+	// 5 * 1.5 + 5 = 12.5 a second.
+	unseenRate, restartRate = 10, 5
 	// coldBefore is how long before the end of an evacuation the hosts of its zone have
 	// become cold.
 	coldBefore = 200 * time.Millisecond
@@ -30,7 +31,7 @@
 )
 
 // prepareRota starts the hosts of the deployment.
-func prepareRota(w *world) (zone []*host, err error) {
+func prepareRota(w *world, coldRate float64) (zone []*host, err error) {
 	w.coldRate = coldRate
 	w.writeManifest()
 	hosts, err := w.startHosts("notice-feed", []int{4, 4, 3, 3})
@@ -60,7 +61,7 @@
 // playEvacuationUnseen evacuates a zone while the store turns its only machine away.
 func playEvacuationUnseen(w *world, trouble bool) error {
 	var zone []*host
-	prepare := func() (err error) { zone, err = prepareRota(w); return err }
+	prepare := func() (err error) { zone, err = prepareRota(w, unseenRate); return err }
 	return w.run(prepare, func() error { return usersRota(w) }, func() error {
 		machine := w.instances[len(w.instances)-1]
 		w.sleep(4 * time.Second)
@@ -89,7 +90,7 @@
 // the evacuation; its process starts again at the end.
 func playEvacuationRestart(w *world, trouble bool) error {
 	var zone []*host
-	prepare := func() (err error) { zone, err = prepareRota(w); return err }
+	prepare := func() (err error) { zone, err = prepareRota(w, restartRate); return err }
 	return w.run(prepare, func() error { return usersRota(w) }, func() error {
 		machine := w.instances[len(w.instances)-1]
 		w.sleep(4 * time.Second)
