--- a/review/.standin/stale.go
+++ b/review/.standin/stale.go
@@ -8,11 +8,15 @@
 	scenarios["stale-watch"] = scenario{rule: "DRAIN", play: playStaleWatch, site: func() site { return tmnc }}
 }
 
-// replicaAge is how old the answers to stale calls are.
-const replicaAge = 5500 * time.Millisecond
+const (
+	// pairDelay is the time between the reports of two hosts that leave together.
+	pairDelay = 100 * time.Millisecond
+	// pairsApart is the time between two scale-ins.
+	pairsApart = 1500 * time.Millisecond
+)
 
-// playStaleWatch drains four hosts of a service one after the other, while every answer to
-// a call with allow_stale=1 is as old as a replica may be.
+// playStaleWatch drains 2 of the 14 hosts of a service, three times, while every answer to
+// a call with allow_stale=1 is staleAge old.
 func playStaleWatch(w *world, trouble bool) error {
 	var hosts []*host
 	prepare := func() (err error) {
@@ -26,17 +30,20 @@
 	return w.run(prepare, func() error { return w.startUsers([]int{28, 22, 25, 21}, 1, gets) }, func() error {
 		if trouble {
 			w.store.mu.Lock()
-			w.store.age = func(string, string, bool) time.Duration { return replicaAge }
+			w.store.age = func(string, string, bool) time.Duration { return staleAge }
 			w.store.mu.Unlock()
 		}
 		w.sleep(8 * time.Second)
 		var leaving []*host
-		for _, n := range []int{0, 4, 8, 11} {
-			leaving = append(leaving, hosts[n])
-			hosts[n].drain()
-			w.sleep(time.Second)
+		for _, pair := range [][2]int{{0, 4}, {8, 11}, {1, 5}} {
+			for _, n := range pair {
+				leaving = append(leaving, hosts[n])
+				hosts[n].drain()
+				w.sleep(pairDelay)
+			}
+			w.sleep(pairsApart)
 		}
-		w.sleep(6 * time.Second)
+		w.sleep(4 * time.Second)
 		for _, h := range leaving {
 			h.stop(true)
 		}
