--- a/review/.standin/host.go
+++ b/review/.standin/host.go
@@ -68,7 +68,7 @@
 	// those acknowledged.
 	next, sent, acked uint32
 	echo              uint32
-	open, closing     bool
+	open              bool
 	openedAt          time.Time
 	// last is the last response, for retransmissions.
 	last *packet
--- a/review/.standin/store.go
+++ b/review/.standin/store.go
@@ -34,9 +34,8 @@
 	// age returns how old the answer to a call with allow_stale=1 is: kind is that of
 	// the call, after its parameter of that name, watch whether it is a watch.
 	age func(kind, after string, watch bool) time.Duration
-	// calls counts the calls with allow_stale=1 that got an answer older than now.
-	staleAnswers int
-	record       func(format string, args ...any)
+	// record writes a line for each list that is older than now.
+	record func(format string, args ...any)
 }
 
 func newStore(pageSize int) *store {
@@ -140,7 +139,6 @@
 	asOf := s.revisionAt(time.Now().Add(-age))
 	objects := s.objects(kind, asOf)
 	if asOf < s.revision() && age > 0 {
-		s.staleAnswers++
 		if s.record != nil {
 			s.record("store list kind=%s after=%q as_of=%d of=%d caller=%s", kind, query.Get("after"), asOf, s.revision(), r.RemoteAddr)
 		}
--- a/review/.standin/world.go
+++ b/review/.standin/world.go
@@ -64,15 +64,15 @@
 type opened struct {
 	h        *host
 	openedAt time.Time
-	service  netip.AddrPort
 }
 
 // world holds everything that a case runs.
 type world struct {
 	site
-	began       time.Time
-	program     string
-	folder      string
+	began time.Time
+	// program is the path of the instances' program, folder that of their settings and logs.
+	program, folder string
+	// base holds the second byte of all loopback addresses, and the first number of a group.
 	base        [2]byte
 	trafficPort uint16
 	readyPort   uint16
@@ -90,16 +90,19 @@
 
 	mu    sync.Mutex
 	hosts map[string]*host
-	// chilled holds the hosts whose cold time is judged.
-	past                   []*host
-	lastReport             map[string]time.Time
-	flows                  map[netip.AddrPort]opened
-	sent                   map[netip.AddrPort]time.Time
+	// lastReport holds when each host last reported, by its id.
+	lastReport map[string]time.Time
+	// flows holds the flows that hosts have opened, by the consumer's address and port; sent
+	// holds when the first opening packet of each was sent.
+	flows map[netip.AddrPort]opened
+	sent  map[netip.AddrPort]time.Time
+	// coldRate is warmup_per_s of all services.
 	coldRate               float64
 	hostCount, clientCount int
 
 	recordMu   sync.Mutex
 	recordFile *bufio.Writer
+	// violations and excused count broken rules, and what the rules leave out.
 	violations map[string]int
 	excused    map[string]int
 	requests   map[string]*requestState
@@ -497,7 +500,7 @@
 func (w *world) flowOpened(h *host, f *hostFlow) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.flows[f.consumer] = opened{h, f.openedAt, f.service}
+	w.flows[f.consumer] = opened{h, f.openedAt}
 	w.record("open flow %s at host %s", f.consumer, h.id)
 }
 
