Give a list the oldest revision of its pages

Cause: a list that allows stale data took the revision of its first page. A replica that lags may answer a later page; the watch then started after changes that this page lacked, and the instance reset flows of an upstream that it had never heard of as soon as its state counted as complete.

Fix: the revision of a list is the oldest of its pages, so that the watch repeats every change that some page lacks. Repeated entries were ignored by their revisions before; repeated removals now are as well. The event list_pages_differ names both revisions.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -190,6 +190,8 @@
 	case EraSettled:
 		c.recordChange(Change{Event: "store_era_settled", Kind: e.Kind, Revision: c.status[e.Kind].revision, Detail: fmt.Sprintf("era=%d", e.Era)})
 		c.status[e.Kind].unsettled = false
+	case ListPagesDiffer:
+		c.recordChange(Change{Event: "list_pages_differ", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("newest=%d", e.Newest)})
 	case AnswerIgnored:
 		c.recordChange(Change{Event: "answer_ignored", Kind: e.Kind, Revision: e.Answer.Revision,
 			Detail: fmt.Sprintf("era=%d held_era=%d held_revision=%d", e.Answer.Era, e.Held.Era, e.Held.Revision)})
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -184,6 +184,13 @@
 	Era  uint64
 }
 
+// ListPagesDiffer reports a list whose pages show the store at different revisions:
+// from Revision to Newest.
+type ListPagesDiffer struct {
+	Kind             Kind
+	Revision, Newest uint64
+}
+
 // AnswerIgnored reports an answer of the store that was not applied, because its
 // position is before that of the state.
 type AnswerIgnored struct {
@@ -207,6 +214,7 @@
 func (EraChanged) event()           {}
 func (EraSettled) event()           {}
 func (AnswerIgnored) event()        {}
+func (ListPagesDiffer) event()      {}
 func (PeerStateFetched) event()     {}
 func (UpstreamsListed) event()      {}
 func (UpstreamsChanged) event()     {}
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -53,6 +53,8 @@
 	u := change.Upstream
 	entry := c.byID[u.ID]
 	switch {
+	case change.Removed && entry != nil && u.Revision < entry.Revision:
+		// The upstream was listed again later, as a newer page of a list has shown.
 	case change.Removed:
 		if entry == nil && u.Address.IsValid() {
 			c.addIncarnation(now, nil, u)
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -156,6 +156,16 @@
 	require.Len(t, snapshotAt(t, c, start).Service("s").Entries, 1)
 }
 
+// Guards against a listed upstream that counts as missing because a watch repeats its
+// removal from before the list.
+func TestRemovalFromBeforeEntryIsIgnored(t *testing.T) {
+	c := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 98))
+	require.Empty(t, c.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{removedEntry("i-1", 97)}, Revision: 97}))
+	require.True(t, c.byID["i-1"].Listed())
+	c.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{removedEntry("i-1", 101)}, Revision: 101})
+	require.False(t, c.byID["i-1"].Listed())
+}
+
 // Guards against an instance that starts while the store is unavailable, fetches
 // the state of another one, and lacks upstreams whose flows go on although their
 // entries are missing.
