Forward flows of an earlier incarnation to the latest one

Cause: between its start and its first report an upstream accepts flows that instances open under the entry of before. They carry the cookie of the earlier incarnation but the same token. Once the report arrived, every instance took this cookie for a flow that had ended.

Fix: such packets go to the latest incarnation under the id, with its cookie, which both ends return from then on. An upstream that does not hold a flow resets it by itself. A probe of an earlier incarnation no longer resets flows. Answers to hellos carry replaced incarnations, because an instance that starts after the report reset their cookies as unknown. The soak's restarted upstreams report later than they start.

The comment of TestRestartWithSameIDReplacesEarlierIncarnation no longer asks that packets do not reach the later incarnation; its checks are unchanged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -192,6 +192,8 @@
 		c.status[e.Kind].unsettled = false
 	case ListPagesDiffer:
 		c.recordChange(Change{Event: "list_pages_differ", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("newest=%d", e.Newest)})
+	case EarlierIncarnations:
+		c.applyEarlierIncarnations(now, e)
 	case AnswerIgnored:
 		c.recordChange(Change{Event: "answer_ignored", Kind: e.Kind, Revision: e.Answer.Revision,
 			Detail: fmt.Sprintf("era=%d held_era=%d held_revision=%d", e.Answer.Era, e.Held.Era, e.Held.Revision)})
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -191,6 +191,18 @@
 	Revision, Newest uint64
 }
 
+// Incarnation identifies one start of an upstream.
+type Incarnation struct {
+	ID string
+	// Born is the start in Unix milliseconds.
+	Born int64
+}
+
+// EarlierIncarnations carries incarnations that later ones under the same ids have
+// replaced, for an instance that started after that. Those of unknown upstreams are
+// ignored.
+type EarlierIncarnations struct{ Incarnations []Incarnation }
+
 // AnswerIgnored reports an answer of the store that was not applied, because its
 // position is before that of the state.
 type AnswerIgnored struct {
@@ -214,6 +226,7 @@
 func (EraChanged) event()           {}
 func (EraSettled) event()           {}
 func (AnswerIgnored) event()        {}
+func (EarlierIncarnations) event()  {}
 func (ListPagesDiffer) event()      {}
 func (PeerStateFetched) event()     {}
 func (UpstreamsListed) event()      {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -29,9 +29,12 @@
 	routes        map[netip.AddrPort]*Route
 	removedRoutes map[netip.AddrPort]bool
 	byCookie      map[flowcookie.Cookie]*Entry
-	services      map[string]*ServiceView
-	config        *Configuration
-	evacuated     []string
+	// successors stores, under the cookies of replaced incarnations, the latest ones
+	// under the same ids.
+	successors map[flowcookie.Cookie]*Entry
+	services   map[string]*ServiceView
+	config     *Configuration
+	evacuated  []string
 	// buildNumber identifies the build of the maps. Snapshots that share their
 	// maps have the same number.
 	buildNumber uint64
@@ -70,6 +73,23 @@
 // Resolve returns the upstream incarnation that a cookie identifies, or nil.
 func (s *Snapshot) Resolve(cookie flowcookie.Cookie) *Entry { return s.byCookie[cookie] }
 
+// Successor returns the latest incarnation under the id of the upstream that a cookie
+// identifies, if that is another incarnation, or nil.
+func (s *Snapshot) Successor(cookie flowcookie.Cookie) *Entry { return s.successors[cookie] }
+
+// EarlierIncarnations returns at most limit of the incarnations that have a successor,
+// at random.
+func (s *Snapshot) EarlierIncarnations(limit int) []Incarnation {
+	var earlier []Incarnation
+	for cookie := range s.successors {
+		if len(earlier) == limit {
+			break
+		}
+		earlier = append(earlier, Incarnation{ID: s.byCookie[cookie].ID, Born: s.byCookie[cookie].Born})
+	}
+	return earlier
+}
+
 // Service returns the service of the given name, or nil.
 func (s *Snapshot) Service(name string) *ServiceView { return s.services[name] }
 
@@ -138,6 +158,7 @@
 		routes:        map[netip.AddrPort]*Route{},
 		removedRoutes: make(map[netip.AddrPort]bool, len(c.removedRoutes)),
 		byCookie:      make(map[flowcookie.Cookie]*Entry, len(c.byCookie)),
+		successors:    map[flowcookie.Cookie]*Entry{},
 		services:      map[string]*ServiceView{},
 		buildNumber:   c.builds,
 	}
@@ -168,6 +189,9 @@
 			entry = &cold
 		}
 		s.byCookie[cookie] = entry
+		if successor := c.successor(entry); successor != nil {
+			s.successors[cookie] = successor
+		}
 		service := s.services[entry.Service]
 		if service == nil || entry.Replaced {
 			continue
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -168,6 +168,31 @@
 	c.recordChange(Change{Event: "upstream_replaced", Subject: entry.ID, Revision: entry.Revision, Detail: entry.describe()})
 }
 
+// applyEarlierIncarnations adds incarnations that were replaced before this instance
+// read the upstreams, so that flows with their cookies reach the later incarnations.
+func (c *Catalog) applyEarlierIncarnations(now time.Time, earlier EarlierIncarnations) {
+	for _, incarnation := range earlier.Incarnations {
+		latest, cookie := c.byID[incarnation.ID], flowcookie.Of(incarnation.ID, incarnation.Born)
+		if latest == nil || incarnation.Born >= latest.Born || c.byCookie[cookie] != nil {
+			continue
+		}
+		entry := *latest
+		entry.Born, entry.Cookie, entry.Replaced, entry.RemovedAt, entry.GoneAt = incarnation.Born, cookie, true, now, now
+		c.byCookie[cookie] = &entry
+		c.dirty = true
+		c.recordChange(Change{Event: "upstream_replaced", Subject: entry.ID, Revision: entry.Revision, Detail: entry.describe()})
+	}
+}
+
+// successor returns the latest incarnation under the id of an entry, or nil if that is
+// the entry itself.
+func (c *Catalog) successor(entry *Entry) *Entry {
+	if latest := c.byID[entry.ID]; latest != nil && latest.Born > entry.Born {
+		return latest
+	}
+	return nil
+}
+
 // replaceEntry stores after in place of before wherever before is stored.
 func (c *Catalog) replaceEntry(before, after *Entry) {
 	c.byCookie[after.Cookie] = after
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// Guards against sending the packets of an earlier incarnation's flows to the
-// incarnation that has started under the same id.
+// Guards against new flows for an earlier incarnation after the upstream has started
+// again under the same id, and against a lagging replica that brings it back.
 func TestRestartWithSameIDReplacesEarlierIncarnation(t *testing.T) {
 	c := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10))
 	c.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{listedEntry("i-1", 5000, "10.0.0.1:80", 101)}, Revision: 101})
@@ -84,6 +84,8 @@
 	require.True(t, s.Resolve(flowcookie.Of("i-1", 1000)).Gone(start))
 	require.False(t, s.Resolve(flowcookie.Of("i-1", 5000)).Gone(start))
 	require.Len(t, s.Service("s").Entries, 1)
+	require.EqualValues(t, 5000, s.Successor(flowcookie.Of("i-1", 1000)).Born)
+	require.Nil(t, s.Successor(flowcookie.Of("i-1", 5000)))
 
 	// An older entry from a replica that lags does not bring it back.
 	c.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{listedEntry("i-1", 1000, "10.0.0.1:80", 10)}, Revision: 101})
@@ -166,6 +168,25 @@
 	require.False(t, c.byID["i-1"].Listed())
 }
 
+// Guards against an instance that started after a restart of an upstream and resets the
+// flows with the cookie of the earlier incarnation: it learns of it from a peer. Reports of unknown
+// upstreams or later incarnations must change nothing.
+func TestEarlierIncarnationsOfPeersHaveSuccessors(t *testing.T) {
+	peer := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10), listedEntry("i-2", 1000, "10.0.0.2:80", 11))
+	peer.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{listedEntry("i-1", 5000, "10.0.0.1:80", 101)}, Revision: 101})
+	earlier := snapshotAt(t, peer, start).EarlierIncarnations(5)
+	require.Equal(t, []Incarnation{{"i-1", 1000}}, earlier)
+
+	c := newSynchronized(listedEntry("i-1", 5000, "10.0.0.1:80", 101))
+	c.Apply(start, EarlierIncarnations{append(earlier, Incarnation{"i-1", 9000}, Incarnation{"i-7", 1})})
+	s := snapshotAt(t, c, start)
+	require.EqualValues(t, 5000, s.Successor(flowcookie.Of("i-1", 1000)).Born)
+	require.Equal(t, 2, s.UpstreamCount())
+	require.Len(t, s.Service("s").Entries, 1)
+	c.DeleteExpired(start.Add(removedRetention))
+	require.Equal(t, 1, snapshotAt(t, c, start.Add(removedRetention)).UpstreamCount())
+}
+
 // Guards against an instance that starts while the store is unavailable, fetches
 // the state of another one, and lacks upstreams whose flows go on although their
 // entries are missing.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -29,6 +29,8 @@
 		OnLostRequest: func(u relay.UpstreamIncarnation) {
 			instance.traffic.queuePeerReport(peerReport{upstream: u, lost: true})
 		},
+		OnReplaced: instance.applyReplaced,
+		Replaced:   instance.replacedIncarnations,
 		OnLoad: func(domain string, report relay.LoadReport) {
 			instance.traffic.queueLoadReport(loadReport{domain, report})
 		},
@@ -50,6 +52,33 @@
 	return nil
 }
 
+// applyReplaced passes earlier incarnations of upstreams to the catalog. They are dropped
+// when its queue is full; the next answer to a hello repeats them.
+func (instance *Instance) applyReplaced(replaced []relay.UpstreamIncarnation) {
+	var event catalog.EarlierIncarnations
+	for _, incarnation := range replaced {
+		event.Incarnations = append(event.Incarnations, catalog.Incarnation(incarnation))
+	}
+	select {
+	case instance.events <- catalogsync.Event{Event: event}:
+	default:
+		instance.log.Event(logrus.WarnLevel, "replaced_dropped", logrus.Fields{"count": len(replaced)})
+	}
+}
+
+// replacedIncarnations returns at most limit of the earlier incarnations that the
+// published state contains.
+func (instance *Instance) replacedIncarnations(limit int) (replaced []relay.UpstreamIncarnation) {
+	snapshot := instance.snapshot.Load()
+	if snapshot == nil {
+		return nil
+	}
+	for _, incarnation := range snapshot.EarlierIncarnations(limit) {
+		replaced = append(replaced, relay.UpstreamIncarnation(incarnation))
+	}
+	return replaced
+}
+
 // publishedState returns the published state of a kind, for peers that start, and the time
 // since the store confirmed it; false when it is not known.
 func (instance *Instance) publishedState(kind catalog.Kind) (catalogsync.Update, time.Duration, bool) {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -152,7 +152,10 @@
 	return decision
 }
 
-// decideEstablished decides on a packet of an established flow from its cookie.
+// decideEstablished decides on a packet of an established flow from its cookie. It
+// replaces the cookie of an earlier incarnation by that of the latest one: both have the
+// same token, so that the latest one has accepted flows that were opened between its
+// start and its first report.
 func (e *Engine) decideEstablished(now time.Time, p *Packet) Decision {
 	if e.snapshot.RouteRemoved(p.Flow.Service) {
 		return e.resetFlow(p, ReasonRouteRemoved, nil)
@@ -167,10 +170,14 @@
 		}
 		return Decision{Action: Wait, Reason: ReasonUnknownCookie}
 	}
+	reason := ReasonEstablished
+	if successor := e.snapshot.Successor(p.Cookie); successor != nil {
+		entry, reason, p.Cookie = successor, ReasonEarlierIncarnation, successor.Cookie
+	}
 	if standing := e.Standing(now, entry); standing != evidence.Running && !p.Reset {
 		return e.resetFlow(p, resetReasons[standing], entry)
 	}
-	return Decision{Action: Forward, Reason: ReasonEstablished, Upstream: entry, HandshakeTime: e.observePacket(now, p)}
+	return Decision{Action: Forward, Reason: reason, Upstream: entry, HandshakeTime: e.observePacket(now, p)}
 }
 
 // resetReasons holds the reason of a reset by the standing of the flow's upstream.
@@ -380,8 +387,13 @@
 }
 
 // HandleProbeResult records the result of a probe. On a conclusive failure, it removes
-// the upstream's flow records and returns the resets to send.
+// the upstream's flow records and returns the resets to send. The failure of an earlier
+// incarnation proves nothing about the latest one, and has no effect.
 func (e *Engine) HandleProbeResult(now time.Time, result evidence.ProbeResult) ProbeEffect {
+	if e.snapshot.Successor(result.Upstream.Cookie) != nil {
+		e.CancelProbe(evidence.Probe{Upstream: result.Upstream})
+		return ProbeEffect{}
+	}
 	effect := ProbeEffect{ProbeEffect: e.Tracker.HandleProbeResult(now, result)}
 	if effect.Failed {
 		effect.Resets = e.removeFlowsOf(result.Upstream.Cookie)
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -66,6 +66,10 @@
 const (
 	// ReasonEstablished: the cookie names the upstream.
 	ReasonEstablished Reason = iota
+	// ReasonEarlierIncarnation: the cookie names an earlier incarnation of the upstream.
+	// The packet goes to the latest one, which may have accepted the flow before this
+	// instance knew it, and resets it otherwise.
+	ReasonEarlierIncarnation
 	// ReasonOpened: the first copy of an opening packet was assigned an upstream.
 	ReasonOpened
 	// ReasonOpenRepeated: a later copy of an opening packet was assigned an upstream.
@@ -79,8 +83,8 @@
 	// ReasonColdLimit: the upstreams that remain are cold, and are in another failure
 	// domain or at their limit.
 	ReasonColdLimit
-	// ReasonUpstreamGone: the flow's upstream was replaced, or its entry was removed
-	// and no probe shows that it still runs.
+	// ReasonUpstreamGone: another upstream has taken the place of the flow's upstream,
+	// or its entry was removed and no probe shows that it still runs.
 	ReasonUpstreamGone
 	// ReasonUpstreamFailed: a conclusive probe of the flow's upstream failed within
 	// failureProvenFor, or another upstream answers at its address.
@@ -100,7 +104,7 @@
 
 // ReasonLabels holds the label of each reason, indexed by Reason.
 var ReasonLabels = [reasonCount]string{
-	"established", "opened", "open_repeated", "no_route", "route_removed", "no_upstream", "cold_limit",
+	"established", "earlier_incarnation", "opened", "open_repeated", "no_route", "route_removed", "no_upstream", "cold_limit",
 	"upstream_gone", "upstream_silent", "unknown_cookie", "no_cookie", "not_synchronized", "other_service",
 }
 
--- /dev/null
+++ b/internal/forward/restart_test.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+// restart returns the entry of an upstream that has started again under its id.
+func restart(u catalog.Upstream) catalog.Upstream {
+	u.Born += 5000
+	return u
+}
+
+// Guards against resets of open flows that an upstream accepted after it had started
+// again under its id and before its first report: they carry the cookie of the earlier
+// incarnation.
+func TestFlowsOpenedBeforeFirstReportOfRestartGoOn(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	earlier := f.establish(4001)
+	f.advance(100 * time.Millisecond)
+	f.updateUpstream(restart(upstream(1)))
+	f.advance(5 * time.Second)
+	d := f.send(4001, earlier.Cookie, 1, 1, 100)
+	require.Equal(t, Forward, d.Action)
+	require.Equal(t, ReasonEarlierIncarnation, d.Reason)
+	require.EqualValues(t, 6000, d.Upstream.Born)
+	require.Equal(t, flowcookie.Of("i-1", 6000), d.Upstream.Cookie, "the upstream and the caller return the later cookie from now on")
+	require.Equal(t, 1, f.engine.loadOf(d.Upstream.Cookie).flows)
+	require.Zero(t, f.engine.loadOf(earlier.Cookie).flows)
+}
+
+// Guards against resets of such flows by a probe that began before the restart and ends
+// after it.
+func TestProbeOfEarlierIncarnationResetsNoFlows(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	earlier := f.establish(4001)
+	began := f.now
+	f.advance(100 * time.Millisecond)
+	f.updateUpstream(restart(upstream(1)))
+	f.updateUpstream(restart(upstream(2)))
+	effect := f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: earlier, Outcome: evidence.ProbeRefused, Started: began.Add(50 * time.Millisecond)})
+	require.Equal(t, ProbeEffect{}, effect)
+	require.Equal(t, Forward, f.send(4001, earlier.Cookie, 1, 1, 100).Action)
+}
+
+// Guards against flows that go on after the later incarnation has failed as well, and
+// against flows of an ended upstream that go to the upstream that now has its address.
+func TestFlowsOfEarlierIncarnationEndWithTheLatest(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := flowcookie.Of("i-1", 1000)
+	f.updateUpstream(restart(upstream(1)))
+	latest := f.engine.snapshot.Successor(cookie)
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: latest, Outcome: evidence.ProbeRefused, Started: f.now})
+	d := f.send(4001, cookie, 1, 1, 100)
+	require.Equal(t, Reset, d.Action)
+	require.Equal(t, ReasonUpstreamFailed, d.Reason)
+
+	f.removeUpstream("i-2")
+	taker := upstream(3)
+	taker.Address, taker.Born = upstream(2).Address, 7000
+	f.updateUpstream(taker)
+	d = f.send(4002, flowcookie.Of("i-2", 1000), 1, 1, 100)
+	require.Equal(t, Reset, d.Action)
+	require.Equal(t, ReasonUpstreamGone, d.Reason)
+}
--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -88,6 +88,7 @@
 	w := &relayv1.Message{
 		From: names.member(mention{Member: m.From}), Hello: m.Hello, Announcement: m.Announcement,
 		Silent: encodeIncarnations(m.Silent), Lost: encodeIncarnations(m.Lost),
+		Replaced: encodeIncarnations(m.Replaced),
 	}
 	if m.Positions != nil {
 		for _, position := range m.Positions {
@@ -132,7 +133,7 @@
 	names := &nameReader{names: w.Names}
 	m := &message{
 		Hello: w.Hello, Announcement: w.Announcement, Silent: decodeIncarnations(w.Silent), Lost: decodeIncarnations(w.Lost),
-		format: formatBinary,
+		Replaced: decodeIncarnations(w.Replaced), format: formatBinary,
 	}
 	if len(w.Revisions) > 0 {
 		m.Positions = positionsFrom(w.Revisions, w.Eras)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -18,6 +18,10 @@
 // even with the longest names; the receivers may reject a longer report.
 const MaxReportedUpstreams = 12
 
+// maxReplaced is the largest number of earlier incarnations in one answer. If there are
+// more, each answer has others at random.
+const maxReplaced = 12
+
 // MessageKind is the kind of a message between instances, for the counters.
 type MessageKind int
 
@@ -106,6 +110,9 @@
 	// Positions is the state that the sender holds; nil from a version that does not
 	// report it.
 	Positions *Positions
+	// Replaced lists earlier incarnations of upstreams that have started again under
+	// their ids, in the answer to a hello: the receiver may have started after that.
+	Replaced []UpstreamIncarnation
 	// Update is a change, or the confirmation of a revision, that the sender
 	// received from the store.
 	Update *catalogsync.Update
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,11 @@
 	// probes or that the probes found gone, OnLostRequest with each upstream that
 	// left a request of a peer's caller without an answer.
 	OnSilentUpstream, OnLostRequest func(UpstreamIncarnation)
+	// OnReplaced is called with earlier incarnations of upstreams that a member of any
+	// failure domain knows, on the goroutine that receives datagrams.
+	OnReplaced func([]UpstreamIncarnation)
+	// Replaced returns at most limit earlier incarnations that this instance knows.
+	Replaced func(limit int) []UpstreamIncarnation
 	// OnLoad is called with what an instance of a failure domain reports on response
 	// times, on the goroutine that receives datagrams.
 	OnLoad func(domain string, report LoadReport)
@@ -194,7 +199,7 @@
 	}
 	if r.wrongSessionAnswers.AllowN(now, 1) {
 		answer := r.ownMessage()
-		answer.Hello, answer.Members = true, r.membersFor(now, m.From.FailureDomain)
+		answer.Hello, answer.Members, answer.Replaced = true, r.membersFor(now, m.From.FailureDomain), r.cfg.Replaced(maxReplaced)
 		r.sendMessage(receiver{m.From.Address, senderSession, m.senderFormat()}, answer)
 	}
 	if m.Hello {
@@ -210,8 +215,14 @@
 // domain to the callbacks.
 func (r *Relay) handleMessage(now time.Time, m *message, senderSession peerauth.Session) {
 	if answer := r.recordMessage(now, m, senderSession); answer != nil {
+		if m.Hello {
+			answer.Replaced = r.cfg.Replaced(maxReplaced)
+		}
 		r.sendMessage(receiver{m.From.Address, senderSession, m.senderFormat()}, answer)
 	}
+	if len(m.Replaced) > 0 {
+		r.cfg.OnReplaced(m.Replaced)
+	}
 	if m.Loads != nil {
 		r.cfg.OnLoad(m.From.FailureDomain, *m.Loads)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -89,7 +89,8 @@
 // encodedMessage holds the encodings of one message that goes to many receivers.
 type encodedMessage [formatBinary + 1][]byte
 
-// sendMessage sends a message. A list of members that does not fit is shortened.
+// sendMessage sends a message. Lists that do not fit are shortened, that of replaced
+// incarnations first.
 func (r *Relay) sendMessage(to receiver, m *message) {
 	var encoded encodedMessage
 	r.sendEncoded(to, m, &encoded)
@@ -100,8 +101,12 @@
 	if data == nil {
 		var err error
 		data, err = m.encode(to.format)
-		for err == nil && len(data)+peerauth.Overhead > MaxDatagram && len(m.Members) > 0 {
-			m.Members = m.Members[:len(m.Members)/2]
+		for err == nil && len(data)+peerauth.Overhead > MaxDatagram && len(m.Members)+len(m.Replaced) > 0 {
+			if len(m.Replaced) > 0 {
+				m.Replaced = m.Replaced[:len(m.Replaced)/2]
+			} else {
+				m.Members = m.Members[:len(m.Members)/2]
+			}
 			data, err = m.encode(to.format)
 		}
 		if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -20,6 +20,9 @@
 // stands for three missed reports of the upstream. Then its address is reused.
 const crashedListingTime = 2300 * time.Millisecond
 
+// reportInterval is the time between two reports of an upstream to the store.
+const reportInterval = 1200 * time.Millisecond
+
 // faultInjector injects faults by a seeded random schedule.
 type faultInjector struct {
 	fleet   *fleet
@@ -252,6 +255,22 @@
 // address is replaced by a new one. If the upstream cannot be started, this is logged
 // and nothing is written.
 func (injector *faultInjector) addUpstream(id string, service, domain string, address netip.AddrPort) {
+	if u := injector.startUpstream(id, service, domain, address); u != nil {
+		injector.report(u)
+	}
+}
+
+// report writes the entry of an upstream to the store.
+func (injector *faultInjector) report(u *upstream) {
+	injector.fleet.mu.Lock()
+	entry := u.Upstream
+	injector.fleet.mu.Unlock()
+	injector.fleet.store.SetUpstream(entry)
+}
+
+// startUpstream starts an upstream as addUpstream does, without a report to the store. It
+// returns nil if the upstream cannot be started.
+func (injector *faultInjector) startUpstream(id string, service, domain string, address netip.AddrPort) *upstream {
 	injector.lastNumber++
 	if !address.IsValid() {
 		address = netip.AddrPortFrom(injector.fleet.loopbackAddress(groupUpstream, injector.lastNumber), upstreamPort)
@@ -261,19 +280,19 @@
 		id = fmt.Sprintf("i-%x", token)
 	} else if _, err := fmt.Sscanf(id, "i-%x", &token); err != nil {
 		injector.checker.recordViolation("id %s has no hexadecimal token: %v", id, err)
-		return
+		return nil
 	}
 	u, err := startUpstream(catalog.Upstream{
 		ID: id, Born: time.Now().UnixMilli(), Token: token, Address: address, FailureDomain: domain, Service: service, Capacity: 2,
 	}, injector.checker)
 	if err != nil {
 		injector.log("cannot start upstream %s: %v", id, err)
-		return
+		return nil
 	}
 	injector.fleet.mu.Lock()
 	injector.fleet.upstreams = append(injector.fleet.upstreams, u)
 	injector.fleet.mu.Unlock()
-	injector.fleet.store.SetUpstream(u.Upstream)
+	return u
 }
 
 // crashUpstream stops an upstream that the store still lists. After crashedListingTime
@@ -295,7 +314,8 @@
 }
 
 // restartUpstream stops an upstream and starts it again after 0.2 to 1 second with the
-// same id and address. The store lists it meanwhile.
+// same id and address. It makes its first report up to a report interval later; the store
+// lists the earlier incarnation meanwhile.
 func (injector *faultInjector) restartUpstream(ctx context.Context) {
 	removable := injector.removableUpstreams()
 	if len(removable) == 0 {
@@ -304,8 +324,19 @@
 	u := removable[injector.rng.IntN(len(removable))]
 	injector.forgetUpstream(u)
 	u.stop(ctx)
-	if injector.sleepBetween(ctx, 200*time.Millisecond, time.Second) {
-		injector.addUpstream(u.ID, u.Service, u.FailureDomain, u.Address)
+	if !injector.sleepBetween(ctx, 200*time.Millisecond, time.Second) {
+		return
+	}
+	started := injector.startUpstream(u.ID, u.Service, u.FailureDomain, u.Address)
+	if started == nil {
+		return
+	}
+	// No random draw, so that the schedules of earlier seeds stay as they are.
+	delay := time.Duration(injector.lastNumber) * 379 * time.Millisecond % reportInterval
+	select {
+	case <-time.After(delay):
+		injector.report(started)
+	case <-ctx.Done():
 	}
 }
 
