Confirm state by checks of the store, not by answers of replicas

Cause: every watch allows stale data, and its answer was taken for the store's present state: it was the only source of changes, and the age of the state counted from it. Evidence: with a replica that stays at one revision no drain, configuration or evacuation comes into force (TestChangesAreInForceWhileReplicasLag, "Condition never satisfied" before the change); with replicas that follow they do within 0.3 s.

Fix: answers of replicas move the revision and confirm nothing. One instance of a failure domain checks each kind in the store itself every 1.5 s and confirms it to its peers; another watcher takes over after 1.9 s, any instance after 2.2 s. Updates between instances say whether the store itself answered; those of older versions confirm nothing. A replica that lacks the revision causes a check and no list. The event changes_found_by_check shows replicas that lag.

Tests changed: TestNonWatcherDoesNotCallStore, TestFilledGapsAreNotSentToPeers and TestGapIsFilledFromStore count the one check that follows the list of a start; fixtures that took a list for a confirmation now confirm.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,8 +22,8 @@
 	// unavailable may come back. It is the users' bound.
 	missingGrace = 2 * time.Second
 	// completeDelay is how long the store must have been available without a
-	// break before the state is complete: its replicas lag by up to 3 s, and
-	// entries that expired are back within missingGrace.
+	// break before the state is complete: entries that expired are back within
+	// missingGrace, and instances find them with the next check, at most 3 s later.
 	completeDelay = 3*time.Second + missingGrace
 	// evacuationColdTime is how long the upstreams of a failure domain count as
 	// cold after its evacuation has ended, whatever their entries say. It covers
@@ -114,14 +114,16 @@
 // kindStatus is the status of one kind: its revision, its last confirmation, and
 // whether the store answers.
 type kindStatus struct {
-	// known is set once the kind has been read.
-	known bool
+	// known is set once the kind has been read, at knownSince.
+	known      bool
+	knownSince time.Time
 	// era is the era of the store to which revision belongs.
 	era      uint64
 	revision uint64
 	// unsettled is set from a change of the era until EraSettled.
 	unsettled bool
-	// confirmed is the time at which the store last confirmed the kind.
+	// confirmed is the time at which the store itself last confirmed the kind; zero
+	// while only replicas have answered.
 	confirmed time.Time
 	// unavailable is set from a failed call to the store until the next
 	// confirmation.
@@ -157,30 +159,34 @@
 		if c.isNotOlder(KindUpstreams, e.Revision) {
 			c.applyUpstreamList(now, e)
 		}
-		c.recordConfirmation(now, KindUpstreams, e.Revision)
+		c.recordKnown(now, KindUpstreams, e.Revision)
 	case UpstreamsChanged:
-		c.recordConfirmation(now, KindUpstreams, e.Revision)
+		c.recordKnown(now, KindUpstreams, e.Revision)
 		for _, change := range e.Changes {
 			c.applyUpstreamChange(now, change)
 		}
 	case ConfigurationRead:
 		c.applyConfiguration(e.Configuration)
-		c.recordConfirmation(now, KindConfiguration, e.Configuration.Revision)
+		c.recordKnown(now, KindConfiguration, e.Configuration.Revision)
 	case ConfigurationInvalid:
 		c.recordChange(Change{Event: "configuration_invalid", Kind: KindConfiguration, Revision: e.Revision, Err: e.Err})
-		c.recordConfirmation(now, KindConfiguration, 0)
+		c.recordKnown(now, KindConfiguration, 0)
 	case EvacuationsListed:
 		c.recordInvalidEntries(KindEvacuations, e.Revision, e.Invalid)
 		if c.isNotOlder(KindEvacuations, e.Revision) {
 			c.applyEvacuationList(now, e)
 		}
-		c.recordConfirmation(now, KindEvacuations, e.Revision)
+		c.recordKnown(now, KindEvacuations, e.Revision)
 	case EvacuationsChanged:
 		c.recordInvalidEntries(KindEvacuations, e.Revision, e.Invalid)
-		c.recordConfirmation(now, KindEvacuations, e.Revision)
+		c.recordKnown(now, KindEvacuations, e.Revision)
 		for _, change := range e.Changes {
 			c.setEvacuated(now, change.FailureDomain, !change.Ended)
 		}
+	case Known:
+		c.recordKnown(now, e.Kind, e.Revision)
+	case FoundByCheck:
+		c.recordChange(Change{Event: "changes_found_by_check", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("current=%d", e.Current)})
 	case Confirmed:
 		c.recordConfirmation(now, e.Kind, e.Revision)
 	case Unavailable:
@@ -282,23 +288,32 @@
 	return !c.status[kind].known || revision >= c.status[kind].revision
 }
 
+// recordKnown records that a kind is known up to a revision.
+func (c *Catalog) recordKnown(now time.Time, kind Kind, revision uint64) {
+	status := &c.status[kind]
+	if !status.known {
+		c.recordChange(Change{Event: "state_known", Kind: kind, Revision: revision})
+		status.known, status.knownSince = true, now
+	}
+	status.revision = max(status.revision, revision)
+	c.confirmationsChanged = true
+}
+
 // recordConfirmation records that the store has confirmed a kind up to a revision.
 func (c *Catalog) recordConfirmation(now time.Time, kind Kind, revision uint64) {
+	c.recordKnown(now, kind, revision)
 	status := &c.status[kind]
 	switch {
-	case !status.known:
-		c.recordChange(Change{Event: "state_known", Kind: kind, Revision: revision})
+	case status.confirmed.IsZero():
 		status.regained = now
 	case status.unavailable || status.fetched:
 		c.recordChange(Change{Event: "store_regained", Kind: kind, Revision: revision, Detail: now.Sub(status.confirmed).Round(time.Millisecond).String()})
 		status.regained = now
 	}
-	status.known, status.unavailable, status.fetched = true, false, false
+	status.unavailable, status.fetched = false, false
 	if now.After(status.confirmed) {
 		status.confirmed = now
 	}
-	status.revision = max(status.revision, revision)
-	c.confirmationsChanged = true
 }
 
 // recordFailedCall records that a call for a kind to the store has failed.
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -153,7 +153,21 @@
 	Ended         bool
 }
 
-// Confirmed reports that the store had no change of the kind after Revision.
+// Known reports that all changes of the kind up to Revision have been applied. It does
+// not tell how old Revision is: a replica of the store that lags may have answered.
+type Known struct {
+	Kind     Kind
+	Revision uint64
+}
+
+// FoundByCheck reports that a check in the store found changes between Revision and
+// Current: the answers of replicas lacked them, or updates of peers were lost.
+type FoundByCheck struct {
+	Kind              Kind
+	Revision, Current uint64
+}
+
+// Confirmed reports that the store itself had no change of the kind after Revision.
 type Confirmed struct {
 	Kind     Kind
 	Revision uint64
@@ -235,5 +249,7 @@
 func (ConfigurationInvalid) event() {}
 func (EvacuationsListed) event()    {}
 func (EvacuationsChanged) event()   {}
+func (Known) event()                {}
+func (FoundByCheck) event()         {}
 func (Confirmed) event()            {}
 func (Unavailable) event()          {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -18,11 +18,14 @@
 	Revisions [kindCount]uint64
 	// Eras stores, by kind, the era of the store to which the revision belongs.
 	Eras [kindCount]uint64
-	// Confirmed stores, by kind, the time at which the store last confirmed it;
+	// Confirmed stores, by kind, the time at which the store itself last confirmed it;
 	// zero when it has not.
 	Confirmed [kindCount]time.Time
-	// AvailableSince is the time at which the store became available for
-	// upstreams; zero while it is not. Before completeDelay has passed since
+	// KnownSince stores, by kind, the time at which it was first read, from a replica or
+	// the store; zero when it has not been.
+	KnownSince [kindCount]time.Time
+	// AvailableSince is the time of the store's first confirmation of the upstreams since
+	// it became available; zero while it is not. Before completeDelay has passed since
 	// then, an upstream that is missing may still run.
 	AvailableSince time.Time
 
@@ -97,11 +100,20 @@
 // map.
 func (s *Snapshot) Services() map[string]*ServiceView { return s.services }
 
-// Ready tells whether the store has confirmed every kind, so that upstreams can be
-// chosen for new flows.
+// AsOf returns the time at which the store last confirmed a kind, or the time at which it
+// was first read if the store has not confirmed it; zero when it has not been read.
+func (s *Snapshot) AsOf(kind Kind) time.Time {
+	if confirmed := s.Confirmed[kind]; !confirmed.IsZero() {
+		return confirmed
+	}
+	return s.KnownSince[kind]
+}
+
+// Ready tells whether every kind has been read, so that upstreams can be chosen for new
+// flows.
 func (s *Snapshot) Ready() bool {
-	for _, confirmed := range s.Confirmed {
-		if confirmed.IsZero() {
+	for _, known := range s.KnownSince {
+		if known.IsZero() {
 			return false
 		}
 	}
@@ -141,10 +153,11 @@
 	}
 	c.dirty, c.confirmationsChanged = false, false
 	for kind := range c.status {
-		s.Confirmed[kind], s.Revisions[kind], s.Eras[kind] = c.status[kind].confirmed, c.status[kind].revision, c.status[kind].era
+		status := &c.status[kind]
+		s.Confirmed[kind], s.Revisions[kind], s.Eras[kind], s.KnownSince[kind] = status.confirmed, status.revision, status.era, status.knownSince
 	}
 	s.AvailableSince = time.Time{}
-	if status := c.status[KindUpstreams]; status.known && !status.unavailable && !status.fetched {
+	if status := c.status[KindUpstreams]; !status.confirmed.IsZero() && !status.unavailable && !status.fetched {
 		s.AvailableSince = status.regained
 	}
 	c.lastSnapshot = s
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -33,12 +33,15 @@
 	}}
 }
 
-// newSynchronized returns a catalog that has read all kinds.
+// newSynchronized returns a catalog that has read all kinds from the store.
 func newSynchronized(entries ...UpstreamChange) *Catalog {
 	c := New()
 	c.Apply(start, configuration(1, 1))
 	c.Apply(start, EvacuationsListed{Revision: 1})
 	c.Apply(start, UpstreamsListed{Entries: entries, Revision: 100})
+	for _, kind := range Kinds() {
+		c.Apply(start, Confirmed{Kind: kind, Revision: c.status[kind].revision})
+	}
 	return c
 }
 
--- a/internal/catalogsync/peers.go
+++ b/internal/catalogsync/peers.go
@@ -94,6 +94,7 @@
 		s.noticeEra(update.Era)
 	case update.Era == s.position.Era && update.Base <= s.position.Revision:
 		s.apply(ctx, update)
+		s.ownCheck = s.ownCheck && !update.Current
 	}
 }
 
--- a/internal/catalogsync/restore_fleet_test.go
+++ b/internal/catalogsync/restore_fleet_test.go
@@ -136,7 +136,8 @@
 		}
 		sent := update
 		if instance.withoutEras || other.withoutEras {
-			sent.Era = 0
+			// Earlier versions know neither eras nor checks.
+			sent.Era, sent.Current = 0, false
 		}
 		time.AfterFunc(time.Millisecond, func() { other.syncer.QueueUpdate(sent) })
 	}
--- a/internal/catalogsync/restore_store_test.go
+++ b/internal/catalogsync/restore_store_test.go
@@ -51,6 +51,8 @@
 	dropped uint64
 	// cut holds the names of the instances that do not reach the store.
 	cut map[string]bool
+	// checks counts the watches that no replica may answer, since takeChecks.
+	checks int
 }
 
 func newSimStore() *simStore {
@@ -133,6 +135,16 @@
 	return s.current()
 }
 
+// takeChecks returns the number of watches that no replica may answer, since the last
+// call.
+func (s *simStore) takeChecks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	checks := s.checks
+	s.checks = 0
+	return checks
+}
+
 func (s *simStore) set(change func(*simStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,7 +184,7 @@
 	if err != nil {
 		return Update{}, err
 	}
-	update := Update{Kind: kind, Era: state.era, Revision: state.revision}
+	update := Update{Kind: kind, Era: state.era, Revision: state.revision, Current: !stale}
 	switch kind {
 	case catalog.KindUpstreams:
 		list := catalog.UpstreamsListed{Revision: state.revision}
@@ -192,11 +204,14 @@
 
 // Watch implements Store. A watch from a revision that the store does not have, or whose
 // history was dropped, fails with ErrHistoryGone.
-func (c simClient) Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration) (Update, error) {
+func (c simClient) Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration, stale bool) (Update, error) {
+	if !stale {
+		c.store.set(func(s *simStore) { s.checks++ })
+	}
 	deadline := time.Now().Add(wait)
 	for {
 		time.Sleep(4 * time.Millisecond)
-		state, dropped, err := c.read(true)
+		state, dropped, err := c.read(stale)
 		switch {
 		case err != nil:
 			return Update{}, err
@@ -205,7 +220,7 @@
 		case revision > state.revision || revision < dropped:
 			return Update{}, fmt.Errorf("watch from %d: %w", revision, ErrHistoryGone)
 		}
-		update := Update{Kind: kind, Era: state.era, Base: revision, Revision: state.revision}
+		update := Update{Kind: kind, Era: state.era, Base: revision, Revision: state.revision, Current: !stale}
 		for _, change := range state.history {
 			if change.kind == kind && change.revision > revision {
 				update.Events = append(update.Events, change.event)
--- a/internal/catalogsync/restore_test.go
+++ b/internal/catalogsync/restore_test.go
@@ -191,8 +191,8 @@
 		case draw < 4:
 			s.disturb(mixed)
 		case draw < 5:
-			lag, span := time.Duration(s.rng.IntN(1500))*time.Millisecond, time.Duration(s.rng.IntN(4000))*time.Millisecond
-			s.disturbStore(time.Now().Add(span))
+			// Lagging replicas are no disturbance: the bound holds meanwhile.
+			lag, span := time.Duration(s.rng.IntN(6000))*time.Millisecond, time.Duration(s.rng.IntN(8000))*time.Millisecond
 			s.store.set(func(store *simStore) { store.lag = lag })
 			time.AfterFunc(span, func() { s.store.set(func(store *simStore) { store.lag = 0 }) })
 		case draw < 6:
--- a/internal/catalogsync/store.go
+++ b/internal/catalogsync/store.go
@@ -1,8 +1,10 @@
 // Package catalogsync keeps an instance's catalog up to date. It lists each kind of
-// data in the store once, and again after the store was restored. Then it watches the kind in the store while this instance
-// is one of its watchers; otherwise it applies the updates that the watchers of its
-// failure domain send. An instance that has received no update in time calls the
-// store itself.
+// data in the store once, and again after the store was restored. Then it watches the kind
+// while this instance is one of its watchers; otherwise it applies the updates that the
+// watchers of its failure domain send. Lists and watches may be answered by replicas that
+// lag. One instance of the failure domain therefore checks each kind in the store itself
+// at intervals and tells its peers; another one takes over when these confirmations
+// stop.
 package catalogsync
 
 import (
@@ -27,6 +29,9 @@
 	Base uint64 `json:"base"`
 	// Revision is the revision of the kind after the changes.
 	Revision uint64 `json:"revision"`
+	// Current is set when the store itself answered, so that the update has all changes
+	// that it had confirmed by then. The answer of a replica may be seconds old.
+	Current bool `json:"current,omitempty"`
 	// Events lists the changes in order; it is empty when nothing has changed.
 	Events []catalog.Event `json:"-"`
 }
@@ -54,10 +59,11 @@
 	// answer. It fails with an error of the call.
 	List(ctx context.Context, kind catalog.Kind, stale bool) (Update, error)
 	// Watch returns the changes since a revision as soon as there are any, and an
-	// update without events after the time wait. It fails with an error that
-	// wraps ErrHistoryGone when the store no longer has the changes, and with
-	// an error of the call otherwise.
-	Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration) (Update, error)
+	// update without events after the time wait. With stale, a replica that lags may
+	// answer. It fails with an error that wraps ErrHistoryGone when the store no longer
+	// has the changes, or the replica does not have the revision yet, and with an error
+	// of the call otherwise.
+	Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration, stale bool) (Update, error)
 }
 
 // Peers gives access to the peers: the other instances of the failure domain.
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -20,10 +20,17 @@
 	// Changes that follow each other, as in a release, then take one call and one message
 	// to each peer. It is short against the users' tightest bound for changes, 3 s.
 	changePause = 200 * time.Millisecond
-	// staleAfter is the age of the last confirmation of a kind from which an
-	// instance calls the store itself: a watching peer confirms the kind at
-	// least every 1.5 s, and the users' tightest bound is 3 s.
-	staleAfter = 2200 * time.Millisecond
+	// checkInterval is the time between two checks of a kind in the store by the instance
+	// that made the last one. Checks bound the time for which a change stays unknown
+	// while the replicas that answer watches lag.
+	checkInterval = 1500 * time.Millisecond
+	// takeOverAfter is the age of the last confirmation of a kind from which another
+	// watcher checks it, staleAfter that from which any instance does. Both include a
+	// random part of up to checkSpread, so that one instance checks the kind and confirms
+	// it to the others. The users' tightest bound for changes is 3 s.
+	takeOverAfter = 1900 * time.Millisecond
+	staleAfter    = 2200 * time.Millisecond
+	checkSpread   = 150 * time.Millisecond
 	// retryMin and retryMax bound the mean backoff after a failed call. It is
 	// short against the users' bound of 3 s and allows at most four calls a
 	// second for each kind.
@@ -75,7 +82,7 @@
 func newKindSyncer(kind catalog.Kind, store Store, peers Peers, events chan<- Event) *kindSyncer {
 	return &kindSyncer{
 		kind: kind, store: store, peers: peers, events: events, now: time.Now,
-		peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), storeFailed: make(chan struct{}),
+		spread: time.Duration(rand.Int64N(int64(checkSpread))), peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), storeFailed: make(chan struct{}),
 	}
 }
 
@@ -132,15 +139,25 @@
 	fresh      bool
 	// stopFetching stops fetchPeerStates; nil while it does not run.
 	stopFetching context.CancelFunc
-	// confirmed is the time at which the store last confirmed the revision, to
-	// this instance or to a peer.
+	// confirmed is the time at which the store itself last confirmed the revision, to
+	// this instance or to a peer; zero before that. ownCheck is set while this instance
+	// made that check.
 	confirmed time.Time
-	// failures counts the failed calls since the last successful watch.
-	failures int
+	ownCheck  bool
+	// spread is the random part of takeOverAfter and staleAfter.
+	spread time.Duration
+	// replicasBehind is the time until which no replica may answer watches, because one
+	// did not have the revision yet.
+	replicasBehind time.Time
+	// failures counts the failed calls since the last answer of the store itself.
+	// reachable is set when a replica has answered since the last of them.
+	failures  int
+	reachable bool
 }
 
-// run lists the kind and then watches the store or waits for updates from peers,
-// until ctx ends. While it cannot list, it also fetches the state of other instances.
+// run lists the kind and then watches the store or waits for updates from peers, and
+// checks the kind in the store when that is due, until ctx ends. While it cannot list, it
+// also fetches the state of other instances.
 func (s *kindSyncer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		var err error
@@ -153,8 +170,10 @@
 			}
 		case s.untilSettled(1) == 0:
 			err = s.list(ctx)
-		case s.peers.IsWatcher(s.now(), s.kind) || s.now().Sub(s.confirmed) >= staleAfter:
-			err = s.watch(ctx, s.untilSettled(watchTimeout), true)
+		case s.untilCheck() == 0:
+			err = s.check(ctx)
+		case s.peers.IsWatcher(s.now(), s.kind):
+			err = s.watch(ctx, s.untilSettled(min(watchTimeout, s.untilCheck())), !s.now().Before(s.replicasBehind), true)
 		default:
 			err = s.awaitUpdate(ctx)
 		}
@@ -176,6 +195,29 @@
 	return min(max(s.settleAt.Sub(s.now()), 0), limit)
 }
 
+// untilCheck returns the time until this instance has to check the kind in the store, at
+// least 0.
+func (s *kindSyncer) untilCheck() time.Duration {
+	due := staleAfter - s.spread
+	switch {
+	case s.ownCheck:
+		due = checkInterval
+	case s.peers.IsWatcher(s.now(), s.kind):
+		due = takeOverAfter - s.spread
+	}
+	return max(due-s.now().Sub(s.confirmed), 0)
+}
+
+// check reads the changes since the position from the store itself, and confirms the
+// position to the peers. After a failed call it first asks a replica, which is cheap and
+// not limited by a rate, until one answers.
+func (s *kindSyncer) check(ctx context.Context) error {
+	if s.failures > 0 && !s.reachable {
+		return s.watch(ctx, 0, true, false)
+	}
+	return s.watch(ctx, 0, false, true)
+}
+
 // list reads the whole kind. After an even number of failures, 0 included, a replica
 // may answer, unless the era has changed: the watch that follows returns the changes
 // that the replica lacks. States and updates from other instances are applied
@@ -207,7 +249,7 @@
 }
 
 // applyList applies a list that was requested at the position asked, and confirms it to
-// the peers. It fails with *OutdatedError.
+// the peers if the store itself has answered. It fails with *OutdatedError.
 func (s *kindSyncer) applyList(ctx context.Context, list Update, asked catalog.Position) error {
 	if list.Position().Compare(asked) < 0 || list.Era < s.position.Era {
 		return s.ignoreAnswer(ctx, list)
@@ -222,7 +264,10 @@
 		s.emit(ctx, catalog.EraSettled{Kind: s.kind, Era: list.Era}, 0)
 	}
 	s.apply(ctx, list)
-	s.peers.SendUpdate(Update{Kind: s.kind, Era: s.position.Era, Base: s.position.Revision, Revision: s.position.Revision})
+	if list.Current {
+		s.ownCheck = true
+		s.peers.SendUpdate(Update{Kind: s.kind, Era: s.position.Era, Base: s.position.Revision, Revision: s.position.Revision, Current: true})
+	}
 	return nil
 }
 
@@ -233,12 +278,13 @@
 	return &OutdatedError{Kind: s.kind, Answer: answer.Position(), Held: s.position}
 }
 
-// watch waits for changes in the store, at most the time wait, applies them and, if send
-// is set, sends them to the peers. It also applies the updates from peers that arrive
-// meanwhile, so that a silent connection to the store does not delay this
-// instance. It ends early when another era is noticed. It fails with the error of the
+// watch waits for changes in the store, or with stale set in a replica, at most the time
+// wait, applies them and, if send is set, sends them to the peers. It also applies the
+// updates from peers that arrive meanwhile, so that a silent connection to the store does
+// not delay this instance. It ends early when another era is noticed. A replica that does
+// not have the position makes a check in the store due. It fails with the error of the
 // watch, or with *OutdatedError.
-func (s *kindSyncer) watch(ctx context.Context, wait time.Duration, send bool) error {
+func (s *kindSyncer) watch(ctx context.Context, wait time.Duration, stale, send bool) error {
 	type result struct {
 		update Update
 		err    error
@@ -248,12 +294,16 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		update, err := s.store.Watch(call, s.kind, revision, wait)
+		update, err := s.store.Watch(call, s.kind, revision, wait, stale)
 		results <- result{update, err}
 	}()
 	for s.listed {
 		select {
 		case r := <-results:
+			if stale && errors.Is(r.err, ErrHistoryGone) {
+				s.replicasBehind, s.confirmed, s.reachable = s.now().Add(checkInterval), time.Time{}, true
+				return nil
+			}
 			if r.err != nil {
 				return r.err
 			}
@@ -276,15 +326,27 @@
 		s.listed, s.fresh = false, true
 		return nil
 	}
-	s.failures = 0
+	s.reachable = true
+	if update.Current {
+		s.failures = 0
+	}
 	if update.Revision < s.position.Revision {
 		// A peer's newer update has arrived first.
+		if update.Current {
+			s.confirmed = s.now()
+			s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.position.Revision}, 0)
+		}
 		return nil
 	}
+	if update.Current && len(update.Events) > 0 {
+		s.emit(ctx, catalog.FoundByCheck{Kind: s.kind, Revision: s.position.Revision, Current: update.Revision}, 0)
+	}
 	s.apply(ctx, update)
-	if !send {
+	if !send || (!update.Current && len(update.Events) == 0 && s.untilCheck() == 0) {
+		// A check is due, and its result goes to the peers.
 		return nil
 	}
+	s.ownCheck = update.Current || s.ownCheck
 	s.peers.SendUpdate(update)
 	if len(update.Events) > 0 {
 		s.pause(ctx, changePause)
@@ -292,12 +354,12 @@
 	return nil
 }
 
-// awaitUpdate waits for an update from a peer and applies it, until the state is
-// older than staleAfter or the kind has to be listed. When the update's base shows a
-// gap, the changes are read from the store. The peers have received the update as well,
-// and are not told.
+// awaitUpdate waits for an update from a peer and applies it, until the kind has to be
+// checked or listed. When the update's base shows a gap, the changes are read from a
+// replica, and from the store if the replica lacks them. The peers have received the
+// update as well, and are not told.
 func (s *kindSyncer) awaitUpdate(ctx context.Context) error {
-	timer := time.NewTimer(s.untilSettled(staleAfter - s.now().Sub(s.confirmed)))
+	timer := time.NewTimer(s.untilSettled(s.untilCheck()))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -306,30 +368,35 @@
 		return nil
 	case update := <-s.peerUpdates:
 		if update.Era == s.position.Era && update.Base > s.position.Revision {
-			return s.watch(ctx, 0, false)
+			if err := s.watch(ctx, 0, true, false); err != nil || s.position.Revision >= update.Revision {
+				return err
+			}
+			return s.watch(ctx, 0, false, false)
 		}
 		s.applyPeerUpdate(ctx, update)
 		return nil
 	}
 }
 
-// apply emits the events of an update and a confirmation, unless the update is older
-// than the state, and moves the state to the update's position.
+// apply emits the events of an update and its position, confirmed or only known, unless
+// the update is older than the state, and moves the state to that position.
 func (s *kindSyncer) apply(ctx context.Context, update Update) {
 	if update.Position().Compare(s.position) < 0 {
 		return
 	}
-	s.confirmed = s.now()
+	var reached catalog.Event = catalog.Known{Kind: s.kind, Revision: update.Revision}
+	if update.Current {
+		s.confirmed, reached = s.now(), catalog.Confirmed{Kind: s.kind, Revision: update.Revision}
+	}
 	if update.Era != s.position.Era {
-		confirmed := catalog.Confirmed{Kind: s.kind, Revision: update.Revision}
-		s.startEra(ctx, update.Position(), append(slices.Clip(update.Events), confirmed), 0)
+		s.startEra(ctx, update.Position(), append(slices.Clip(update.Events), reached), 0)
 		return
 	}
 	for _, event := range update.Events {
 		s.emit(ctx, event, 0)
 	}
 	s.position = update.Position()
-	s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: update.Revision}, 0)
+	s.emit(ctx, reached, 0)
 }
 
 // backOff records and emits a failed call and then waits. The backoff is random,
@@ -340,6 +407,7 @@
 	if errors.Is(err, ErrHistoryGone) {
 		s.listed = false
 	}
+	s.reachable = false
 	if s.failures++; s.failures == 1 {
 		s.reportStoreFailed()
 	}
--- a/internal/catalogsync/sync_test.go
+++ b/internal/catalogsync/sync_test.go
@@ -16,7 +16,8 @@
 
 // fakeStore is a Store with one kind. A store that is down fails calls, one that is
 // silent does not answer watches, one with silentLists does not answer lists, and one with lostHistory fails them with
-// ErrHistoryGone. It records in lists the argument stale of each List call.
+// ErrHistoryGone. Its replicas are at replicaRevision unless that is 0. It records in lists
+// the argument stale of each List call, and counts the watches of the store itself in checks.
 type fakeStore struct {
 	mu          sync.Mutex
 	down        bool
@@ -27,6 +28,17 @@
 	revision    uint64
 	lists       []bool
 	watches     int
+	checks      int
+
+	replicaRevision uint64
+}
+
+// revisionOf returns the revision that a call sees; the caller holds s.mu.
+func (s *fakeStore) revisionOf(stale bool) uint64 {
+	if stale && s.replicaRevision > 0 {
+		return s.replicaRevision
+	}
+	return s.revision
 }
 
 var errDown = errors.New("store is down")
@@ -44,12 +56,16 @@
 	if s.down {
 		return Update{}, errDown
 	}
-	return Update{Kind: kind, Era: s.era, Revision: s.revision, Events: []catalog.Event{catalog.EvacuationsListed{Revision: s.revision}}}, nil
+	revision := s.revisionOf(stale)
+	return Update{Kind: kind, Era: s.era, Revision: revision, Current: !stale, Events: []catalog.Event{catalog.EvacuationsListed{Revision: revision}}}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration) (Update, error) {
+func (s *fakeStore) Watch(ctx context.Context, kind catalog.Kind, revision uint64, wait time.Duration, stale bool) (Update, error) {
 	s.mu.Lock()
 	s.watches++
+	if !stale {
+		s.checks++
+	}
 	down, silent, lostHistory := s.down, s.silent, s.lostHistory
 	s.mu.Unlock()
 	switch {
@@ -64,16 +80,16 @@
 	deadline := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		current, era := s.revision, s.era
+		current, era := s.revisionOf(stale), s.era
 		s.mu.Unlock()
 		if current < revision {
 			return Update{}, fmt.Errorf("watch: %w", ErrHistoryGone)
 		}
 		if current > revision {
-			return Update{Kind: kind, Era: era, Base: revision, Revision: current, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: current}}}, nil
+			return Update{Kind: kind, Era: era, Base: revision, Revision: current, Current: !stale, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: current}}}, nil
 		}
 		if !time.Now().Before(deadline) {
-			return Update{Kind: kind, Era: era, Base: revision, Revision: revision}, nil
+			return Update{Kind: kind, Era: era, Base: revision, Revision: revision, Current: !stale}, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -228,13 +244,14 @@
 	run(t, store, peers, func(syncer *kindSyncer, received func() []Event) {
 		for revision := uint64(5); revision < 25; revision++ {
 			time.Sleep(time.Second)
-			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: revision, Revision: revision + 1,
+			store.set(func(s *fakeStore) { s.revision = revision + 1 })
+			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: revision, Revision: revision + 1, Current: true,
 				Events: []catalog.Event{catalog.EvacuationsChanged{Revision: revision + 1}}}
 		}
 		require.Equal(t, 20, count[catalog.EvacuationsChanged](received()))
 		lists, watches := store.counts()
 		require.Equal(t, 1, lists)
-		require.Zero(t, watches)
+		require.Equal(t, 1, watches, "the check of the list, which a replica answered")
 	})
 }
 
@@ -261,7 +278,7 @@
 		require.Equal(t, 1, count[catalog.EvacuationsChanged](received()))
 		peers.mu.Lock()
 		defer peers.mu.Unlock()
-		require.Len(t, peers.sent, 1, "only the list at the start")
+		require.Len(t, peers.sent, 1, "only the check of the list at the start")
 	})
 }
 
@@ -275,10 +292,10 @@
 		syncer.peerUpdates <- Update{Kind: syncer.kind, Base: 8, Revision: 9, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: 9}}}
 		events := received()
 		require.Equal(t, 1, count[catalog.EvacuationsChanged](events))
-		last := events[len(events)-1].Event.(catalog.Confirmed)
+		last := events[len(events)-1].Event.(catalog.Known)
 		require.EqualValues(t, 9, last.Revision)
 		_, watches := store.counts()
-		require.Equal(t, 1, watches)
+		require.Equal(t, 2, watches, "the check of the list, and the missing changes")
 	})
 }
 
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -163,7 +163,7 @@
 	instance.log.Event(logrus.InfoLevel, "readiness_changed", logrus.Fields{
 		"ready": ready, "leaving": instance.shuttingDown.Load(), "cut_off": instance.traffic.noUpstreamReachable.Load(),
 		"config_version": snapshot.Version, "upstreams": snapshot.UpstreamCount(), "upstreams_revision": snapshot.Revisions[catalog.KindUpstreams],
-		"upstreams_age_ms": now.Sub(snapshot.Confirmed[catalog.KindUpstreams]).Milliseconds(),
+		"upstreams_age_ms": now.Sub(snapshot.AsOf(catalog.KindUpstreams)).Milliseconds(),
 	})
 }
 
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -75,8 +75,8 @@
 		}
 		if snapshot != nil {
 			fields["config_version"], fields["upstreams_revision"] = snapshot.Version, snapshot.Revisions[catalog.KindUpstreams]
-			fields["upstreams_age_ms"] = now.Sub(snapshot.Confirmed[catalog.KindUpstreams]).Milliseconds()
-			fields["config_age_ms"] = now.Sub(snapshot.Confirmed[catalog.KindConfiguration]).Milliseconds()
+			fields["upstreams_age_ms"] = now.Sub(snapshot.AsOf(catalog.KindUpstreams)).Milliseconds()
+			fields["config_age_ms"] = now.Sub(snapshot.AsOf(catalog.KindConfiguration)).Milliseconds()
 		}
 		return fields
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -83,14 +83,14 @@
 // since the store confirmed it; false when it is not known.
 func (instance *Instance) publishedState(kind catalog.Kind) (catalogsync.Update, time.Duration, bool) {
 	snapshot := instance.snapshot.Load()
-	if snapshot == nil || snapshot.Confirmed[kind].IsZero() {
+	if snapshot == nil || snapshot.AsOf(kind).IsZero() {
 		return catalogsync.Update{}, 0, false
 	}
 	update := catalogsync.Update{Kind: kind, Era: snapshot.Eras[kind], Revision: snapshot.Revisions[kind]}
 	if event := snapshot.StateEvent(kind); event != nil {
 		update.Events = []catalog.Event{event}
 	}
-	return update, time.Since(snapshot.Confirmed[kind]), true
+	return update, time.Since(snapshot.AsOf(kind)), true
 }
 
 // holdings returns the positions of the published state and the time of its oldest
@@ -101,9 +101,10 @@
 		return relay.Holdings{}
 	}
 	var h relay.Holdings
-	for kind, confirmed := range snapshot.Confirmed {
+	for _, kind := range catalog.Kinds() {
+		confirmed := snapshot.AsOf(kind)
 		if !confirmed.IsZero() {
-			h.Positions[kind] = snapshot.Position(catalog.Kind(kind))
+			h.Positions[kind] = snapshot.Position(kind)
 		}
 		if kind == 0 || confirmed.Before(h.Confirmed) {
 			h.Confirmed = confirmed
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -73,7 +73,8 @@
 		return s
 	}
 	s.ConfigVersion, s.UpstreamRevision = snapshot.Version, snapshot.Revisions[catalog.KindUpstreams]
-	for kind, confirmed := range snapshot.Confirmed {
+	for kind := range snapshot.Confirmed {
+		confirmed := snapshot.AsOf(catalog.Kind(kind))
 		if confirmed.IsZero() {
 			continue
 		}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -50,6 +50,7 @@
 	}})
 	f.apply(catalog.EvacuationsListed{Revision: 1})
 	f.apply(list)
+	f.advance(0)
 	return f
 }
 
--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -268,7 +268,7 @@
 }
 
 func (t *nameTable) update(u catalogsync.Update) *relayv1.Update {
-	w := &relayv1.Update{Kind: uint32(u.Kind), Era: u.Era, Base: u.Base, Revision: u.Revision}
+	w := &relayv1.Update{Kind: uint32(u.Kind), Era: u.Era, Base: u.Base, Revision: u.Revision, Current: u.Current}
 	for _, event := range u.Events {
 		if encoded := t.event(event); encoded != nil {
 			w.Events = append(w.Events, encoded)
@@ -278,7 +278,7 @@
 }
 
 func (r *nameReader) update(w *relayv1.Update) (catalogsync.Update, error) {
-	u := catalogsync.Update{Kind: catalog.Kind(w.Kind), Era: w.Era, Base: w.Base, Revision: w.Revision}
+	u := catalogsync.Update{Kind: catalog.Kind(w.Kind), Era: w.Era, Base: w.Base, Revision: w.Revision, Current: w.Current}
 	if int64(w.Kind) >= int64(len(catalog.Kinds())) || w.Base > w.Revision {
 		return u, fmt.Errorf("unknown kind or decreasing revision: kind %d from revision %d to %d", w.Kind, w.Base, w.Revision)
 	}
--- a/internal/relay/json.go
+++ b/internal/relay/json.go
@@ -66,6 +66,7 @@
 	Era      uint64       `json:"era,omitempty"`
 	Base     uint64       `json:"base"`
 	Revision uint64       `json:"revision"`
+	Current  bool         `json:"current,omitempty"`
 	Events   []wireEvent  `json:"events,omitempty"`
 }
 
@@ -100,7 +101,7 @@
 }
 
 func encodeUpdate(u catalogsync.Update) *wireUpdate {
-	w := &wireUpdate{Kind: u.Kind, Era: u.Era, Base: u.Base, Revision: u.Revision}
+	w := &wireUpdate{Kind: u.Kind, Era: u.Era, Base: u.Base, Revision: u.Revision, Current: u.Current}
 	for _, event := range u.Events {
 		switch e := event.(type) {
 		case catalog.UpstreamsListed:
@@ -133,7 +134,7 @@
 }
 
 func (w *wireUpdate) decode() (catalogsync.Update, error) {
-	u := catalogsync.Update{Kind: w.Kind, Era: w.Era, Base: w.Base, Revision: w.Revision}
+	u := catalogsync.Update{Kind: w.Kind, Era: w.Era, Base: w.Base, Revision: w.Revision, Current: w.Current}
 	if w.Kind < 0 || int(w.Kind) >= len(catalog.Kinds()) || w.Base > w.Revision {
 		return u, fmt.Errorf("unknown kind or decreasing revision: kind %d from revision %d to %d", w.Kind, w.Base, w.Revision)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -18,7 +18,9 @@
 	if err == nil && len(data)+peerauth.Overhead > MaxDatagram {
 		// A receiver at the base revision takes the update as a confirmation; one
 		// that is behind it sees a gap and reads the changes from the store.
-		m.Update = &catalogsync.Update{Kind: update.Kind, Era: update.Era, Base: update.Revision, Revision: update.Revision}
+		m.Update = &catalogsync.Update{
+			Kind: update.Kind, Era: update.Era, Base: update.Revision, Revision: update.Revision, Current: update.Current,
+		}
 	}
 	r.sendToPeers(m)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,6 +14,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/peerauth"
+	"github.com/chivemast/chivemast/platform/standin"
 )
 
 // crashedListingTime is how long the store lists an upstream that has crashed, which
@@ -27,6 +28,7 @@
 type faultInjector struct {
 	fleet   *fleet
 	checker *checker
+	seed    uint64
 	rng     *rand.Rand
 	// lastNumber is the number of the last upstream that was added. Addresses and
 	// tokens of new upstreams follow from it.
@@ -180,6 +182,19 @@
 	injector.checker.recordFault(partStore, time.Now())
 }
 
+// lagReplicas lets replicas of the store lag for 0.5 to 6 seconds, again and again until a
+// time. All rules hold meanwhile, so that no fault is recorded.
+func (injector *faultInjector) lagReplicas(ctx context.Context, end time.Time) {
+	store := injector.fleet.store
+	for time.Now().Before(end) && injector.sleepBetween(ctx, 500*time.Millisecond, 3*time.Second) {
+		calls := standin.ReplicaCalls(injector.rng.IntN(2))
+		injector.log("replicas lag for calls %d", calls)
+		store.HoldReplicas(calls)
+		injector.sleepBetween(ctx, 500*time.Millisecond, 6*time.Second)
+		store.ReleaseReplicas()
+	}
+}
+
 // restoreStore makes the store refuse calls for up to 2 seconds, restores it from a copy
 // that is up to maxCopies intervals old, and lets operators and upstreams write again
 // what was lost, each within 0.3 seconds. The entries of upstreams that have ended
@@ -328,15 +343,8 @@
 		return
 	}
 	started := injector.startUpstream(u.ID, u.Service, u.FailureDomain, u.Address)
-	if started == nil {
-		return
-	}
-	// No random draw, so that the schedules of earlier seeds stay as they are.
-	delay := time.Duration(injector.lastNumber) * 379 * time.Millisecond % reportInterval
-	select {
-	case <-time.After(delay):
+	if started != nil && injector.sleepBetween(ctx, time.Millisecond, reportInterval) {
 		injector.report(started)
-	case <-ctx.Done():
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,10 @@
 // services holds the names of the services.
 var services = []string{"s1", "s2"}
 
+// pageSize is the number of objects in one page of a list: less than upstreams, so that
+// replicas with different revisions answer the pages of one list.
+const pageSize = 3
+
 var (
 	// serviceAddresses holds the service address of each entry of services.
 	serviceAddresses = []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:80")}
@@ -102,7 +106,8 @@
 	}
 	checker := newChecker()
 	fleet := &fleet{checker: checker, binary: cfg.Binary, directory: cfg.Directory, slot: cfg.Slot, store: standin.NewStore()}
-	injector := &faultInjector{fleet: fleet, checker: checker, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), log: cfg.Log}
+	fleet.store.SetPageSize(pageSize)
+	injector := &faultInjector{fleet: fleet, checker: checker, seed: cfg.Seed, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), log: cfg.Log}
 	fleet.peerKey = newKey(injector.rng)
 	defer fleet.stopAll()
 	if err := fleet.startAll(ctx, injector); err != nil {
@@ -216,6 +221,10 @@
 func (injector *faultInjector) injectFaults(ctx context.Context, span time.Duration) int {
 	end := time.Now().Add(span)
 	var running sync.WaitGroup
+	replicas := *injector
+	// A random source of its own keeps the schedules of earlier seeds.
+	replicas.rng = rand.New(rand.NewPCG(injector.seed, 8))
+	running.Go(func() { replicas.lagReplicas(ctx, end) })
 	count := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
 		fault := faults[injector.rng.IntN(len(faults))]
