--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -75,7 +75,8 @@
 	{"rotate_keys", func(ctx context.Context, injector *faultInjector) { injector.rotateKeys(ctx) }},
 	{"forge", func(_ context.Context, injector *faultInjector) { injector.sendForgedReports() }},
 	{"corrupt_entry", func(_ context.Context, injector *faultInjector) {
-		injector.fleet.store.SetInvalidUpstream(fmt.Sprintf("i-%x", 0xdead00+injector.rng.IntN(9)))
+		id := fmt.Sprintf("i-%x", 0xdead00+injector.rng.IntN(9))
+		injector.fleet.store.SetRawUpstream(id, standin.InvalidSpecs[injector.rng.IntN(len(standin.InvalidSpecs))])
 	}},
 }
 
