Let one instance of a failure domain check the lists of a mass start

Each instance checked its three lists as soon as it had read them, at the full price of a call. The first check now follows 0.1 to 1.1 s after the list, so that the first instance of a failure domain confirms the kind to its peers. Readiness never waited for it. An instance counts as isolated by the last answer of the store or a replica, as before the checks, and announces its state by it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -114,9 +114,10 @@
 // kindStatus is the status of one kind: its revision, its last confirmation, and
 // whether the store answers.
 type kindStatus struct {
-	// known is set once the kind has been read, at knownSince.
-	known      bool
-	knownSince time.Time
+	// known is set once the kind has been read.
+	known bool
+	// heard is the time of the last answer about the kind, of the store or a replica.
+	heard time.Time
 	// era is the era of the store to which revision belongs.
 	era      uint64
 	revision uint64
@@ -293,7 +294,10 @@
 	status := &c.status[kind]
 	if !status.known {
 		c.recordChange(Change{Event: "state_known", Kind: kind, Revision: revision})
-		status.known, status.knownSince = true, now
+		status.known = true
+	}
+	if now.After(status.heard) {
+		status.heard = now
 	}
 	status.revision = max(status.revision, revision)
 	c.confirmationsChanged = true
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -21,9 +21,10 @@
 	// Confirmed stores, by kind, the time at which the store itself last confirmed it;
 	// zero when it has not.
 	Confirmed [kindCount]time.Time
-	// KnownSince stores, by kind, the time at which it was first read, from a replica or
-	// the store; zero when it has not been.
-	KnownSince [kindCount]time.Time
+	// Heard stores, by kind, the time of the last answer of the store or a replica, to this
+	// instance or a peer; zero when there was none. It shows that the store is within
+	// reach, not how old the state is.
+	Heard [kindCount]time.Time
 	// AvailableSince is the time of the store's first confirmation of the upstreams since
 	// it became available; zero while it is not. Before completeDelay has passed since
 	// then, an upstream that is missing may still run.
@@ -100,20 +101,20 @@
 // map.
 func (s *Snapshot) Services() map[string]*ServiceView { return s.services }
 
-// AsOf returns the time at which the store last confirmed a kind, or the time at which it
-// was first read if the store has not confirmed it; zero when it has not been read.
+// AsOf returns the time at which the store last confirmed a kind, or the time of the last
+// answer of a replica if the store has not confirmed it; zero when it has not been read.
 func (s *Snapshot) AsOf(kind Kind) time.Time {
 	if confirmed := s.Confirmed[kind]; !confirmed.IsZero() {
 		return confirmed
 	}
-	return s.KnownSince[kind]
+	return s.Heard[kind]
 }
 
 // Ready tells whether every kind has been read, so that upstreams can be chosen for new
 // flows.
 func (s *Snapshot) Ready() bool {
-	for _, known := range s.KnownSince {
-		if known.IsZero() {
+	for _, heard := range s.Heard {
+		if heard.IsZero() {
 			return false
 		}
 	}
@@ -154,7 +155,7 @@
 	c.dirty, c.confirmationsChanged = false, false
 	for kind := range c.status {
 		status := &c.status[kind]
-		s.Confirmed[kind], s.Revisions[kind], s.Eras[kind], s.KnownSince[kind] = status.confirmed, status.revision, status.era, status.knownSince
+		s.Confirmed[kind], s.Revisions[kind], s.Eras[kind], s.Heard[kind] = status.confirmed, status.revision, status.era, status.heard
 	}
 	s.AvailableSince = time.Time{}
 	if status := c.status[KindUpstreams]; !status.confirmed.IsZero() && !status.unavailable && !status.fetched {
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -31,6 +31,11 @@
 	takeOverAfter = 1900 * time.Millisecond
 	staleAfter    = 2200 * time.Millisecond
 	checkSpread   = 150 * time.Millisecond
+	// firstCheckMin and firstCheckMax bound the random time from a list that a replica has
+	// answered to the first check. When many instances start, the first check of one of
+	// them confirms the kind to its peers.
+	firstCheckMin = 100 * time.Millisecond
+	firstCheckMax = 1100 * time.Millisecond
 	// retryMin and retryMax bound the mean backoff after a failed call. It is
 	// short against the users' bound of 3 s and allows at most four calls a
 	// second for each kind.
@@ -144,6 +149,9 @@
 	// made that check.
 	confirmed time.Time
 	ownCheck  bool
+	// firstCheck is the time of the first check after a list, if nothing confirms the kind
+	// before.
+	firstCheck time.Time
 	// spread is the random part of takeOverAfter and staleAfter.
 	spread time.Duration
 	// replicasBehind is the time until which no replica may answer watches, because one
@@ -200,6 +208,8 @@
 func (s *kindSyncer) untilCheck() time.Duration {
 	due := staleAfter - s.spread
 	switch {
+	case s.confirmed.IsZero():
+		return max(s.firstCheck.Sub(s.now()), 0)
 	case s.ownCheck:
 		due = checkInterval
 	case s.peers.IsWatcher(s.now(), s.kind):
@@ -255,6 +265,7 @@
 		return s.ignoreAnswer(ctx, list)
 	}
 	s.listed, s.fresh = true, false
+	s.firstCheck = s.now().Add(firstCheckMin + time.Duration(rand.Int64N(int64(firstCheckMax-firstCheckMin))))
 	if list.Position().Compare(s.position) < 0 {
 		// Newer updates from peers have arrived first.
 		return nil
@@ -301,8 +312,8 @@
 		select {
 		case r := <-results:
 			if stale && errors.Is(r.err, ErrHistoryGone) {
-				s.replicasBehind, s.confirmed, s.reachable = s.now().Add(checkInterval), time.Time{}, true
-				return nil
+				s.replicasBehind, s.reachable = s.now().Add(checkInterval), true
+				return s.check(ctx)
 			}
 			if r.err != nil {
 				return r.err
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -93,21 +93,20 @@
 	return update, time.Since(snapshot.AsOf(kind)), true
 }
 
-// holdings returns the positions of the published state and the time of its oldest
-// confirmation.
+// holdings returns the positions of the published state and the time at which the store was
+// last heard about the kind with the oldest answer.
 func (instance *Instance) holdings() relay.Holdings {
 	snapshot := instance.snapshot.Load()
 	if snapshot == nil {
 		return relay.Holdings{}
 	}
 	var h relay.Holdings
-	for _, kind := range catalog.Kinds() {
-		confirmed := snapshot.AsOf(kind)
-		if !confirmed.IsZero() {
-			h.Positions[kind] = snapshot.Position(kind)
+	for kind, heard := range snapshot.Heard {
+		if !heard.IsZero() {
+			h.Positions[kind] = snapshot.Position(catalog.Kind(kind))
 		}
-		if kind == 0 || confirmed.Before(h.Confirmed) {
-			h.Confirmed = confirmed
+		if kind == 0 || heard.Before(h.Heard) {
+			h.Heard = heard
 		}
 	}
 	return h
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -17,8 +17,8 @@
 	// earlier may lack a route that was just added; the packet is then dropped, because
 	// the caller's next copy may reach an instance that has the route.
 	routeFreshness = 3 * time.Second
-	// isolatedAfter is the time since the store last confirmed the upstreams after which
-	// an instance keeps new flows in its failure domain. The store confirms the upstreams
+	// isolatedAfter is the time since the store or a replica last answered about the
+	// upstreams after which an instance keeps new flows in its failure domain. It is heard
 	// at least every 2 s and answers within 0.3 s even when it is slow.
 	isolatedAfter = 2500 * time.Millisecond
 )
@@ -353,10 +353,10 @@
 // FlowCount returns the number of flow records.
 func (e *Engine) FlowCount() int { return len(e.flows.records) }
 
-// isolated reports whether the store has not confirmed the upstreams for more than
+// isolated reports whether nothing was heard of the store about the upstreams for more than
 // isolatedAfter, so that this instance may be partitioned from other failure domains.
 func (e *Engine) isolated(now time.Time) bool {
-	return now.Sub(e.snapshot.Confirmed[catalog.KindUpstreams]) > isolatedAfter
+	return now.Sub(e.snapshot.Heard[catalog.KindUpstreams]) > isolatedAfter
 }
 
 // CanServe reports whether this instance should stay in the rotation. It is false
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -28,7 +28,7 @@
 	// one round greets: a new instance meets a failure domain of 125 in 3 s. The answers
 	// have 0.5 KB each, 20 KB/s.
 	maxGreeted = 4
-	// storeQuietAfter is the age of the oldest kind from which an instance with state
+	// storeQuietAfter is the time since the store was heard about a kind from which an instance with state
 	// announces it: instances that start may find no state in the store. An instance
 	// calls the store itself when a kind is 2.2 s old.
 	storeQuietAfter = 2600 * time.Millisecond
@@ -58,9 +58,9 @@
 // Holdings is the state that an instance can provide to others.
 type Holdings struct {
 	Positions Positions
-	// Confirmed is the time at which the store last confirmed the kind with the
-	// oldest confirmation; zero unless Positions is complete.
-	Confirmed time.Time
+	// Heard is the time of the last answer of the store or a replica about the kind with
+	// the oldest one; zero unless Positions is complete.
+	Heard time.Time
 }
 
 // recordPositions records the positions that a member reports, and returns whether
@@ -152,7 +152,7 @@
 		mayHold := func(state memberState) bool { return !state.lacks(now) }
 		return round{seeds: true, hellos: m.addressNext(now, maxSearched, mayHold), wait: searchInterval}
 	}
-	quietAt := own.Confirmed.Add(storeQuietAfter)
+	quietAt := own.Heard.Add(storeQuietAfter)
 	next := round{wait: max(min(helloInterval, quietAt.Sub(now)), searchInterval)}
 	if m.leaving || now.Before(m.announceUntil) || !now.Before(quietAt) {
 		// An instance may restart within reportedFor, so that a member counts as holding
