Fetch the state of others while the store turns an instance away

Cause: state of other instances was fetched only before the first list, and updates come only from the own failure domain.

Fix: while checks fail and no peer confirms the kind, the instance announces its positions to all members; those with later ones answer, and it fetches their state, at most once a second for each kind.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -247,7 +247,13 @@
 func (c *Catalog) applyPeerState(now time.Time, e PeerStateFetched) {
 	c.recordChange(Change{Event: "peer_state_fetched", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("from=%s age_ms=%d", e.Source, e.Age.Milliseconds())})
 	for _, event := range e.Events {
-		c.apply(now, event)
+		applied := now
+		if e.Kind == KindEvacuations {
+			// The state of the upstreams, which says which of them are cold, may arrive
+			// later than the end of an evacuation.
+			applied = now.Add(e.Age)
+		}
+		c.apply(applied, event)
 	}
 	c.recordConfirmation(now, e.Kind, e.Revision)
 	c.status[e.Kind].fetched = true
--- a/internal/catalogsync/peer_state_test.go
+++ b/internal/catalogsync/peer_state_test.go
@@ -104,3 +104,28 @@
 		require.Zero(t, peers.fetches)
 	})
 }
+
+// Guards against an instance that the store turns away while it serves others, and that
+// keeps its state for as long as that lasts because no peer sends updates.
+func TestStateIsFetchedWhileStoreTurnsInstanceAway(t *testing.T) {
+	store, peers := &fakeStore{revision: 5}, &fakePeers{watcher: true}
+	run(t, store, peers, func(syncer *kindSyncer, received func() []Event) {
+		time.Sleep(4 * time.Second)
+		store.set(func(s *fakeStore) { s.down = true })
+		for revision := uint64(7); revision < 12; revision++ {
+			peers.setState(&Update{Revision: revision, Events: []catalog.Event{catalog.EvacuationsListed{Revision: revision}}})
+			time.Sleep(changeBound)
+			last := ofType[catalog.PeerStateFetched](received())
+			require.NotEmpty(t, last)
+			require.EqualValues(t, revision, last[len(last)-1].Revision)
+		}
+		require.True(t, syncer.seeking.Load())
+		store.set(func(s *fakeStore) { s.down, s.revision = false, 20 })
+		time.Sleep(changeBound)
+		require.EqualValues(t, 20, lastRevision(received()))
+		require.False(t, syncer.seeking.Load())
+		fetches := peers.fetches
+		time.Sleep(changeBound)
+		require.Equal(t, fetches, peers.fetches)
+	})
+}
--- a/internal/catalogsync/peers.go
+++ b/internal/catalogsync/peers.go
@@ -9,19 +9,33 @@
 )
 
 // startFetching starts fetchPeerStates unless it runs: without state, after
-// peerStateDelay or the first failed call; with state, after peerStateInterval.
+// peerStateDelay or the first failed call; with a state that has to be listed again, after
+// peerStateInterval; with a state that the store does not confirm, at once.
 func (s *kindSyncer) startFetching(ctx context.Context) {
 	if s.stopFetching != nil {
 		return
 	}
 	ctx, s.stopFetching = context.WithCancel(ctx)
-	if s.position.Revision == 0 {
+	switch {
+	case s.listed:
+		s.seeking.Store(true)
+		go s.fetchPeerStates(ctx, s.position, 0, nil)
+	case s.position.Revision == 0:
 		go s.fetchPeerStates(ctx, s.position, peerStateDelay, s.storeFailed)
-	} else {
+	default:
 		go s.fetchPeerStates(ctx, s.position, peerStateInterval, nil)
 	}
 }
 
+// endFetching stops fetchPeerStates if it runs.
+func (s *kindSyncer) endFetching() {
+	if s.stopFetching != nil {
+		s.seeking.Store(false)
+		s.stopFetching()
+		s.stopFetching = nil
+	}
+}
+
 // fetchPeerStates passes a state of another instance that is later than newest to run,
 // and each later one, until ctx ends. It starts after delay, or sooner with a signal on
 // start.
@@ -55,9 +69,10 @@
 	}
 }
 
-// applyPeerState applies the state of another instance unless a later one is known.
+// applyPeerState applies the state of another instance unless a later one is known, or the
+// store answers this instance.
 func (s *kindSyncer) applyPeerState(ctx context.Context, state PeerState) {
-	if s.listed || state.Update.Position().Compare(s.position) <= 0 {
+	if (s.listed && s.failures == 0) || state.Update.Position().Compare(s.position) <= 0 {
 		return
 	}
 	event := catalog.PeerStateFetched{
@@ -95,6 +110,9 @@
 	case update.Era == s.position.Era && update.Base <= s.position.Revision:
 		s.apply(ctx, update)
 		s.ownCheck = s.ownCheck && !update.Current
+		if s.listed && update.Current {
+			s.endFetching()
+		}
 	}
 }
 
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -100,6 +101,12 @@
 	return group.Wait()
 }
 
+// Seeking tells whether this instance looks for the state of others because the store does
+// not confirm its own. It may be called from any goroutine.
+func (s *Syncer) Seeking() bool {
+	return slices.ContainsFunc(s.kinds, func(kind *kindSyncer) bool { return kind.seeking.Load() })
+}
+
 // QueueUpdate queues an update from a peer. It never blocks: the update is dropped when
 // the queue of its kind is full.
 func (s *Syncer) QueueUpdate(update Update) {
@@ -115,7 +122,7 @@
 }
 
 // kindSyncer keeps one kind up to date. The goroutine of run owns its state;
-// only peerUpdates is used by others.
+// only peerUpdates and seeking are used by others.
 type kindSyncer struct {
 	kind   catalog.Kind
 	store  Store
@@ -142,8 +149,10 @@
 	// may answer lists, because the store may have been restored.
 	noticedEra uint64
 	fresh      bool
-	// stopFetching stops fetchPeerStates; nil while it does not run.
+	// stopFetching stops fetchPeerStates; nil while it does not run. seeking is set while
+	// it runs although the kind is listed.
 	stopFetching context.CancelFunc
+	seeking      atomic.Bool
 	// confirmed is the time at which the store itself last confirmed the revision, to
 	// this instance or to a peer; zero before that. ownCheck is set while this instance
 	// made that check.
@@ -164,8 +173,8 @@
 }
 
 // run lists the kind and then watches the store or waits for updates from peers, and
-// checks the kind in the store when that is due, until ctx ends. While it cannot list, it
-// also fetches the state of other instances.
+// checks the kind in the store when that is due, until ctx ends. While it cannot list, or
+// checks fail and no peer confirms the kind, it also fetches the state of other instances.
 func (s *kindSyncer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		var err error
@@ -173,13 +182,17 @@
 		case !s.listed:
 			s.startFetching(ctx)
 			if err = s.list(ctx); err == nil {
-				s.stopFetching()
-				s.stopFetching = nil
+				s.endFetching()
 			}
 		case s.untilSettled(1) == 0:
 			err = s.list(ctx)
 		case s.untilCheck() == 0:
-			err = s.check(ctx)
+			if s.failures > 0 {
+				s.startFetching(ctx)
+			}
+			if err = s.check(ctx); err == nil && s.failures == 0 {
+				s.endFetching()
+			}
 		case s.peers.IsWatcher(s.now(), s.kind):
 			err = s.watch(ctx, s.untilSettled(min(watchTimeout, s.untilCheck())), !s.now().Before(s.replicasBehind), true)
 		default:
@@ -189,9 +202,7 @@
 			s.backOff(ctx, err)
 		}
 	}
-	if s.stopFetching != nil {
-		s.stopFetching()
-	}
+	s.endFetching()
 }
 
 // untilSettled returns the time until the kind has to be listed again after a change
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -34,8 +34,12 @@
 		OnLoad: func(domain string, report relay.LoadReport) {
 			instance.traffic.queueLoadReport(loadReport{domain, report})
 		},
-		State:         instance.publishedState,
-		Holdings:      instance.holdings,
+		State: instance.publishedState,
+		Holdings: func() relay.Holdings {
+			h := instance.holdings()
+			h.Seeking = instance.syncer.Seeking()
+			return h
+		},
 		TakeOverFlows: instance.acceptFlows,
 		Observer:      relayObserver{instance},
 		Keys:          s.keys(),
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -105,7 +105,7 @@
 	// Members lists instances that the sender's membership contains.
 	Members []mention
 	// Announcement tells the receiver which state it can fetch from the sender. A
-	// receiver that lacks state answers with its own positions.
+	// receiver that lacks state, or holds a later one, answers with its own positions.
 	Announcement bool
 	// Positions is the state that the sender holds; nil from a version that does not
 	// report it.
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -55,12 +55,26 @@
 	return !slices.ContainsFunc(p[:], func(position catalog.Position) bool { return position.Revision == 0 })
 }
 
+// laterThan tells whether some position is later than that of others; false if others is
+// nil.
+func (p Positions) laterThan(others *Positions) bool {
+	for kind, position := range p {
+		if others != nil && position.Compare(others[kind]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Holdings is the state that an instance can provide to others.
 type Holdings struct {
 	Positions Positions
 	// Heard is the time of the last answer of the store or a replica about the kind with
 	// the oldest one; zero unless Positions is complete.
 	Heard time.Time
+	// Seeking is set while the store does not confirm the state and no peer does, so that
+	// members with later positions should tell them.
+	Seeking bool
 }
 
 // recordPositions records the positions that a member reports, and returns whether
@@ -87,7 +101,7 @@
 // receive records the sender of a message, its positions and the members that it lists.
 // It returns the answer, and whether announcements start because the sender keeps
 // lacking state. A hello is answered with a list of members; an announcement with the
-// own positions while they are incomplete; other messages have no answer.
+// own positions while they are incomplete or later; other messages have no answer.
 func (m *membership) receive(now time.Time, received *message, session peerauth.Session, own Positions) (answer *message, announce bool) {
 	m.recordMessage(now, received.From, session)
 	for _, mentioned := range received.Members {
@@ -101,7 +115,7 @@
 	if received.Positions != nil {
 		announce = m.recordPositions(now, received.From.Name, *received.Positions)
 	}
-	if received.Hello || (received.Announcement && !own.Complete()) {
+	if received.Hello || (received.Announcement && (!own.Complete() || own.laterThan(received.Positions))) {
 		answer = &message{From: m.self, Positions: &own}
 	}
 	if received.Hello {
@@ -154,7 +168,7 @@
 	}
 	quietAt := own.Heard.Add(storeQuietAfter)
 	next := round{wait: max(min(helloInterval, quietAt.Sub(now)), searchInterval)}
-	if m.leaving || now.Before(m.announceUntil) || !now.Before(quietAt) {
+	if m.leaving || own.Seeking || now.Before(m.announceUntil) || !now.Before(quietAt) {
 		// An instance may restart within reportedFor, so that a member counts as holding
 		// state only right after its report.
 		mayLack := func(state memberState) bool { return !state.holds(now) || now.Sub(state.reportedAt) >= searchInterval }
--- a/internal/relay/recovery_test.go
+++ b/internal/relay/recovery_test.go
@@ -342,3 +342,19 @@
 	})
 	sim.run(1400 * time.Millisecond)
 }
+
+// Guards against an instance that the store turns away and that does not learn who holds a
+// later state: it must ask members of all failure domains, and those must answer.
+func TestSeekingInstanceLearnsOfLaterState(t *testing.T) {
+	m := newMembership(member(0, "a"))
+	m.receive(start, &message{From: member(1, "b"), Positions: reported(3, 3, 3)}, 7, *reported(3, 3, 3))
+	holdings := Holdings{Positions: *reported(3, 3, 3), Heard: start, Seeking: true}
+	require.Equal(t, []Member{member(1, "b")}, m.nextRound(start.Add(searchInterval), holdings).announce)
+
+	other := newMembership(member(1, "b"))
+	announcement := &message{From: member(0, "a"), Announcement: true, Positions: reported(3, 3, 3)}
+	answer, _ := other.receive(start, announcement, 8, *reported(3, 3, 4))
+	require.Equal(t, reported(3, 3, 4), answer.Positions)
+	answer, _ = other.receive(start, announcement, 8, *reported(3, 3, 3))
+	require.Nil(t, answer, "no answer to what is not later")
+}
