Tell starting instances which evacuations ended a moment ago

Cause: the 2 s for which upstreams count as cold after an evacuation begin when an instance sees its end. One that starts reads only what is evacuated at that moment.

Fix: answers to hellos carry the evacuations that ended less than 2 s ago; the starting instance counts the rest of that time.

If all instances start at that moment, none knows of the end; this is open.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -201,6 +201,8 @@
 		c.recordChange(Change{Event: "list_pages_differ", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("newest=%d", e.Newest)})
 	case EarlierIncarnations:
 		c.applyEarlierIncarnations(now, e)
+	case EvacuationsEnded:
+		c.applyEvacuationEnds(now, e)
 	case AnswerIgnored:
 		c.recordChange(Change{Event: "answer_ignored", Kind: e.Kind, Revision: e.Answer.Revision,
 			Detail: fmt.Sprintf("era=%d held_era=%d held_revision=%d", e.Answer.Era, e.Held.Era, e.Held.Revision)})
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// applyEvacuationEnds makes the upstreams of failure domains count as cold for as long as
+// the instances do that saw the evacuations end.
+func (c *Catalog) applyEvacuationEnds(now time.Time, ended EvacuationsEnded) {
+	for _, evacuation := range ended.Evacuations {
+		until := now.Add(evacuationColdTime - max(evacuation.Ago, 0))
+		domain := evacuation.FailureDomain
+		if !until.After(now) || !until.After(c.coldDomainUntil[domain]) {
+			continue
+		}
+		if !now.Before(c.coldDomainUntil[domain]) {
+			c.recordChange(Change{Event: "evacuation_ended_before_start", Kind: KindEvacuations, Subject: domain,
+				Revision: c.status[KindEvacuations].revision, Detail: fmt.Sprintf("ago_ms=%d", evacuation.Ago.Milliseconds())})
+		}
+		c.coldDomainUntil[domain] = until
+		c.dirty = true
+	}
+}
+
 // setEvacuated records that the evacuation of a failure domain has started or
 // ended. After the end its upstreams count as cold for evacuationColdTime, because
 // they may have become cold unnoticed during the evacuation.
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -217,6 +217,16 @@
 // ignored.
 type EarlierIncarnations struct{ Incarnations []Incarnation }
 
+// EndedEvacuation is an evacuation that ended the time Ago ago.
+type EndedEvacuation struct {
+	FailureDomain string
+	Ago           time.Duration
+}
+
+// EvacuationsEnded carries the ends of evacuations that other instances have seen, for an
+// instance that started after them.
+type EvacuationsEnded struct{ Evacuations []EndedEvacuation }
+
 // AnswerIgnored reports an answer of the store that was not applied, because its
 // position is before that of the state.
 type AnswerIgnored struct {
@@ -240,6 +250,7 @@
 func (EraChanged) event()           {}
 func (EraSettled) event()           {}
 func (AnswerIgnored) event()        {}
+func (EvacuationsEnded) event()     {}
 func (EarlierIncarnations) event()  {}
 func (ListPagesDiffer) event()      {}
 func (PeerStateFetched) event()     {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -39,6 +39,9 @@
 	services   map[string]*ServiceView
 	config     *Configuration
 	evacuated  []string
+	// coldDomains stores, by failure domain, the time until which its upstreams count as
+	// cold after the end of an evacuation.
+	coldDomains map[string]time.Time
 	// buildNumber identifies the build of the maps. Snapshots that share their
 	// maps have the same number.
 	buildNumber uint64
@@ -94,6 +97,17 @@
 	return earlier
 }
 
+// EndedEvacuations returns the evacuations after whose end upstreams still count as cold.
+func (s *Snapshot) EndedEvacuations(now time.Time) []EndedEvacuation {
+	var ended []EndedEvacuation
+	for domain, until := range s.coldDomains {
+		if now.Before(until) {
+			ended = append(ended, EndedEvacuation{FailureDomain: domain, Ago: evacuationColdTime - until.Sub(now)})
+		}
+	}
+	return ended
+}
+
 // Service returns the service of the given name, or nil.
 func (s *Snapshot) Service(name string) *ServiceView { return s.services[name] }
 
@@ -180,6 +194,7 @@
 		s.removedRoutes[address] = true
 	}
 	s.evacuated = slices.Sorted(maps.Keys(c.evacuated))
+	s.coldDomains = maps.Clone(c.coldDomainUntil)
 	if c.config != nil {
 		s.Version, s.config = c.config.Version, c.config
 		for i := range c.config.Routes {
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -190,6 +190,28 @@
 	require.Equal(t, 1, snapshotAt(t, c, start.Add(removedRetention)).UpstreamCount())
 }
 
+// Guards against an instance that starts as an evacuation ends and takes upstreams for warm
+// that became cold during it, and against upstreams that count as cold again and again
+// because instances pass the end on to each other.
+func TestEndOfEvacuationBeforeStartMakesUpstreamsCold(t *testing.T) {
+	peer := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10))
+	peer.Apply(start, EvacuationsChanged{Revision: 101, Changes: []EvacuationChange{{FailureDomain: "a"}}})
+	peer.Apply(start, EvacuationsChanged{Revision: 102, Changes: []EvacuationChange{{FailureDomain: "a", Ended: true}}})
+	told := start.Add(500 * time.Millisecond)
+	ended := snapshotAt(t, peer, told).EndedEvacuations(told)
+	require.Equal(t, []EndedEvacuation{{"a", 500 * time.Millisecond}}, ended)
+
+	c := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10))
+	c.Apply(told, EvacuationsEnded{ended})
+	s := snapshotAt(t, c, told)
+	end := start.Add(evacuationColdTime)
+	require.True(t, s.Service("s").Entries[0].Cold(end.Add(-time.Millisecond)))
+	require.False(t, s.Service("s").Entries[0].Cold(end))
+	require.Equal(t, ended, s.EndedEvacuations(told))
+	require.Empty(t, s.EndedEvacuations(end))
+	require.Empty(t, c.Apply(end, EvacuationsEnded{[]EndedEvacuation{{"a", evacuationColdTime}}}))
+}
+
 // Guards against an instance that starts while the store is unavailable, fetches
 // the state of another one, and lacks upstreams whose flows go on although their
 // entries are missing.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -29,8 +29,8 @@
 		OnLostRequest: func(u relay.UpstreamIncarnation) {
 			instance.traffic.queuePeerReport(peerReport{upstream: u, lost: true})
 		},
-		OnReplaced: instance.applyReplaced,
-		Replaced:   instance.replacedIncarnations,
+		OnPast: instance.applyPast,
+		Past:   instance.past,
 		OnLoad: func(domain string, report relay.LoadReport) {
 			instance.traffic.queueLoadReport(loadReport{domain, report})
 		},
@@ -56,31 +56,36 @@
 	return nil
 }
 
-// applyReplaced passes earlier incarnations of upstreams to the catalog. They are dropped
-// when its queue is full; the next answer to a hello repeats them.
-func (instance *Instance) applyReplaced(replaced []relay.UpstreamIncarnation) {
-	var event catalog.EarlierIncarnations
-	for _, incarnation := range replaced {
-		event.Incarnations = append(event.Incarnations, catalog.Incarnation(incarnation))
+// applyPast passes what another instance knows about the past to the catalog. It is
+// dropped when the queue is full; the next answer to a hello repeats it.
+func (instance *Instance) applyPast(past relay.Past) {
+	var earlier catalog.EarlierIncarnations
+	for _, incarnation := range past.Replaced {
+		earlier.Incarnations = append(earlier.Incarnations, catalog.Incarnation(incarnation))
 	}
-	select {
-	case instance.events <- catalogsync.Event{Event: event}:
-	default:
-		instance.log.Event(logrus.WarnLevel, "replaced_dropped", logrus.Fields{"count": len(replaced)})
+	for _, event := range []catalog.Event{catalog.EvacuationsEnded{Evacuations: past.EndedEvacuations}, earlier} {
+		select {
+		case instance.events <- catalogsync.Event{Event: event}:
+		default:
+			instance.log.Event(logrus.WarnLevel, "past_dropped", logrus.Fields{
+				"replaced": len(past.Replaced), "ended_evacuations": len(past.EndedEvacuations),
+			})
+		}
 	}
 }
 
-// replacedIncarnations returns at most limit of the earlier incarnations that the
-// published state contains.
-func (instance *Instance) replacedIncarnations(limit int) (replaced []relay.UpstreamIncarnation) {
+// past returns what the published state shows about the past, with at most limit replaced
+// incarnations.
+func (instance *Instance) past(limit int) (past relay.Past) {
 	snapshot := instance.snapshot.Load()
 	if snapshot == nil {
-		return nil
+		return past
 	}
 	for _, incarnation := range snapshot.EarlierIncarnations(limit) {
-		replaced = append(replaced, relay.UpstreamIncarnation(incarnation))
+		past.Replaced = append(past.Replaced, relay.UpstreamIncarnation(incarnation))
 	}
-	return replaced
+	past.EndedEvacuations = snapshot.EndedEvacuations(time.Now())
+	return past
 }
 
 // publishedState returns the published state of a kind, for peers that start, and the time
--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -98,6 +98,11 @@
 	for _, member := range m.Members {
 		w.Members = append(w.Members, names.member(member))
 	}
+	for _, ended := range m.EndedEvacuations {
+		w.EndedEvacuations = append(w.EndedEvacuations, &relayv1.EndedEvacuation{
+			FailureDomain: names.index(ended.FailureDomain), AgoMs: uint64(max(ended.Ago.Milliseconds(), 0)),
+		})
+	}
 	if m.Update != nil {
 		w.Update = names.update(*m.Update)
 	}
@@ -133,7 +138,7 @@
 	names := &nameReader{names: w.Names}
 	m := &message{
 		Hello: w.Hello, Announcement: w.Announcement, Silent: decodeIncarnations(w.Silent), Lost: decodeIncarnations(w.Lost),
-		Replaced: decodeIncarnations(w.Replaced), format: formatBinary,
+		Past: Past{Replaced: decodeIncarnations(w.Replaced)}, format: formatBinary,
 	}
 	if len(w.Revisions) > 0 {
 		m.Positions = positionsFrom(w.Revisions, w.Eras)
@@ -144,6 +149,11 @@
 	for _, member := range w.Members {
 		m.Members = append(m.Members, names.member(member))
 	}
+	for _, ended := range w.EndedEvacuations {
+		m.EndedEvacuations = append(m.EndedEvacuations, catalog.EndedEvacuation{
+			FailureDomain: names.name(ended.FailureDomain), Ago: time.Duration(min(ended.AgoMs, math.MaxInt32)) * time.Millisecond,
+		})
+	}
 	if w.Update != nil {
 		update, err := names.update(w.Update)
 		if err != nil {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -76,7 +76,9 @@
 		decoded.format = formatJSON
 		require.Equal(t, exampleMessage(), decoded)
 	}
-	m := &message{From: member(1, "a"), format: formatBinary, Replaced: []UpstreamIncarnation{{ID: "i-3", Born: 9}}, Loads: &LoadReport{
+	m := &message{From: member(1, "a"), format: formatBinary, Past: Past{
+		Replaced: []UpstreamIncarnation{{ID: "i-3", Born: 9}}, EndedEvacuations: []catalog.EndedEvacuation{{FailureDomain: "b", Ago: 1500 * time.Millisecond}},
+	}, Loads: &LoadReport{
 		Services: []load.Report{{Service: "s", Answers: 12.3, MeanMS: 45.6}},
 		Remote: []load.RemoteReport{
 			{Domain: "b", Service: "s", MeanMS: 30.5, Age: 120 * time.Millisecond}, {Domain: "c", Age: time.Second},
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
 	"github.com/chivemast/chivemast/internal/load"
 )
@@ -97,6 +98,15 @@
 	Address netip.AddrPort `json:"address"`
 }
 
+// Past is what the store no longer shows, for an instance that has started since.
+type Past struct {
+	// Replaced lists earlier incarnations of upstreams that have started again under
+	// their ids.
+	Replaced []UpstreamIncarnation
+	// EndedEvacuations lists evacuations that ended a moment ago.
+	EndedEvacuations []catalog.EndedEvacuation
+}
+
 // message is the payload of a datagram between instances.
 type message struct {
 	From Member
@@ -110,9 +120,8 @@
 	// Positions is the state that the sender holds; nil from a version that does not
 	// report it.
 	Positions *Positions
-	// Replaced lists earlier incarnations of upstreams that have started again under
-	// their ids, in the answer to a hello: the receiver may have started after that.
-	Replaced []UpstreamIncarnation
+	// Past is set in the answer to a hello.
+	Past
 	// Update is a change, or the confirmation of a revision, that the sender
 	// received from the store.
 	Update *catalogsync.Update
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,11 +78,12 @@
 	// probes or that the probes found gone, OnLostRequest with each upstream that
 	// left a request of a peer's caller without an answer.
 	OnSilentUpstream, OnLostRequest func(UpstreamIncarnation)
-	// OnReplaced is called with earlier incarnations of upstreams that a member of any
-	// failure domain knows, on the goroutine that receives datagrams.
-	OnReplaced func([]UpstreamIncarnation)
-	// Replaced returns at most limit earlier incarnations that this instance knows.
-	Replaced func(limit int) []UpstreamIncarnation
+	// OnPast is called with what a member of any failure domain knows about the past, on
+	// the goroutine that receives datagrams.
+	OnPast func(Past)
+	// Past returns what this instance knows about the past, with at most limit replaced
+	// incarnations.
+	Past func(limit int) Past
 	// OnLoad is called with what an instance of a failure domain reports on response
 	// times, on the goroutine that receives datagrams.
 	OnLoad func(domain string, report LoadReport)
@@ -199,7 +200,7 @@
 	}
 	if r.wrongSessionAnswers.AllowN(now, 1) {
 		answer := r.ownMessage()
-		answer.Hello, answer.Members, answer.Replaced = true, r.membersFor(now, m.From.FailureDomain), r.cfg.Replaced(maxReplaced)
+		answer.Hello, answer.Members, answer.Past = true, r.membersFor(now, m.From.FailureDomain), r.cfg.Past(maxReplaced)
 		r.sendMessage(receiver{m.From.Address, senderSession, m.senderFormat()}, answer)
 	}
 	if m.Hello {
@@ -216,12 +217,12 @@
 func (r *Relay) handleMessage(now time.Time, m *message, senderSession peerauth.Session) {
 	if answer := r.recordMessage(now, m, senderSession); answer != nil {
 		if m.Hello {
-			answer.Replaced = r.cfg.Replaced(maxReplaced)
+			answer.Past = r.cfg.Past(maxReplaced)
 		}
 		r.sendMessage(receiver{m.From.Address, senderSession, m.senderFormat()}, answer)
 	}
-	if len(m.Replaced) > 0 {
-		r.cfg.OnReplaced(m.Replaced)
+	if len(m.Replaced)+len(m.EndedEvacuations) > 0 {
+		r.cfg.OnPast(m.Past)
 	}
 	if m.Loads != nil {
 		r.cfg.OnLoad(m.From.FailureDomain, *m.Loads)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -202,7 +202,7 @@
 	shuttingDown bool
 	found        map[string]bool
 	loads        map[string]*LoadReport
-	replaced     []UpstreamIncarnation
+	past         Past
 	rejected     int
 	reasons      map[peerauth.Reason]int
 }
@@ -250,12 +250,13 @@
 			return catalogsync.Update{Kind: kind, Era: 2, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
 				2 * time.Second, kind == catalog.KindEvacuations
 		},
-		OnReplaced: func(replaced []UpstreamIncarnation) { r.mu.Lock(); r.replaced = replaced; r.mu.Unlock() },
-		Replaced: func(limit int) (replaced []UpstreamIncarnation) {
+		OnPast: func(past Past) { r.mu.Lock(); r.past = past; r.mu.Unlock() },
+		Past: func(limit int) (past Past) {
 			for n := range limit {
-				replaced = append(replaced, UpstreamIncarnation{ID: fmt.Sprintf("%s-%0100d", name, n), Born: 7})
+				past.Replaced = append(past.Replaced, UpstreamIncarnation{ID: fmt.Sprintf("%s-%0100d", name, n), Born: 7})
 			}
-			return replaced
+			past.EndedEvacuations = []catalog.EndedEvacuation{{FailureDomain: domain, Ago: time.Second}}
+			return past
 		},
 		OnLoad:   func(domain string, report LoadReport) { r.mu.Lock(); r.loads[domain] = &report; r.mu.Unlock() },
 		Holdings: func() Holdings { return Holdings{Positions: *reported(0, 0, 9)} },
@@ -335,18 +336,20 @@
 }
 
 // Guards against an instance that starts and is not told the earlier incarnations of
-// upstreams, because the answer to its hello lacks them or becomes too large with them.
-func TestAnswersToHellosHaveReplacedIncarnations(t *testing.T) {
+// upstreams and the ends of evacuations, because the answer to its hello lacks them or
+// becomes too large with them.
+func TestAnswersToHellosTellThePast(t *testing.T) {
 	seed, _ := startRelay(t, "b-1", "b")
 	_, starting := startRelay(t, "a-1", "a", seed.cfg.Self.Address)
 	require.Eventually(t, func() bool {
 		starting.mu.Lock()
 		defer starting.mu.Unlock()
-		return len(starting.replaced) > 0
+		return len(starting.past.Replaced) > 0
 	}, 5*time.Second, 10*time.Millisecond)
 	starting.mu.Lock()
 	defer starting.mu.Unlock()
-	require.Regexp(t, "^b-1-0+$", starting.replaced[0].ID)
+	require.Regexp(t, "^b-1-0+$", starting.past.Replaced[0].ID)
+	require.Equal(t, []catalog.EndedEvacuation{{FailureDomain: "b", Ago: time.Second}}, starting.past.EndedEvacuations)
 	require.Zero(t, starting.rejected)
 }
 
