Reset no flows at the first refusal of a draining upstream

Cause: a refused connection was conclusive by itself. A draining upstream closes its port shortly before its flows end.

Fix: while such an upstream is listed, a refusal counts only if it refused a probe at least 0.3 s earlier as well and has not answered in between; the probe is repeated within a second.

With the change disabled TestRefusalByDrainingUpstreamResetsNoFlowsAtOnce and TestAnswerOfDrainingUpstreamWithdrawsRefusal fail.

--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -15,6 +15,9 @@
 	// network partitions last a few seconds.
 	reprobeMin = 900 * time.Millisecond
 	reprobeMax = 4 * time.Second
+	// leavingConfirmedAfter is the least time between two refusals that prove that a
+	// draining upstream has ended: it closes its port shortly before its flows.
+	leavingConfirmedAfter = 300 * time.Millisecond
 	// aliveFor is how long a successful probe keeps the flows of an upstream that the
 	// store no longer lists.
 	aliveFor = 2 * time.Second
@@ -95,6 +98,9 @@
 	// an inconclusive first failure, until a packet shows that the upstream answers or a
 	// probe settles its state.
 	unsettled bool
+	// refusedAt is when a draining upstream first refused a probe; zero after a packet or
+	// a probe that shows that it runs.
+	refusedAt time.Time
 	// requestedAt is when a probe was last requested.
 	requestedAt time.Time
 	// outcome is the last recorded outcome, decidedAt its time; an inconclusive first
@@ -138,7 +144,7 @@
 // withdrawFailure discards a failed or late probe because a packet shows that the
 // upstream answers.
 func (s *probeState) withdrawFailure() {
-	s.unsettled = false
+	s.unsettled, s.refusedAt = false, time.Time{}
 	if s.failed() {
 		s.outcome = 0
 	}
@@ -229,7 +235,8 @@
 // apply. For any other result, all fields are zero.
 type ProbeEffect struct {
 	// Inconclusive is true when the probe was unanswered and this instance may itself
-	// be partitioned or slow.
+	// be partitioned or slow, or when a draining upstream refused it and may still hold
+	// its flows.
 	Inconclusive bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
@@ -255,6 +262,13 @@
 		return ProbeEffect{}
 	}
 	first := !state.probe.failed()
+	if result.Outcome == ProbeRefused && first && t.mayBeLeaving(now, result.Upstream.Cookie) {
+		state.probe.unsettled = true
+		return ProbeEffect{Inconclusive: true}
+	}
+	if result.Outcome == ProbeAlive {
+		state.probe.refusedAt = time.Time{}
+	}
 	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
 		state.probe.unsettled = first
@@ -276,6 +290,20 @@
 	return ProbeEffect{FirstFailure: first, Report: report, Failed: true}
 }
 
+// mayBeLeaving reports whether a refusal does not prove yet that an upstream has ended: it
+// is listed as draining, and no earlier refusal is leavingConfirmedAfter old. The first
+// one is recorded.
+func (t *Tracker) mayBeLeaving(now time.Time, cookie flowcookie.Cookie) bool {
+	entry, state := t.snapshot.Resolve(cookie), t.stateOf(cookie)
+	if entry == nil || !entry.Draining || !entry.RemovedAt.IsZero() {
+		return false
+	}
+	if state.probe.refusedAt.IsZero() {
+		state.probe.refusedAt = now
+	}
+	return now.Sub(state.probe.refusedAt) < leavingConfirmedAfter
+}
+
 // probeNeighbours requests probes of the failure domain of an upstream that does not
 // answer, unless its end was announced by draining or by the removal of its entry. It
 // does nothing for probes of a failure domain, control probes and probes caused by a
--- /dev/null
+++ b/internal/forward/leaving_test.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/evidence"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+// refuse lets an upstream refuse a probe that begins now.
+func (f *fixture) refuse(id string) ProbeEffect {
+	entry := f.engine.snapshot.Resolve(flowcookie.Of(id, 1000))
+	return f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: entry, Outcome: evidence.ProbeRefused, Started: f.now})
+}
+
+// Guards against resets of the open flows of a draining upstream that refuses a probe: it
+// closes its port shortly before its flows end.
+func TestRefusalByDrainingUpstreamResetsNoFlowsAtOnce(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.establish(4001)
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	f.advance(time.Second)
+	effect := f.refuse("i-1")
+	require.True(t, effect.Inconclusive)
+	require.Empty(t, effect.Resets)
+	require.Equal(t, Forward, f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
+	f.advance(100 * time.Millisecond)
+	require.True(t, f.refuse("i-1").Inconclusive)
+
+	f.advance(time.Second)
+	f.engine.RequestRetryProbes(f.now)
+	probes := f.engine.TakeProbes()
+	require.Len(t, probes, 1, "the refusal is checked again")
+	require.True(t, f.refuse("i-1").Failed)
+	require.Equal(t, Reset, f.send(4001, flowcookie.Of("i-1", 1000), 101, 1, 100).Action)
+}
+
+// Guards against flows of an upstream that was not announced to leave, or has left, that
+// wait for a second refusal.
+func TestRefusalIsConclusiveUnlessUpstreamIsDraining(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	require.True(t, f.refuse("i-1").Failed)
+
+	leaving := upstream(2)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	f.removeUpstream("i-2")
+	require.True(t, f.refuse("i-2").Failed)
+}
+
+// Guards against an old refusal that makes the next one conclusive although the upstream
+// has answered in between.
+func TestAnswerOfDrainingUpstreamWithdrawsRefusal(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	require.True(t, f.refuse("i-1").Inconclusive)
+	f.advance(time.Second)
+	f.answerProbe(1)
+	f.advance(time.Second)
+	require.True(t, f.refuse("i-1").Inconclusive)
+}
