Take an older check of a peer for a confirmation of later state

A check of the store that arrives after a later change from a replica was dropped, so that instances checked the kind again themselves while changes followed each other. It proves that everything that the store had confirmed by then is known.

Without the change TestOlderCheckOfPeerConfirmsLaterState fails: ten checks of the instance's own, where none is needed.

--- a/internal/catalogsync/check_test.go
+++ b/internal/catalogsync/check_test.go
@@ -44,6 +44,23 @@
 	})
 }
 
+// Guards against checks that each instance repeats while changes follow each other,
+// because the answer to a peer's check arrives after a later change.
+func TestOlderCheckOfPeerConfirmsLaterState(t *testing.T) {
+	store, peers := &fakeStore{revision: 5}, &fakePeers{}
+	run(t, store, peers, func(syncer *kindSyncer, _ func() []Event) {
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			store.set(func(s *fakeStore) { s.revision++ })
+			revision := store.revision
+			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: revision - 1, Revision: revision, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: revision}}}
+			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: revision - 1, Revision: revision - 1, Current: true}
+			time.Sleep(time.Second)
+		}
+		require.Zero(t, store.checks)
+	})
+}
+
 // Guards against a list of the whole kind, or an error, whenever a replica does not have
 // the revision yet that a check has reached.
 func TestReplicaWithoutRevisionCausesChecks(t *testing.T) {
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -354,10 +354,7 @@
 	}
 	if update.Revision < s.position.Revision {
 		// A peer's newer update has arrived first.
-		if update.Current {
-			s.confirmed = s.now()
-			s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.position.Revision}, 0)
-		}
+		s.apply(ctx, update)
 		return nil
 	}
 	if update.Current && len(update.Events) > 0 {
@@ -401,9 +398,14 @@
 }
 
 // apply emits the events of an update and its position, confirmed or only known, unless
-// the update is older than the state, and moves the state to that position.
+// the update is older than the state, and moves the state to that position. An older
+// update of the store itself confirms the state: nothing that it lacks had been confirmed.
 func (s *kindSyncer) apply(ctx context.Context, update Update) {
 	if update.Position().Compare(s.position) < 0 {
+		if update.Current && update.Era == s.position.Era {
+			s.confirmed = s.now()
+			s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.position.Revision}, 0)
+		}
 		return
 	}
 	var reached catalog.Event = catalog.Known{Kind: s.kind, Revision: update.Revision}
