Count upstreams as cold after an evacuation for their cold start

Upstreams count as cold for 2 s after an evacuation of their failure domain, because their reports that say so may come later. A report comes up to 1.2 s after the end and, while replicas lag, becomes known up to 2.2 s later, so that 2 s were too short for services whose cold start is longer, and too long for those whose cold start is shorter. The time is now the cold start of the service, at most 3.5 s.

TestColdTimeAfterEvacuationFollowsColdStart fails before the change for a cold start of one second.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -26,9 +26,10 @@
 	// missingGrace, and instances find them with the next check, at most 3 s later.
 	completeDelay = 3*time.Second + missingGrace
 	// evacuationColdTime is how long the upstreams of a failure domain count as
-	// cold after its evacuation has ended, whatever their entries say. It covers
-	// two reports of an upstream and the lag between the watches of two kinds.
-	evacuationColdTime = 2 * time.Second
+	// cold after its evacuation has ended, whatever their entries say, unless the cold
+	// start of their service is shorter. It covers a report of an upstream, 1.2 s, and
+	// the 2.2 s for which its entry may stay unknown while replicas lag.
+	evacuationColdTime = 3500 * time.Millisecond
 )
 
 // Entry is an instance's state of one incarnation of an upstream. It is immutable
@@ -96,10 +97,10 @@
 	removedRoutes map[netip.AddrPort]bool
 	// evacuated stores the names of the evacuated failure domains.
 	evacuated map[string]bool
-	// coldDomainUntil stores, by failure domain, the time until which its upstreams
-	// count as cold after the end of an evacuation. Entries are not deleted.
-	coldDomainUntil map[string]time.Time
-	status          [kindCount]kindStatus
+	// evacuationEnds stores, by failure domain, the time at which its last evacuation
+	// ended. Entries are not deleted.
+	evacuationEnds map[string]time.Time
+	status         [kindCount]kindStatus
 	// changes collects the changes that the current call of Apply causes.
 	changes []Change
 	// dirty is set when the last snapshot no longer shows the state;
@@ -141,7 +142,7 @@
 func New() *Catalog {
 	return &Catalog{
 		byCookie: map[flowcookie.Cookie]*Entry{}, byID: map[string]*Entry{}, byAddress: map[netip.AddrPort]*Entry{},
-		removedRoutes: map[netip.AddrPort]bool{}, evacuated: map[string]bool{}, coldDomainUntil: map[string]time.Time{},
+		removedRoutes: map[netip.AddrPort]bool{}, evacuated: map[string]bool{}, evacuationEnds: map[string]time.Time{},
 		dirty: true,
 	}
 }
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -42,7 +42,7 @@
 func (c *Catalog) applyEvacuationList(now time.Time, list EvacuationsListed) {
 	if c.status[KindEvacuations].unsettled {
 		for _, domain := range list.Domains {
-			if _, ended := c.coldDomainUntil[domain]; !ended {
+			if _, ended := c.evacuationEnds[domain]; !ended {
 				c.setEvacuated(now, domain, true)
 			}
 		}
@@ -60,26 +60,30 @@
 	}
 }
 
+// sameEvacuationEnd is the difference up to which two times are those of the same end,
+// which a message has delayed.
+const sameEvacuationEnd = 100 * time.Millisecond
+
 // applyEvacuationEnds makes the upstreams of failure domains count as cold for as long as
 // the instances do that saw the evacuations end.
 func (c *Catalog) applyEvacuationEnds(now time.Time, ended EvacuationsEnded) {
 	for _, evacuation := range ended.Evacuations {
-		until := now.Add(evacuationColdTime - max(evacuation.Ago, 0))
-		domain := evacuation.FailureDomain
-		if !until.After(now) || !until.After(c.coldDomainUntil[domain]) {
+		end, known := now.Add(-max(evacuation.Ago, 0)), c.evacuationEnds[evacuation.FailureDomain]
+		if now.Sub(end) >= evacuationColdTime || end.Sub(known) < sameEvacuationEnd {
 			continue
 		}
-		if !now.Before(c.coldDomainUntil[domain]) {
+		domain := evacuation.FailureDomain
+		if now.Sub(known) >= evacuationColdTime {
 			c.recordChange(Change{Event: "evacuation_ended_before_start", Kind: KindEvacuations, Subject: domain,
 				Revision: c.status[KindEvacuations].revision, Detail: fmt.Sprintf("ago_ms=%d", evacuation.Ago.Milliseconds())})
 		}
-		c.coldDomainUntil[domain] = until
+		c.evacuationEnds[domain] = end
 		c.dirty = true
 	}
 }
 
 // setEvacuated records that the evacuation of a failure domain has started or
-// ended. After the end its upstreams count as cold for evacuationColdTime, because
+// ended. After the end its upstreams count as cold for a while, because
 // they may have become cold unnoticed during the evacuation.
 func (c *Catalog) setEvacuated(now time.Time, domain string, out bool) {
 	if c.evacuated[domain] == out {
@@ -92,7 +96,7 @@
 	} else {
 		event = "evacuation_ended"
 		delete(c.evacuated, domain)
-		c.coldDomainUntil[domain] = now.Add(evacuationColdTime)
+		c.evacuationEnds[domain] = now
 	}
 	c.recordChange(Change{Event: event, Kind: KindEvacuations, Subject: domain, Revision: c.status[KindEvacuations].revision})
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -39,9 +39,9 @@
 	services   map[string]*ServiceView
 	config     *Configuration
 	evacuated  []string
-	// coldDomains stores, by failure domain, the time until which its upstreams count as
-	// cold after the end of an evacuation.
-	coldDomains map[string]time.Time
+	// evacuationEnds stores, by failure domain, the time at which its last evacuation
+	// ended.
+	evacuationEnds map[string]time.Time
 	// buildNumber identifies the build of the maps. Snapshots that share their
 	// maps have the same number.
 	buildNumber uint64
@@ -97,12 +97,13 @@
 	return earlier
 }
 
-// EndedEvacuations returns the evacuations after whose end upstreams still count as cold.
+// EndedEvacuations returns the evacuations after whose end upstreams may still count as
+// cold.
 func (s *Snapshot) EndedEvacuations(now time.Time) []EndedEvacuation {
 	var ended []EndedEvacuation
-	for domain, until := range s.coldDomains {
-		if now.Before(until) {
-			ended = append(ended, EndedEvacuation{FailureDomain: domain, Ago: evacuationColdTime - until.Sub(now)})
+	for domain, end := range s.evacuationEnds {
+		if ago := now.Sub(end); ago < evacuationColdTime {
+			ended = append(ended, EndedEvacuation{FailureDomain: domain, Ago: ago})
 		}
 	}
 	return ended
@@ -194,7 +195,7 @@
 		s.removedRoutes[address] = true
 	}
 	s.evacuated = slices.Sorted(maps.Keys(c.evacuated))
-	s.coldDomains = maps.Clone(c.coldDomainUntil)
+	s.evacuationEnds = maps.Clone(c.evacuationEnds)
 	if c.config != nil {
 		s.Version, s.config = c.config.Version, c.config
 		for i := range c.config.Routes {
@@ -208,11 +209,22 @@
 	return s
 }
 
+// coldTimeAfterEvacuation returns how long upstreams of a service, which may be nil, count
+// as cold after an evacuation.
+func coldTimeAfterEvacuation(service *ServiceView) time.Duration {
+	if service == nil || service.ColdDuration <= 0 {
+		return evacuationColdTime
+	}
+	return min(evacuationColdTime, service.ColdDuration)
+}
+
 // fillServices adds the entries to the snapshot's cookies and services.
 func (c *Catalog) fillServices(now time.Time, s *Snapshot) {
 	domains := map[[2]string]bool{}
 	for cookie, entry := range c.byCookie {
-		if until := c.coldDomainUntil[entry.FailureDomain]; until.After(entry.ColdUntil) && now.Before(until) {
+		service := s.services[entry.Service]
+		until := c.evacuationEnds[entry.FailureDomain].Add(coldTimeAfterEvacuation(service))
+		if until.After(entry.ColdUntil) && now.Before(until) {
 			cold := *entry
 			cold.ColdUntil = until
 			entry = &cold
@@ -221,7 +233,6 @@
 		if successor := c.successor(entry); successor != nil {
 			s.successors[cookie] = successor
 		}
-		service := s.services[entry.Service]
 		if service == nil || entry.Replaced {
 			continue
 		}
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -172,8 +172,8 @@
 }
 
 // Guards against an instance that started after a restart of an upstream and resets the
-// flows with the cookie of the earlier incarnation: it learns of it from a peer. Reports of unknown
-// upstreams or later incarnations must change nothing.
+// flows with the cookie of the earlier incarnation: it learns of it from a peer. Reports
+// of unknown upstreams or later incarnations must change nothing.
 func TestEarlierIncarnationsOfPeersHaveSuccessors(t *testing.T) {
 	peer := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10), listedEntry("i-2", 1000, "10.0.0.2:80", 11))
 	peer.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{listedEntry("i-1", 5000, "10.0.0.1:80", 101)}, Revision: 101})
@@ -212,6 +212,24 @@
 	require.Empty(t, c.Apply(end, EvacuationsEnded{[]EndedEvacuation{{"a", evacuationColdTime}}}))
 }
 
+// Guards against upstreams that became cold shortly before the end of an evacuation and
+// count as warm because a replica that lags keeps their reports back, and against
+// upstreams that count as cold for longer than a cold start takes.
+func TestColdTimeAfterEvacuationFollowsColdStart(t *testing.T) {
+	for cold, expected := range map[time.Duration]time.Duration{
+		0: evacuationColdTime, time.Second: time.Second, 2 * time.Second: 2 * time.Second, 30 * time.Second: evacuationColdTime,
+	} {
+		c := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10))
+		config := configuration(2, 2)
+		config.Configuration.Services[0].ColdDuration = cold
+		c.Apply(start, config)
+		c.Apply(start, EvacuationsChanged{Revision: 101, Changes: []EvacuationChange{{FailureDomain: "a"}}})
+		c.Apply(start, EvacuationsChanged{Revision: 102, Changes: []EvacuationChange{{FailureDomain: "a", Ended: true}}})
+		entry := snapshotAt(t, c, start).Service("s").Entries[0]
+		require.Equal(t, start.Add(expected), entry.ColdUntil, cold)
+	}
+}
+
 // Guards against an instance that starts while the store is unavailable, fetches
 // the state of another one, and lacks upstreams whose flows go on although their
 // entries are missing.
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -88,7 +88,8 @@
 func newKindSyncer(kind catalog.Kind, store Store, peers Peers, events chan<- Event) *kindSyncer {
 	return &kindSyncer{
 		kind: kind, store: store, peers: peers, events: events, now: time.Now,
-		spread: time.Duration(rand.Int64N(int64(checkSpread))), peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), storeFailed: make(chan struct{}),
+		spread:      time.Duration(rand.Int64N(int64(checkSpread))),
+		peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), storeFailed: make(chan struct{}),
 	}
 }
 
