Let a restarted holder wait for reports before it reclaims slots

Cause: quarantines of restored slots are in the memory of instances that saw the restoration. One that starts doesn't know that there was one.

Fix: it reclaims slots only once every member, and every instance that the table names, has reported the era of the table, or the grants of before its start have expired. In era 0 nothing was ever restored, and it reclaims at once.

TestReclaimWaitsForEraOfEveryInstance fails with the change disabled.

--- a/internal/lease/grants_test.go
+++ b/internal/lease/grants_test.go
@@ -70,3 +70,37 @@
 	require.Empty(t, manager.slots[0].lost)
 	require.True(t, manager.slots[0].quietUntil.After(now.Add(time.Minute)), "grants of before expire first")
 }
+
+// Guards against an instance that reclaims a slot from the copy of a restored platform
+// while another one may act by a lost table, and against slots that are never reclaimed
+// because a member does not report.
+func TestReclaimWaitsForEraOfEveryInstance(t *testing.T) {
+	era1, err := position.Of(1, 5)
+	require.NoError(t, err)
+	started := time.Unix(1_000_000, 0)
+	for name, test := range map[string]struct {
+		revision  uint64
+		reported  []uint64 // by a and c
+		after     time.Duration
+		reclaimed bool
+	}{
+		"never restored":          {revision: 5, reported: []uint64{0, 0}, reclaimed: true},
+		"nobody has reported":     {revision: era1, reported: []uint64{0, 0}},
+		"holder has not reported": {revision: era1, reported: []uint64{0, era1}},
+		"member has not reported": {revision: era1, reported: []uint64{era1, 0}},
+		"all have reported":       {revision: era1, reported: []uint64{era1, era1}, reclaimed: true},
+		"grants have expired":     {revision: era1, reported: []uint64{0, 0}, after: time.Minute, reclaimed: true},
+	} {
+		manager, _ := newTestManager()
+		manager.startedAt = started
+		table := &pb.SlotTable{}
+		for range flow.LeaseSlotCount {
+			table.Slots = append(table.Slots, &pb.Slot{Epoch: 1, Holder: "b", Successor: "a", SuccessorIncarnation: 1})
+		}
+		manager.AdoptTable(started, table, 2, test.revision)
+		manager.view.Members[0].Revision, manager.view.Members[2].Revision = test.reported[0], test.reported[1]
+		planned := cloneTable(table)
+		manager.planHeld(started.Add(test.after), planned, 0)
+		require.Equal(t, test.reclaimed, planned.GetSlots()[0].GetHolderIncarnation() == 1, name)
+	}
+}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -66,6 +66,9 @@
 		return
 	}
 	if e.GetHolderIncarnation() < manager.self.Incarnation {
+		if !manager.mayReclaim(now) {
+			return
+		}
 		e.Epoch++
 		e.HolderIncarnation, e.Clean = manager.self.Incarnation, false
 		manager.stats.Reclaims++
--- a/internal/lease/restored.go
+++ b/internal/lease/restored.go
@@ -25,6 +25,36 @@
 	}
 }
 
+// mayReclaim reports whether this incarnation may reclaim slots that the table assigns to
+// an earlier one. After a restart it does not know whether the platform was restored a
+// moment ago and another instance still acts by a lost table. That is excluded once every
+// instance in the table and every member has reported the era, or grants of before have
+// expired. In era 0 the platform was never restored.
+func (manager *Manager) mayReclaim(now time.Time) bool {
+	era := position.Era(manager.revision)
+	if era == 0 || !now.Before(manager.quietFrom(manager.startedAt)) {
+		return true
+	}
+	reported := func(name string) bool {
+		if name == "" || name == manager.self.Name || manager.removedInstances[name] {
+			return true
+		}
+		m, ok := manager.view.Member(name)
+		return ok && position.Era(m.Revision) >= era
+	}
+	for _, m := range manager.view.Members {
+		if !reported(m.Name) {
+			return false
+		}
+	}
+	for _, e := range manager.table.GetSlots() {
+		if !reported(e.GetHolder()) || !reported(e.GetSuccessor()) {
+			return false
+		}
+	}
+	return true
+}
+
 // quarantineSlot prepares the adoption of an entry that a restored platform has and that
 // differs from the known one, before. The holder in before may act for the slot while
 // neither it nor its successor has noticed the new era. The epochs of the lost tables are
