--- a/internal/catalogsync/check_test.go
+++ b/internal/catalogsync/check_test.go
@@ -39,8 +39,8 @@
 			time.Sleep(500 * time.Millisecond)
 			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: 5, Revision: 5}
 		}
-		require.GreaterOrEqual(t, store.checks, 6)
-		require.Equal(t, store.checks, count[catalog.Confirmed](received()))
+		require.GreaterOrEqual(t, store.checkCount(), 6)
+		require.Equal(t, store.checkCount(), count[catalog.Confirmed](received()))
 	})
 }
 
@@ -51,13 +51,13 @@
 	run(t, store, peers, func(syncer *kindSyncer, _ func() []Event) {
 		for range 20 {
 			time.Sleep(50 * time.Millisecond)
-			store.set(func(s *fakeStore) { s.revision++ })
-			revision := store.revision
+			var revision uint64
+			store.set(func(s *fakeStore) { s.revision++; revision = s.revision })
 			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: revision - 1, Revision: revision, Events: []catalog.Event{catalog.EvacuationsChanged{Revision: revision}}}
 			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: revision - 1, Revision: revision - 1, Current: true}
 			time.Sleep(time.Second)
 		}
-		require.Zero(t, store.checks)
+		require.Zero(t, store.checkCount())
 	})
 }
 
@@ -81,10 +81,10 @@
 	store, peers := &fakeStore{revision: 5}, &fakePeers{}
 	run(t, store, peers, func(_ *kindSyncer, received func() []Event) {
 		time.Sleep(time.Second)
-		before := store.checks
+		before := store.checkCount()
 		store.set(func(s *fakeStore) { s.down = true })
 		time.Sleep(20 * time.Second)
-		require.Equal(t, before+1, store.checks)
+		require.Equal(t, before+1, store.checkCount())
 		store.set(func(s *fakeStore) { s.down = false })
 		time.Sleep(time.Second)
 		events := received()
--- a/internal/catalogsync/peer_state_test.go
+++ b/internal/catalogsync/peer_state_test.go
@@ -124,8 +124,8 @@
 		time.Sleep(changeBound)
 		require.EqualValues(t, 20, lastRevision(received()))
 		require.False(t, syncer.seeking.Load())
-		fetches := peers.fetches
+		fetches := peers.fetchCount()
 		time.Sleep(changeBound)
-		require.Equal(t, fetches, peers.fetches)
+		require.Equal(t, fetches, peers.fetchCount())
 	})
 }
--- a/internal/catalogsync/sync_test.go
+++ b/internal/catalogsync/sync_test.go
@@ -107,6 +107,12 @@
 	return len(s.lists), s.watches
 }
 
+func (s *fakeStore) checkCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checks
+}
+
 // fakePeers implements Peers: watcher makes the instance a watcher, state is the
 // state that other instances provide, and sent records the sent updates.
 type fakePeers struct {
@@ -148,6 +154,12 @@
 	}
 }
 
+func (m *fakePeers) fetchCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fetches
+}
+
 func (m *fakePeers) setState(state *Update) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
