Let instances that start together meet before one checks their lists

The first check came 0.1 to 1.1 s after the list, when 33 instances of a failure domain that started together did not know each other yet, so that the check of one confirmed the kind to few.

The first check now comes 1.6 to 2.2 s after the list, and an instance that starts beside running ones is confirmed by their next check. A list is sent to the peers again also if a replica answered it, as before the checks. TestReplicasConfirmNothing runs longer and asks for more checks.

--- a/internal/catalogsync/check_test.go
+++ b/internal/catalogsync/check_test.go
@@ -35,11 +35,11 @@
 func TestReplicasConfirmNothing(t *testing.T) {
 	store, peers := &fakeStore{revision: 5}, &fakePeers{watcher: true}
 	run(t, store, peers, func(syncer *kindSyncer, received func() []Event) {
-		for range 20 {
+		for range 30 {
 			time.Sleep(500 * time.Millisecond)
 			syncer.peerUpdates <- Update{Kind: syncer.kind, Base: 5, Revision: 5}
 		}
-		require.GreaterOrEqual(t, store.checkCount(), 6)
+		require.GreaterOrEqual(t, store.checkCount(), 8)
 		require.Equal(t, store.checkCount(), count[catalog.Confirmed](received()))
 	})
 }
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -33,10 +33,11 @@
 	staleAfter    = 2200 * time.Millisecond
 	checkSpread   = 150 * time.Millisecond
 	// firstCheckMin and firstCheckMax bound the random time from a list that a replica has
-	// answered to the first check. When many instances start, the first check of one of
-	// them confirms the kind to its peers.
-	firstCheckMin = 100 * time.Millisecond
-	firstCheckMax = 1100 * time.Millisecond
+	// answered to the first check. It is longer than checkInterval and than the time in
+	// which instances that start together meet, so that the check of one instance confirms
+	// the kind to its peers.
+	firstCheckMin = 1600 * time.Millisecond
+	firstCheckMax = staleAfter
 	// retryMin and retryMax bound the mean backoff after a failed call. It is
 	// short against the users' bound of 3 s and allows at most four calls a
 	// second for each kind.
@@ -270,8 +271,8 @@
 	}
 }
 
-// applyList applies a list that was requested at the position asked, and confirms it to
-// the peers if the store itself has answered. It fails with *OutdatedError.
+// applyList applies a list that was requested at the position asked, and sends its position
+// to the peers. It fails with *OutdatedError.
 func (s *kindSyncer) applyList(ctx context.Context, list Update, asked catalog.Position) error {
 	if list.Position().Compare(asked) < 0 || list.Era < s.position.Era {
 		return s.ignoreAnswer(ctx, list)
@@ -287,10 +288,8 @@
 		s.emit(ctx, catalog.EraSettled{Kind: s.kind, Era: list.Era}, 0)
 	}
 	s.apply(ctx, list)
-	if list.Current {
-		s.ownCheck = true
-		s.peers.SendUpdate(Update{Kind: s.kind, Era: s.position.Era, Base: s.position.Revision, Revision: s.position.Revision, Current: true})
-	}
+	s.ownCheck = list.Current || s.ownCheck
+	s.peers.SendUpdate(Update{Kind: s.kind, Era: s.position.Era, Base: s.position.Revision, Revision: s.position.Revision, Current: list.Current})
 	return nil
 }
 
--- a/internal/catalogsync/sync_test.go
+++ b/internal/catalogsync/sync_test.go
@@ -303,7 +303,7 @@
 		require.Equal(t, 1, count[catalog.EvacuationsChanged](received()))
 		peers.mu.Lock()
 		defer peers.mu.Unlock()
-		require.Empty(t, peers.sent)
+		require.Len(t, peers.sent, 1, "only the list at the start")
 	})
 }
 
