Check each kind in the store every 2 s

The time from a change to the check that finds it stays under the users' bound of 3 s: 2 s and a call while the instance that checks runs, 2.5 s and a call after it has ended.

Upstreams count as cold after an evacuation for at most 3.7 s, which includes the 2.5 s.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -28,8 +28,8 @@
 	// evacuationColdTime is how long the upstreams of a failure domain count as
 	// cold after its evacuation has ended, whatever their entries say, unless the cold
 	// start of their service is shorter. It covers a report of an upstream, 1.2 s, and
-	// the 2.2 s for which its entry may stay unknown while replicas lag.
-	evacuationColdTime = 3500 * time.Millisecond
+	// the 2.5 s for which its entry may stay unknown while replicas lag.
+	evacuationColdTime = 3700 * time.Millisecond
 )
 
 // Entry is an instance's state of one incarnation of an upstream. It is immutable
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -24,19 +24,19 @@
 	// checkInterval is the time between two checks of a kind in the store by the instance
 	// that made the last one. Checks bound the time for which a change stays unknown
 	// while the replicas that answer watches lag.
-	checkInterval = 1500 * time.Millisecond
+	checkInterval = 2 * time.Second
 	// takeOverAfter is the age of the last confirmation of a kind from which another
 	// watcher checks it, staleAfter that from which any instance does. Both include a
 	// random part of up to checkSpread, so that one instance checks the kind and confirms
 	// it to the others. The users' tightest bound for changes is 3 s.
-	takeOverAfter = 1900 * time.Millisecond
-	staleAfter    = 2200 * time.Millisecond
+	takeOverAfter = 2300 * time.Millisecond
+	staleAfter    = 2500 * time.Millisecond
 	checkSpread   = 150 * time.Millisecond
 	// firstCheckMin and firstCheckMax bound the random time from a list that a replica has
 	// answered to the first check. It is longer than checkInterval and than the time in
 	// which instances that start together meet, so that the check of one instance confirms
 	// the kind to its peers.
-	firstCheckMin = 1600 * time.Millisecond
+	firstCheckMin = 2 * time.Second
 	firstCheckMax = staleAfter
 	// retryMin and retryMax bound the mean backoff after a failed call. It is
 	// short against the users' bound of 3 s and allows at most four calls a
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -30,7 +30,7 @@
 	maxGreeted = 4
 	// storeQuietAfter is the time since the store was heard about a kind from which an instance with state
 	// announces it: instances that start may find no state in the store. An instance
-	// calls the store itself when a kind is 2.2 s old.
+	// calls the store itself when a kind is 2.5 s old.
 	storeQuietAfter = 2600 * time.Millisecond
 	// lackingAfter is how long a member must have reported missing state before this
 	// instance announces its own to all members: the store then serves none, and other
