Check the entries of upstreams from other instances as well

Cause: the bounds of capacity and start were in the adapter of the store only. An instance of an older version, which takes such an entry, passed it on in updates and in the state that a starting instance fetches.

Such an entry counts as invalid and displaces, replaces or hides no other.

--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -58,6 +59,34 @@
 	Revision uint64
 }
 
+// Bounds of numbers in the entry of an upstream. Larger ones are errors of the writer.
+const (
+	maxCapacity = 1 << 20
+	maxBorn     = 253402300799999 // The last millisecond of the year 9999.
+)
+
+// EntryError reports a number in the entry of an upstream that is out of range.
+type EntryError struct {
+	Field      string
+	Value, Max int64
+}
+
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("%s %d of the upstream is out of range, the largest is %d", e.Field, e.Value, e.Max)
+}
+
+// Check fails with *EntryError if a number of the entry is out of range. Entries from
+// other instances, whose version may not have checked them, are checked as well.
+func (u *Upstream) Check() error {
+	switch {
+	case u.Capacity < 1 || u.Capacity > maxCapacity:
+		return &EntryError{Field: "capacity", Value: int64(u.Capacity), Max: maxCapacity}
+	case u.Born < 0 || u.Born > maxBorn:
+		return &EntryError{Field: "start time", Value: u.Born, Max: maxBorn}
+	}
+	return nil
+}
+
 // Weight is a service's share of the new flows of a route.
 type Weight struct {
 	Service string
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -12,7 +12,7 @@
 func (c *Catalog) applyUpstreamList(now time.Time, list UpstreamsListed) {
 	if c.status[KindUpstreams].unsettled {
 		for _, entry := range list.Entries {
-			c.mergeUpstream(now, entry)
+			c.mergeUpstream(now, checked(entry))
 		}
 		return
 	}
@@ -50,13 +50,14 @@
 // applyUpstreamChange applies a removal, an invalid entry, or a valid one. A removal
 // of an unknown upstream that carries its address adds the upstream as missing.
 func (c *Catalog) applyUpstreamChange(now time.Time, change UpstreamChange) {
+	change = checked(change)
 	u := change.Upstream
 	entry := c.byID[u.ID]
 	switch {
 	case change.Removed && entry != nil && u.Revision < entry.Revision:
 		// The upstream was listed again later, as a newer page of a list has shown.
 	case change.Removed:
-		if entry == nil && u.Address.IsValid() {
+		if entry == nil && u.Address.IsValid() && change.Invalid == nil {
 			c.addIncarnation(now, nil, u)
 			entry = c.byID[u.ID]
 		}
@@ -74,6 +75,16 @@
 	}
 }
 
+// checked returns a change, as an invalid one if its entry has a number that is out of
+// range. A removal may have no entry.
+func checked(change UpstreamChange) UpstreamChange {
+	hasEntry := !change.Removed || change.Upstream.Address.IsValid()
+	if change.Invalid == nil && hasEntry {
+		change.Invalid = change.Upstream.Check()
+	}
+	return change
+}
+
 // markMissing marks an entry as missing. Its upstream counts as gone only after
 // missingGrace: the entry may have expired while the store was unavailable, and
 // then comes back. A displaced entry is replaced at once.
