Fetch state from the own failure domain first

Cause: an instance that the store turns away fetched a later state from the member heard last, of any failure domain. With all instances of a domain turned away, each moved the list of upstreams between domains.

Change: members of the own failure domain come first among those that reported a later state, also at a start without the store.

Bytes were not measured.

--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -251,7 +251,8 @@
 }
 
 // stateSources returns the members that reported state of a kind that is later than a
-// position, those heard last first. Without any, it returns the members that were
+// position, those of the own failure domain first, because bytes between failure domains
+// are dear, and of these the ones heard last. Without any, it returns the members that were
 // heard but report no positions, because they run an older version.
 func (m *membership) stateSources(kind catalog.Kind, newerThan catalog.Position) []Member {
 	var reported, unknown []memberState
@@ -267,7 +268,13 @@
 	if len(sources) == 0 {
 		sources = unknown
 	}
-	slices.SortFunc(sources, compareHeard)
+	other := func(state memberState) int {
+		if state.member.FailureDomain == m.self.FailureDomain {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(sources, func(a, b memberState) int { return cmp.Or(cmp.Compare(other(a), other(b)), compareHeard(a, b)) })
 	members := make([]Member, 0, len(sources))
 	for _, state := range sources {
 		members = append(members, state.member)
--- a/internal/relay/recovery_test.go
+++ b/internal/relay/recovery_test.go
@@ -358,3 +358,14 @@
 	answer, _ = other.receive(start, announcement, 8, *reported(3, 3, 3))
 	require.Nil(t, answer, "no answer to what is not later")
 }
+
+// Guards against a failure domain whose instances the store turns away and that all fetch
+// the same state from other failure domains, so that the bytes between domains grow with
+// the instances.
+func TestStateIsFetchedFromOwnDomainFirst(t *testing.T) {
+	m := newMembership(member(0, "a"))
+	m.receive(start, &message{From: member(1, "a"), Positions: reported(4, 4, 4)}, 7, *reported(3, 3, 3))
+	m.receive(start.Add(time.Second), &message{From: member(2, "b"), Positions: reported(4, 4, 4)}, 8, *reported(3, 3, 3))
+	m.receive(start.Add(2*time.Second), &message{From: member(3, "a"), Positions: reported(3, 3, 3)}, 9, *reported(3, 3, 3))
+	require.Equal(t, []Member{member(1, "a"), member(2, "b")}, m.stateSources(catalog.KindUpstreams, reported(3, 3, 3)[0]))
+}
