Test the checks of a failure domain that starts at once

Change: the simulated fleet can leave out messages to instances that the others do not know yet; TestMassStartMakesFewChecks starts 33 instances.

--- a/internal/catalogsync/check_test.go
+++ b/internal/catalogsync/check_test.go
@@ -118,3 +118,27 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a check by each instance when a whole failure domain starts at once and
+// its instances do not know each other yet.
+func TestMassStartMakesFewChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, span = 33, 6 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSimulation(ctx, 1, false)
+		s.fleet.meetAfter = time.Second
+		for n := range instances {
+			s.fleet.start(ctx, n, false)
+		}
+		time.Sleep(span)
+		require.Less(t, s.store.takeChecks(), 3*(int(span/checkInterval)+3), "of %d instances and three kinds", instances)
+		for _, instance := range s.fleet.instances {
+			for _, kind := range catalog.Kinds() {
+				require.Less(t, time.Since(instance.published().Confirmed[kind]), changeBound)
+			}
+		}
+		cancel()
+		time.Sleep(changeBound)
+		synctest.Wait()
+	})
+}
--- a/internal/catalogsync/restore_fleet_test.go
+++ b/internal/catalogsync/restore_fleet_test.go
@@ -36,8 +36,10 @@
 	rng   *rand.Rand
 	// ignoresEras makes all instances take the store for one without eras.
 	ignoresEras bool
-	// loss is the probability that a message between instances is lost.
-	loss float64
+	// loss is the probability that a message between instances is lost. An instance that
+	// started less than meetAfter ago gets none, because the others do not know it yet.
+	loss      float64
+	meetAfter time.Duration
 
 	mu        sync.Mutex
 	instances []*simInstance
@@ -131,7 +133,7 @@
 // SendUpdate implements Peers.
 func (instance *simInstance) SendUpdate(update Update) {
 	for _, other := range instance.fleet.others(instance.name) {
-		if instance.fleet.loses() {
+		if instance.fleet.loses() || time.Since(other.undisturbedSince) < instance.fleet.meetAfter {
 			continue
 		}
 		sent := update
