--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -35,6 +35,19 @@
 	require.Zero(t, f.engine.loadOf(earlier.Cookie).flows)
 }
 
+// Guards against resets of such flows after a start of all instances, none of which knows
+// the earlier incarnation.
+func TestFlowsOfEarlierIncarnationSurviveStartOfAllInstances(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	earlier := f.establish(4001)
+	f = newFixture(t, restart(upstream(1)))
+	for range 10 {
+		f.advance(time.Second)
+		d := f.send(4001, earlier.Cookie, 1, 1, 100)
+		require.NotEqual(t, Reset, d.Action, d.Reason)
+	}
+}
+
 // Guards against resets of such flows by a probe that began before the restart and ends
 // after it.
 func TestProbeOfEarlierIncarnationResetsNoFlows(t *testing.T) {
