Log and count what the reset of an established flow rests on

Callers saw open flows reset while their upstream served, and neither logs nor metrics could tell why: a reset by a probe, its packet and the probe's line named the verdict, but not how long ago the upstream had last answered, whether it drained, since when its entry was missing or how often it had refused before, and nothing showed a flow whose packets begin to go to another upstream. flow_reset and upstream_probed now carry these ages, flow_reset also for how long the store has been available, flow_moved is new, and the counters chivemast_flow_resets_total and chivemast_flows_moved_total tell the hypotheses of docs/incidents/open-flow-reset.md apart. No decision changes. Tests: TestResetsAreLoggedWithTheirGrounds, TestMovedFlowsAreNoticed.

--- a/internal/edge/explain_test.go
+++ b/internal/edge/explain_test.go
@@ -119,7 +119,7 @@
 func TestStatusHasOverloadControl(t *testing.T) {
 	metrics, err := NewMetrics()
 	require.NoError(t, err)
-	metrics.countDecision(forward.Decision{Admission: &forward.Admission{Priority: 2, Result: overload.Result{Reason: overload.Overloaded}}})
+	metrics.countDecision(forward.Decision{Admission: &forward.Admission{Priority: 2, Result: overload.Result{Reason: overload.Overloaded}}}, false)
 	metrics.countHedge(hedge.Won)
 	require.Equal(t, []AdmissionCount{{Priority: 2, Result: "overloaded", Flows: 1}}, metrics.admissionCounts())
 	require.Equal(t, []HedgeCount{{Result: "won", Attempts: 1}}, metrics.hedgeCounts())
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -80,7 +80,11 @@
 		} else {
 			fields["cookie"] = fmt.Sprintf("%08x", uint32(p.Cookie))
 		}
+		if d.Grounds != nil {
+			addGrounds(fields, *d.Grounds)
+		}
 		if snapshot != nil {
+			fields["available_ms"] = ageMS(now, snapshot.AvailableSince)
 			fields["config_version"], fields["upstreams_revision"] = snapshot.Version, snapshot.Revisions[catalog.KindUpstreams]
 			fields["upstreams_age_ms"] = now.Sub(snapshot.AsOf(catalog.KindUpstreams)).Milliseconds()
 			fields["config_age_ms"] = now.Sub(snapshot.AsOf(catalog.KindConfiguration)).Milliseconds()
@@ -105,14 +109,49 @@
 // logProbe logs the result of a probe and the number of flows reset because of it.
 func (l flowLog) logProbe(now time.Time, result evidence.ProbeResult, effect forward.ProbeEffect) {
 	l.events.Flow(logrus.InfoLevel, "upstream_probed", func() logrus.Fields {
-		return logrus.Fields{
+		fields := logrus.Fields{
 			"upstream": result.Upstream.ID, "verdict": result.Outcome.String(), "sign": result.Trigger.String(), "upstream_revision": result.Upstream.Revision,
 			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": len(effect.Resets),
 			"inconclusive": effect.Inconclusive,
 		}
+		if result.Outcome != evidence.ProbeAlive {
+			addGrounds(fields, effect.Grounds)
+		}
+		return fields
+	})
+}
+
+// logMoved logs that the packets of an established flow have begun to go to another upstream.
+func (l flowLog) logMoved(p *forward.Packet, d forward.Decision) {
+	l.events.Flow(logrus.WarnLevel, "flow_moved", func() logrus.Fields {
+		fields := flowFields(p)
+		fields["reason"], fields["upstream"], fields["ack"] = d.Reason.String(), d.Upstream.ID, p.Ack
+		fields["from_cookie"], fields["cookie"] = fmt.Sprintf("%08x", uint32(d.MovedFrom)), fmt.Sprintf("%08x", uint32(p.Cookie))
+		return fields
 	})
 }
 
+// addGrounds adds what the standing of an upstream rests on, ages in ms and -1 for what has
+// not happened.
+func addGrounds(fields logrus.Fields, g evidence.Grounds) {
+	fields["draining"], fields["probe_pending"], fields["last_verdict"] = g.Draining, g.Pending, g.Outcome.String()
+	for name, age := range map[string]time.Duration{
+		"missing_ms": g.Missing, "answered_ms": g.Answered, "probed_ms": g.Probed, "refused_ms": g.Refused,
+	} {
+		if fields[name] = int64(-1); age != evidence.Never {
+			fields[name] = age.Milliseconds()
+		}
+	}
+}
+
+// ageMS returns the time since an event in ms, or -1 if it has not happened.
+func ageMS(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 // logFailing logs that an upstream leaves requests unanswered and therefore gets no new
 // flows.
 func (l flowLog) logFailing(lost evidence.LostRequest) {
--- a/internal/edge/flowlog_test.go
+++ b/internal/edge/flowlog_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/forward"
 	"github.com/chivemast/chivemast/internal/overload"
 )
@@ -63,7 +64,7 @@
 	})
 	metrics, err := NewMetrics()
 	require.NoError(t, err)
-	metrics.countDecision(decision)
+	metrics.countDecision(decision, false)
 	require.EqualValues(t, 1, metrics.admissions.Get(2*len(overload.OutcomeLabels)+int(overload.OutcomeOverloaded)))
 }
 
@@ -76,3 +77,24 @@
 		"event": "upstream_avoided", "reason": "refuses_more", "upstream": "i-1", "value": "0.50", "others": "0.02",
 	})
 }
+
+// Guards against a reset flow of which the log does not show what the verdict on its upstream
+// rests on, so that a wrong verdict cannot be told from a right one.
+func TestResetsAreLoggedWithTheirGrounds(t *testing.T) {
+	recorded := &recordedLog{}
+	entry := &catalog.Entry{Upstream: catalog.Upstream{ID: "i-1"}}
+	grounds := evidence.Grounds{
+		Draining: true, Missing: evidence.Never, Answered: 90 * time.Millisecond, Outcome: evidence.ProbeRefused, Probed: 2 * time.Millisecond,
+		Refused: 310 * time.Millisecond,
+	}
+	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamFailed, Upstream: entry, Grounds: &grounds}
+	newFlowLog(recorded).logDecision(time.Now(), &forward.Packet{}, decision, &catalog.Snapshot{})
+	require.Subset(t, recorded.lines[0], logrus.Fields{
+		"reason": "upstream_silent", "draining": true, "missing_ms": int64(-1), "answered_ms": int64(90), "last_verdict": "refused", "probed_ms": int64(2),
+		"refused_ms": int64(310), "available_ms": int64(-1),
+	})
+	metrics, err := NewMetrics()
+	require.NoError(t, err)
+	metrics.countDecision(decision, true)
+	require.EqualValues(t, 1, metrics.resets.Get(int(decision.Reason)*len(upstreamLabels)+upstreamDraining))
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -66,6 +66,28 @@
 	return labels
 }()
 
+// Indexes into upstreamLabels: states of the entry of a flow's upstream.
+const (
+	upstreamUnknown = iota
+	upstreamListed
+	upstreamDraining
+	upstreamMissing
+)
+
+var upstreamLabels = []string{"unknown", "listed", "draining", "missing"}
+
+func upstreamLabel(d forward.Decision) int {
+	switch {
+	case d.Grounds == nil:
+		return upstreamUnknown
+	case d.Grounds.Missing != evidence.Never:
+		return upstreamMissing
+	case d.Grounds.Draining:
+		return upstreamDraining
+	}
+	return upstreamListed
+}
+
 var actionLabels = []string{"drop", "forward", "reset", "wait"}
 
 // Metrics holds the metrics of one instance. It is safe for concurrent use.
@@ -83,6 +105,8 @@
 	refused   *counters.Family
 	hedges    *counters.Family
 	avoided   *counters.Family
+	resets    *counters.Family
+	moved     atomic.Int64
 	lost      atomic.Int64
 	failing   atomic.Int64
 	flows     atomic.Int64
@@ -133,6 +157,7 @@
 		admissions: counters.NewTwoAttributeFamily("priority", priorityLabels, "result", overload.OutcomeLabels),
 		hedges:     counters.NewFamily("result", hedge.CounterLabels),
 		avoided:    counters.NewFamily("reason", forward.AvoidReasonLabels),
+		resets:     counters.NewTwoAttributeFamily("reason", forward.ReasonLabels[:], "upstream", upstreamLabels),
 	}
 	return m, m.register(m.provider.Meter(scope))
 }
@@ -155,6 +180,7 @@
 	counter("chivemast_choices", "Opening packets by the tier of their upstream and why they stay in the failure domain or leave it.", m.choices)
 	counter("chivemast_admissions", "New flows by the priority of their route and the result of admission control.", m.admissions)
 	counter("chivemast_avoided_upstreams", "Times that new flows began to avoid an upstream, by reason.", m.avoided)
+	counter("chivemast_flow_resets", "Resets of established flows by reason and the entry of their upstream.", m.resets)
 	counter("chivemast_hedges", "Extra attempts of opening packets that were due, and of those sent the ones answered first, by result.", m.hedges)
 	counter("chivemast_discarded_datagrams", "Datagrams that could not be decoded or sent.", m.drops)
 	counter("chivemast_belief_changes", "Changes of what the instance knows.", m.events)
@@ -171,6 +197,7 @@
 		errs = append(errs, err)
 	}
 	total("chivemast_snapshots", "Views handed to the goroutine that forwards packets.", &m.snapshots)
+	total("chivemast_flows_moved", "Established flows whose packets began to go to another upstream.", &m.moved)
 	total("chivemast_lost_requests", "Requests that an upstream left without an answer.", &m.lost)
 	total("chivemast_upstreams_failing", "Times that an upstream was found to fail a part of its requests.", &m.failing)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
@@ -201,9 +228,12 @@
 }
 
 // countDecision counts a decision and records the time to the flow's next packet, if the
-// decision has one.
-func (m *Metrics) countDecision(d forward.Decision) {
+// decision has one. established is false for opening packets.
+func (m *Metrics) countDecision(d forward.Decision, established bool) {
 	m.decisions.Add(int(d.Action)*len(forward.ReasonLabels)+int(d.Reason), 1)
+	if d.Action == forward.Reset && established {
+		m.resets.Add(int(d.Reason)*len(upstreamLabels)+upstreamLabel(d), 1)
+	}
 	if d.Choice != nil {
 		m.choices.Add(int(d.Choice.Tier)*len(choice.CauseLabels)+int(d.Choice.Cause), 1)
 	}
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -80,10 +80,12 @@
 	if effect.Report {
 		loop.queueSilentReport(now, result.Upstream)
 	}
-	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamFailed, Upstream: result.Upstream}
+	decision := forward.Decision{
+		Action: forward.Reset, Reason: forward.ReasonUpstreamFailed, Upstream: result.Upstream, Grounds: &effect.Grounds,
+	}
 	for i := range effect.Resets {
 		loop.sendReset(&effect.Resets[i])
-		loop.metrics.countDecision(decision)
+		loop.metrics.countDecision(decision, true)
 		loop.log.logDecision(now, &effect.Resets[i], decision, loop.currentSnapshot)
 	}
 }
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
 	"github.com/chivemast/chivemast/internal/forward"
 	"github.com/chivemast/chivemast/internal/hedge"
 	"github.com/chivemast/chivemast/internal/inflight"
@@ -287,11 +288,15 @@
 			return
 		}
 	}
-	loop.metrics.countDecision(decision)
+	loop.metrics.countDecision(decision, !p.Open)
 	if decision.Hedge != hedge.None {
 		loop.metrics.countHedge(decision.Hedge)
 		loop.log.logHedgeResult(p, decision)
 	}
+	if decision.MovedFrom != flowcookie.None {
+		loop.metrics.moved.Add(1)
+		loop.log.logMoved(p, decision)
+	}
 	if decision.Action == forward.Wait {
 		loop.log.countWait(p, decision)
 		return
--- /dev/null
+++ b/internal/evidence/grounds.go
@@ -0,0 +1,44 @@
+package evidence
+
+import (
+	"time"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+)
+
+// Never is the age of an event that has not happened.
+const Never = time.Duration(-1)
+
+// Grounds is what the standing of an upstream rests on. Ages count from the time of the call
+// of Tracker.Grounds and are Never for events that have not happened.
+type Grounds struct {
+	// Draining is true for an upstream whose entry says so, listed or not.
+	Draining bool
+	// Missing is the time since its entry was found missing.
+	Missing time.Duration
+	// Answered is the time since a packet showed that it answers.
+	Answered time.Duration
+	// Outcome is the last recorded outcome of a probe, 0 without one, and Probed its age.
+	Outcome ProbeOutcome
+	Probed  time.Duration
+	// Refused is the time since the refusal that a draining upstream has not contradicted.
+	Refused time.Duration
+	// Pending is true while a probe is under way.
+	Pending bool
+}
+
+// Grounds returns what the standing of an upstream rests on. It changes nothing.
+func (t *Tracker) Grounds(now time.Time, entry *catalog.Entry) Grounds {
+	age := func(at time.Time) time.Duration {
+		if at.IsZero() {
+			return Never
+		}
+		return now.Sub(at)
+	}
+	g := Grounds{Draining: entry.Draining, Missing: age(entry.RemovedAt), Answered: Never, Probed: Never, Refused: Never}
+	if state := t.upstreams[entry.Cookie]; state != nil {
+		g.Answered, g.Outcome, g.Probed = age(state.answeredAt), state.probe.outcome, age(state.probe.decidedAt)
+		g.Refused, g.Pending = age(state.probe.refusedAt), state.probe.pending
+	}
+	return g
+}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -242,10 +242,14 @@
 	}
 	p.Cookie = entry.Cookie
 	if standing := e.Standing(now, entry); standing != evidence.Running && !p.Reset {
-		return e.resetFlow(p, resetReasons[standing], entry)
+		grounds := e.Grounds(now, entry)
+		decision := e.resetFlow(p, resetReasons[standing], entry)
+		decision.Grounds = &grounds
+		return decision
 	}
-	handshakeTime, hedged := e.observePacket(now, p)
-	return Decision{Action: Forward, Reason: reason, Upstream: entry, HandshakeTime: handshakeTime, Hedge: hedged}
+	decision := Decision{Action: Forward, Reason: reason, Upstream: entry}
+	e.observePacket(now, p, &decision)
+	return decision
 }
 
 // resolve returns the upstream that the cookie of a packet leads to, or nil, and why. A
@@ -270,6 +274,15 @@
 	return latest, ReasonEarlierIncarnation
 }
 
+// movedFrom returns the upstream to which the earlier packets of an answered flow went, unless
+// target is a later incarnation of it.
+func (e *Engine) movedFrom(record *flowRecord, target flowcookie.Cookie) flowcookie.Cookie {
+	if successor := e.snapshot.Successor(record.targets[0]); successor != nil && successor.Cookie == target {
+		return flowcookie.None
+	}
+	return record.targets[0]
+}
+
 // resetReasons holds the reason of a reset by the standing of the flow's upstream.
 var resetReasons = map[evidence.Standing]Reason{evidence.Ended: ReasonUpstreamGone, evidence.Failed: ReasonUpstreamFailed}
 
@@ -322,6 +335,8 @@
 	// Resets holds one packet for each flow whose record was removed; each is to be
 	// answered with a reset. It is empty unless Failed is set.
 	Resets []Packet
+	// Grounds is what the effect rests on, the result included.
+	Grounds evidence.Grounds
 }
 
 // HandleProbeResult records the result of a probe. On a conclusive failure, it removes
@@ -334,6 +349,10 @@
 	}
 	e.clock = now
 	effect := ProbeEffect{ProbeEffect: e.Tracker.HandleProbeResult(now, result)}
+	effect.Grounds = e.Grounds(now, result.Upstream)
+	if current := e.snapshot.Resolve(result.Upstream.Cookie); current != nil {
+		effect.Grounds = e.Grounds(now, current)
+	}
 	if effect.Failed {
 		effect.Resets = e.removeFlowsOf(result.Upstream.Cookie)
 	}
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -10,7 +10,6 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
-	"github.com/chivemast/chivemast/internal/hedge"
 	"github.com/chivemast/chivemast/internal/overload"
 )
 
@@ -224,16 +223,16 @@
 }
 
 // observePacket updates the flow record and the state of the upstream from a packet of
-// an established flow. For the first packet that follows the opening packet, it returns
-// the time since then and hedge.Won if an extra attempt was answered, and 0 otherwise.
-func (e *Engine) observePacket(now time.Time, p *Packet) (handshakeTime time.Duration, hedged hedge.Result) {
+// an established flow. It sets Decision.MovedFrom and, for the first packet that follows the
+// opening packet, Decision.HandshakeTime and Decision.Hedge.
+func (e *Engine) observePacket(now time.Time, p *Packet, decision *Decision) {
 	record := e.flows.get(p.Flow)
 	if record == nil {
 		if p.Fin || p.Reset {
-			return 0, hedge.None
+			return
 		}
 		if record = e.flows.add(p.Flow, p.Seq); record == nil {
-			return 0, hedge.None
+			return
 		}
 		record.targets[0], record.attempts, record.answered = p.Cookie, 1, true
 		record.ack, record.dataEnd = p.Ack, p.Seq
@@ -243,10 +242,13 @@
 	idle := now.Sub(record.lastSeen)
 	record.lastSeen = now
 	if !record.answered {
-		handshakeTime, hedged = now.Sub(record.opened), e.recordAnswerTime(now, record, p.Cookie)
+		decision.HandshakeTime, decision.Hedge = now.Sub(record.opened), e.recordAnswerTime(now, record, p.Cookie)
 		record.ack, record.dataEnd = p.Ack, p.Seq
 		e.RecordAnswer(now, p.Cookie)
 	}
+	if record.answered && record.targets[0] != p.Cookie {
+		decision.MovedFrom = e.movedFrom(record, p.Cookie)
+	}
 	if !record.answered || record.targets[0] != p.Cookie {
 		e.attributeFlow(record, p.Cookie)
 	}
@@ -255,7 +257,6 @@
 		e.endResponse(now, record)
 		e.removeFlow(p.Flow)
 	}
-	return handshakeTime, hedged
 }
 
 // compareSequence tells from the sequence numbers whether the upstream answers. A
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -15,6 +15,7 @@
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/choice"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 	"github.com/chivemast/chivemast/internal/hedge"
 )
@@ -147,4 +148,10 @@
 	// Hedge is hedge.Won when this packet shows that an extra attempt was answered first,
 	// hedge.NotKept when an opening packet could not be kept, and hedge.None otherwise.
 	Hedge hedge.Result
+	// Grounds is what the reset of an established flow rests on; nil for other decisions and
+	// when the flow's upstream is not known.
+	Grounds *evidence.Grounds
+	// MovedFrom is the upstream to which earlier packets of the flow went, when this instance
+	// saw it answer; flowcookie.None when the upstream has not changed.
+	MovedFrom flowcookie.Cookie
 }
