Test flows of a route that was added again (fails)

Callers saw: open flows were reset although the configuration has their route. Schedule: version N removes a route, version N+1 adds it again. Instance A has read N+1 and opens a flow; the next packet reaches instance B, which has read N only, because it waits for changePause (200 ms) after N or the update was lost. Seen: B resets with route_removed until it reads N+1.

--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
 // Guards against resets by an instance that is behind, or was paused, of flows of an upstream
@@ -27,3 +29,32 @@
 		}
 	}
 }
+
+// configure puts a configuration into force whose routes are for the given addresses and
+// have all services of the fixture.
+func (f *fixture) configure(version uint64, services []string, routes ...netip.AddrPort) {
+	f.revision++
+	config := catalog.Configuration{Version: version, Revision: f.revision}
+	var split []catalog.Weight
+	for _, name := range services {
+		config.Services = append(config.Services, catalog.Service{Name: name})
+		split = append(split, catalog.Weight{Service: name, Weight: 1})
+	}
+	for _, address := range routes {
+		config.Routes = append(config.Routes, catalog.Route{Name: address.String(), Address: address, Split: split})
+	}
+	f.apply(catalog.ConfigurationRead{Configuration: config})
+}
+
+// Guards against resets of flows of a route that was removed and added again, by an instance
+// that has read only the first of these configurations.
+func TestFlowOfARouteThatWasAddedAgainIsNotReset(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	f.advance(10 * time.Second)
+	f.configure(2, []string{"s"})
+	f.now = f.now.Add(2 * time.Second)
+	d := f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100)
+	require.Equal(t, Wait, d.Action, "nothing was heard of the store since the route may have been added: %s", d.Reason)
+	f.configure(3, []string{"s"}, service)
+	require.Equal(t, Forward, f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
+}
