--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -58,3 +58,34 @@
 	f.configure(3, []string{"s"}, service)
 	require.Equal(t, Forward, f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
 }
+
+// Guards against resets of flows of a route, or of a service of a route, that another
+// instance has read before this one.
+func TestFlowOfAServiceThatTheRouteGotSinceIsNotReset(t *testing.T) {
+	added := netip.MustParseAddrPort("198.18.0.2:443")
+	other := upstream(2)
+	other.Service = "other"
+	for name, next := range map[string]struct {
+		cookie flowcookie.Cookie
+		flow   Flow
+	}{
+		"route":   {flowcookie.ByID("i-1", 1000), Flow{Caller: caller(4001).Caller, Service: added}},
+		"service": {flowcookie.ByID("i-2", 1000), caller(4001)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixtureByID(t, upstream(1), other)
+			f.advance(2 * time.Minute)
+			f.now = f.now.Add(10 * time.Millisecond)
+			packet := Packet{Flow: next.flow, Cookie: next.cookie, Seq: 1, Ack: 1, Data: 100}
+			d := f.engine.Decide(f.now, &packet)
+			require.Equal(t, Wait, d.Action, "nothing was heard of the store since the configuration may have changed: %s", d.Reason)
+			f.now = f.now.Add(2 * time.Second)
+			f.apply(catalog.Confirmed{Kind: catalog.KindUpstreams, Revision: f.revision})
+			packet.Cookie = next.cookie
+			require.Equal(t, Wait, f.engine.Decide(f.now, &packet).Action, "the configuration may have changed")
+			f.configure(2, []string{"s", "other"}, service, added)
+			packet.Cookie = next.cookie
+			require.Equal(t, Forward, f.engine.Decide(f.now, &packet).Action)
+		})
+	}
+}
