--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -89,3 +90,22 @@
 		})
 	}
 }
+
+// Guards against resets of flows of an upstream whose entry lapsed and has come back, by an
+// instance that has read only of its removal, when a probe gives no clear result.
+func TestFlowOfAnUpstreamWhoseEntryIsBackIsNotReset(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := flowcookie.Of("i-1", 1000)
+	f.advance(10 * time.Second)
+	f.removeUpstream("i-1")
+	// The entry is back after a second, but this instance hears no more of the store.
+	f.now = f.now.Add(2500 * time.Millisecond)
+	require.Equal(t, Forward, f.send(4001, cookie, 1, 1, 100).Action)
+	for _, probe := range f.engine.TakeProbes() {
+		result := evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeSilent, Trigger: probe.Trigger, Started: f.now}
+		require.False(t, f.engine.HandleProbeResult(f.now.Add(220*time.Millisecond), result).Failed, "no other upstream has answered")
+	}
+	f.now = f.now.Add(300 * time.Millisecond)
+	d := f.send(4001, cookie, 101, 1, 100)
+	require.Equal(t, Forward, d.Action, "nothing was heard of the store since the entry may be back: %s", d.Reason)
+}
