--- /dev/null
+++ b/internal/catalogsync/flows_test.go
@@ -0,0 +1,147 @@
+package catalogsync
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+	"github.com/chivemast/chivemast/internal/forward"
+)
+
+// flowSimulation sends packets of open flows to all instances of a simulation. All upstreams
+// serve from their first entry to the end.
+type flowSimulation struct {
+	*simulation
+	engines map[*simInstance]*forward.Engine
+	serving []catalog.Upstream
+	// route is the only one; it is in the configuration if routed is set.
+	route  netip.AddrPort
+	routed bool
+	resets map[forward.Reason]int
+}
+
+// engineOf returns the engine of an instance with its last snapshot; nil before the first.
+func (s *flowSimulation) engineOf(instance *simInstance) *forward.Engine {
+	snapshot := instance.published()
+	if snapshot == nil || !snapshot.Ready() {
+		return nil
+	}
+	engine := s.engines[instance]
+	if engine == nil {
+		engine = forward.New(forward.Config{FailureDomain: "a", MaxFlows: 10_000})
+		s.engines[instance] = engine
+	}
+	engine.SetSnapshot(snapshot)
+	return engine
+}
+
+// step makes a random change: an upstream starts, the route is removed or added, the replicas
+// lag, messages are lost, an instance does not reach the store, or one restarts.
+func (s *flowSimulation) step() {
+	number := s.rng.IntN(len(s.fleet.instances))
+	switch s.rng.IntN(200) {
+	case 0, 1, 2:
+		s.added++
+		u := simUpstream(s.added, "a")
+		s.serving = append(s.serving, u)
+		s.store.setUpstream(u)
+	case 3, 4:
+		s.configure(!s.routed)
+	case 5:
+		lag := time.Duration(s.rng.IntN(6000)) * time.Millisecond
+		s.store.set(func(store *simStore) { store.lag = lag })
+	case 6:
+		s.fleet.mu.Lock()
+		s.fleet.loss = s.rng.Float64()
+		s.fleet.mu.Unlock()
+	case 7:
+		name := fmt.Sprintf("edge-%d", number)
+		s.store.set(func(store *simStore) { store.cut[name] = !store.cut[name] })
+	case 8:
+		s.fleet.start(s.ctx, number, false)
+	}
+}
+
+func (s *flowSimulation) configure(routed bool) {
+	s.routed = routed
+	s.config.Version++
+	s.config.Routes = nil
+	if routed {
+		s.config.Routes = []catalog.Route{{Name: "r", Address: s.route, Split: []catalog.Weight{{Service: "s", Weight: 1}}}}
+	}
+	s.store.setConfig(s.config)
+}
+
+// sendAll sends each instance a packet of a flow to each upstream to which another one may
+// have opened a flow, under the latest configuration.
+func (s *flowSimulation) sendAll() {
+	if !s.routed {
+		return
+	}
+	for n, u := range s.serving {
+		cookie := flowcookie.Of(u.ID, u.Born)
+		opens := func(instance *simInstance) bool {
+			snapshot := instance.published()
+			return snapshot != nil && snapshot.Version == s.config.Version && snapshot.Resolve(cookie) != nil
+		}
+		opened := false
+		for _, instance := range s.fleet.instances {
+			opened = opened || opens(instance)
+		}
+		for _, instance := range s.fleet.instances {
+			engine := s.engineOf(instance)
+			if !opened || engine == nil {
+				continue
+			}
+			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), uint16(1024+s.config.Version))
+			decision := engine.Decide(time.Now(), &forward.Packet{Flow: forward.Flow{Caller: caller, Service: s.route}, Cookie: cookie, Seq: 1, Ack: 1})
+			if decision.Action == forward.Reset {
+				s.resets[decision.Reason]++
+			}
+			for _, probe := range engine.TakeProbes() {
+				engine.HandleProbeResult(time.Now(), evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeAlive, Trigger: probe.Trigger, Started: time.Now()})
+			}
+		}
+	}
+}
+
+// runFlows returns the resets of open flows in a random schedule, by their reasons.
+func runFlows(t *testing.T, seed uint64) (resets map[forward.Reason]int) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &flowSimulation{
+			simulation: newSimulation(ctx, seed, false), engines: map[*simInstance]*forward.Engine{},
+			route: netip.MustParseAddrPort("198.18.0.1:443"), resets: map[forward.Reason]int{},
+		}
+		s.configure(true)
+		for n := range 5 {
+			s.fleet.start(ctx, n, false)
+		}
+		for began := time.Now(); time.Since(began) < 40*time.Second; time.Sleep(20 * time.Millisecond) {
+			s.step()
+			s.sendAll()
+		}
+		resets = s.resets
+		cancel()
+		time.Sleep(changeBound)
+		synctest.Wait()
+	})
+	return resets
+}
+
+// Guards against resets by an instance of open flows to upstreams, or on routes, that
+// another instance has read and this one has not: replicas lag, messages are lost, and
+// instances are turned away by the store or restart.
+func TestFlowsOpenedByInstancesThatAreAheadAreNotReset(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { require.Empty(t, runFlows(t, seed)) })
+	}
+}
