Test that an unheard drain keeps flows from being reset by a refusal

Callers see open flows of a serving upstream reset. Schedule: an upstream reports that it drains and leaves two seconds later; an instance whose state is 2.4 s old, within its bound, does not know; the upstream closes its port before its flows end, and a probe is refused. leavingConfirmedAfter covers only upstreams that the instance knows to drain.

Fails now: the refusal is conclusive and the flow is reset at once.

--- /dev/null
+++ b/internal/forward/verdict_test.go
@@ -0,0 +1,30 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+// requireServes requires that an upstream's request on a flow is forwarded and its answer seen.
+func (f *fixture) requireServes(port int, cookie flowcookie.Cookie) {
+	f.t.Helper()
+	require.Equal(f.t, Forward, f.send(port, cookie, 1, 1, 100).Action)
+	f.now = f.now.Add(time.Millisecond)
+	require.Equal(f.t, Forward, f.send(port, cookie, 101, 400, 0).Action)
+}
+
+// Guards against resets of the open flows of an upstream that closes its port at the end
+// of a drain of which this instance has not heard yet.
+func TestRefusalBeforeTheDrainIsKnownResetsNoFlows(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := flowcookie.Of("i-1", 1000)
+	f.send(4001, cookie, 1, 1, 0)
+	f.now = f.now.Add(2400 * time.Millisecond)
+	require.Empty(t, f.refuse("i-1").Resets)
+	f.now = f.now.Add(60 * time.Millisecond)
+	f.requireServes(4001, cookie)
+}
