Test that a removed entry does not make the first refusal end open flows

Callers see open flows of an upstream that serves reset. Schedule: a draining upstream closes its port, asks the store to remove its entry, and ends its flows when the call is answered. The store answers slowly, or the answer is lost; the instance hears of the removal first. Or a probe that was refused while the entry was listed is handled after its removal.

Fails now: a refusal is conclusive at once when the entry is removed.

--- a/internal/forward/verdict_test.go
+++ b/internal/forward/verdict_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
@@ -28,3 +29,24 @@
 	f.now = f.now.Add(60 * time.Millisecond)
 	f.requireServes(4001, cookie)
 }
+
+// Guards against resets of the open flows of a draining upstream whose entry is removed
+// after it has closed its port and before it has ended: its call to the store is answered
+// late, or the probe that it refused is handled late.
+func TestRemovalBeforeTheEndOfTheFlowsResetsNone(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := flowcookie.Of("i-1", 1000)
+	f.send(4001, cookie, 1, 1, 0)
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	f.advance(3 * time.Second)
+	refused := evidence.ProbeResult{Upstream: f.engine.snapshot.Resolve(cookie), Outcome: evidence.ProbeRefused, Started: f.now}
+	f.removeUpstream("i-1")
+	f.advance(time.Millisecond)
+	require.Empty(t, f.engine.HandleProbeResult(f.now, refused).Resets)
+	f.requireServes(4001, cookie)
+	f.advance(600 * time.Millisecond)
+	require.Empty(t, f.refuse("i-1").Resets)
+	f.requireServes(4001, cookie)
+}
