Test that a draining upstream keeps its flows while its port is closed

Callers see open flows of a serving upstream reset. Schedule: a draining upstream closes its port and runs on for more than a second, because the store is slow or another flow has not ended. The instance carries few of its flows and sees no answer meanwhile; it probes once a second.

Fails now: the second refusal, 0.3 s or more after the first one, is taken as the end of the process.

--- a/internal/forward/verdict_test.go
+++ b/internal/forward/verdict_test.go
@@ -50,3 +50,19 @@
 	require.Empty(t, f.refuse("i-1").Resets)
 	f.requireServes(4001, cookie)
 }
+
+// Guards against resets of the open flows of a draining upstream that runs on for long
+// after it has closed its port: no request was left unanswered.
+func TestRefusalsOfADrainingUpstreamResetNoFlowsThatItServes(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := flowcookie.Of("i-1", 1000)
+	f.send(4001, cookie, 1, 1, 0)
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	for range 5 {
+		f.advance(time.Second)
+		require.Empty(t, f.refuse("i-1").Resets)
+	}
+	f.requireServes(4001, cookie)
+}
