Test that one lost packet does not make a probe silent

Callers see all open flows of an upstream that serves reset by one instance. Schedule: instances probe an upstream after a report, or two upstreams as a control. The opening packet of one probe, or its answer, is lost; TCP repeats it after one second, the probe gives up after 220 ms. Another upstream answers its probe, so that the silence is conclusive. With a loss of p, each probe fails in this way with 2p.

Fails now: the probe makes one attempt and is silent.

--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,3 +116,28 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// Guards against an upstream that counts as silent because one opening packet was lost,
+// here by a full accept queue: the system repeats it only after the probe has given up.
+func TestOneLostPacketDoesNotMakeAProbeSilent(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, syscall.Close(fd)) }()
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*syscall.SockaddrInet4).Port))
+	queued, err := net.Dial("tcp4", address.String())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, queued.Close()) }()
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		accepted, _, err := syscall.Accept(fd)
+		if err == nil {
+			_ = syscall.Close(accepted)
+		}
+	}()
+	p := newProber(fixedIdentifier(""), func() {})
+	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), evidence.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{Address: address}}}))
+}
