Add a failing test of two answers to one opening packet

Callers saw: an open flow was reset, by another upstream or by an instance, or its packets went to another upstream, while its own upstream served. Schedule: the extra attempt (or the caller's copy after 200 ms) of an opening packet goes to a second upstream B while the answer of A is late. The caller accepts A. The answer of B arrives after it, and B repeats it after 200 ms, so that the caller returns the cookie of B, the last one that it received. Its next packets go to B. When B ends, or is unknown here, instances reset the flow, also all instances that recorded it at B (HandleProbeResult). Now: TestOpenFlowStaysWhenASecondUpstreamAnswers, TestOpenFlowIsNotResetWhenASecondUpstreamEnds, TestOtherFlowsFollowTheirCookies and TestCookieOutweighsHandedOverRecord fail; the reset has the caller's real acknowledgement number, so that the caller accepts it.

--- /dev/null
+++ b/internal/forward/two_answers_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
+	"github.com/chivemast/chivemast/internal/flowcookie"
+)
+
+// openTwice opens a flow whose extra attempt reaches a second upstream, and lets the caller
+// accept the answer of the first one, which comes before that of the second.
+func openTwice(t *testing.T) (f *fixture, first, second *catalog.Entry) {
+	f = newHedgeFixture(t, 1, upstream(1), upstream(2))
+	h := f.overdue(1)
+	require.Equal(t, h.First, f.send(1, h.First.Cookie, 1, 5001, 0).Upstream)
+	return f, h.First, h.Second
+}
+
+// Guards against packets of an open flow that go to another upstream because that one, too,
+// answered the opening packet: the caller returns the cookie that it received last.
+func TestOpenFlowStaysWhenASecondUpstreamAnswers(t *testing.T) {
+	f, first, second := openTwice(t)
+	for _, p := range [][3]uint32{{1, 5001, 100}, {101, 5401, 0}, {101, 5401, 100}} {
+		f.now = f.now.Add(time.Millisecond)
+		decision := f.send(1, second.Cookie, p[0], p[1], int(p[2]))
+		require.Equal(t, Forward, decision.Action)
+		require.Equal(t, first.ID, decision.Upstream.ID)
+	}
+	require.Equal(t, 1, f.engine.loadOf(first.Cookie).flows)
+	require.Zero(t, f.engine.loadOf(second.Cookie).flows)
+}
+
+// Guards against resets of an open flow when the second upstream that answered its opening
+// packet ends, or is not known here.
+func TestOpenFlowIsNotResetWhenASecondUpstreamEnds(t *testing.T) {
+	f, first, second := openTwice(t)
+	f.send(1, second.Cookie, 1, 5001, 100)
+	f.now = f.now.Add(time.Millisecond)
+	result := evidence.ProbeResult{Upstream: second, Outcome: evidence.ProbeRefused, Started: f.now}
+	require.Empty(t, f.engine.HandleProbeResult(f.now, result).Resets)
+	for _, cookie := range []flowcookie.Cookie{second.Cookie, 0x12345678} {
+		f.advance(4 * time.Second)
+		decision := f.engine.Decide(f.now, &Packet{Flow: caller(1), Cookie: cookie, Seq: 1001, Ack: 5001, Data: 100})
+		require.Equal(t, "forward", decision.Action.String())
+		require.Equal(t, first.ID, decision.Upstream.ID)
+	}
+}
+
+// Guards against packets of a new flow on a reused port that go to the upstream of the
+// earlier flow, and against a caller's reset of the second answer that ends the open flow.
+func TestOtherFlowsFollowTheirCookies(t *testing.T) {
+	f, first, second := openTwice(t)
+	reset := f.engine.Decide(f.now, &Packet{Flow: caller(1), Reset: true, Cookie: second.Cookie, Seq: 1001, Ack: 77})
+	require.Equal(t, second, reset.Upstream)
+	require.Equal(t, first, f.send(1, second.Cookie, 1, 5001, 100).Upstream)
+	for _, p := range []Packet{{Seq: 1 << 20, Ack: 5001}, {Seq: 1001, Ack: 1 << 20}} {
+		f, first, second = openTwice(t)
+		p.Flow, p.Cookie = caller(1), second.Cookie
+		require.Equal(t, second, f.engine.Decide(f.now, &p).Upstream)
+		require.Equal(t, 1, f.engine.loadOf(second.Cookie).flows)
+		require.Zero(t, f.engine.loadOf(first.Cookie).flows)
+	}
+}
+
+// Guards against a record that an instance of an earlier version handed over with the wrong
+// upstream and that outweighs the cookie.
+func TestCookieOutweighsHandedOverRecord(t *testing.T) {
+	f, first, second := openTwice(t)
+	f.engine.ImportFlows(f.now, []HandoverFlow{{Flow: caller(1), Cookie: second.Cookie, Ack: 5001, DataEnd: 1001}})
+	require.Equal(t, first, f.send(1, first.Cookie, 1, 5001, 100).Upstream)
+	require.Equal(t, first, f.send(1, second.Cookie, 101, 5401, 0).Upstream)
+}
