Add a failing test of late copies of an opening packet

Callers saw: an open flow was reset by an upstream or an instance that it does not belong to, while its own upstream serves. Schedule: the caller's copy after 200 or 600 ms waits in a slow link, in the socket of a paused instance or in its held packets. The upstream's answer and the caller's next packet overtake it; with hash_policy mod they may pass another instance. The instance that reads the copy knows the flow as open, and sends the copy to another upstream, whose answer is the second one, or which resets the flow when it is not listening; without a usable upstream the instance itself resets the flow. An instance that knows the flow from later packets only takes the copy for a new flow on a reused port and forgets the flow.

--- a/internal/forward/two_answers_test.go
+++ b/internal/forward/two_answers_test.go
@@ -74,3 +74,62 @@
 	require.Equal(t, first, f.send(1, first.Cookie, 1, 5001, 100).Upstream)
 	require.Equal(t, first, f.send(1, second.Cookie, 101, 5401, 0).Upstream)
 }
+
+// Guards against resets that rest on the record alone: the upstream by the cookie serves.
+func TestCookieOutweighsRecordOfAnEndedUpstream(t *testing.T) {
+	f, first, second := openTwice(t)
+	require.True(t, f.refuse(first.ID).Failed)
+	f.send(1, first.Cookie, 1, 5001, 0)
+	require.Equal(t, second, f.send(1, second.Cookie, 1, 5001, 100).Upstream)
+}
+
+// Guards against late copies of the opening packet of an open flow that reach another upstream,
+// which answers or resets the flow, or that this instance resets.
+func TestLateCopyOfAnOpenFlowGoesToItsUpstream(t *testing.T) {
+	for name, seen := range map[string]bool{"opened through this instance": true, "opened through another instance": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, upstream(1), upstream(2), upstream(3))
+			opened := f.establish(1)
+			if !seen {
+				f.engine.removeFlow(caller(1))
+				f.send(1, opened.Cookie, 1, 1, 0)
+				f.open(2, 0)
+			}
+			f.send(1, opened.Cookie, 1, 1, 100)
+			f.now = f.now.Add(openTimeout)
+			require.Equal(t, opened.ID, f.open(1, 1).Upstream.ID)
+			require.True(t, f.engine.flows.get(caller(1)).answered)
+
+			for n := 1; n <= 3; n++ {
+				leaving := upstream(n)
+				leaving.Draining = true
+				f.updateUpstream(leaving)
+			}
+			decision := f.open(1, 2)
+			require.Equal(t, "forward", decision.Action.String())
+			require.Equal(t, opened.ID, decision.Upstream.ID)
+
+			f.removeUpstream(opened.ID)
+			f.advance(10 * time.Second)
+			for range 2 {
+				f.engine.CancelProbe(evidence.Probe{Upstream: opened})
+				decision = f.open(1, 2)
+			}
+			require.Equal(t, Drop, decision.Action, "the flow's next packet is reset")
+		})
+	}
+}
+
+// Guards against a new flow on a reused port that is taken for a copy of the earlier one.
+func TestReusedPortOpensANewFlow(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	f.establish(1)
+	f.engine.Decide(f.now, &Packet{Flow: caller(1), Open: true, Seq: 1010})
+	require.False(t, f.engine.flows.get(caller(1)).answered)
+	f.engine.removeFlow(caller(1))
+	f.send(1, upstreamCookie(1), 1, 1, 0)
+	f.engine.Decide(f.now, &Packet{Flow: caller(1), Open: true, Seq: 1000 + 1<<20})
+	require.False(t, f.engine.flows.get(caller(1)).answered)
+}
+
+func upstreamCookie(n int) flowcookie.Cookie { return flowcookie.Of(upstream(n).ID, 1000) }
