Add a failing test of copies of an opening packet that are decided together

Callers saw: an opening packet answered by two upstreams, the precondition of packets of the open flow at the wrong one. It reads the opening packet and the caller's copy of it one after the other. The first goes to A; the second, a few microseconds later, to B, because A "was tried": both answer at once, for each caller that waited. Now: TestCopiesDecidedTogetherGoToOneUpstream fails: the copy goes to another upstream 1 ms after the first one.

--- a/internal/forward/two_answers_test.go
+++ b/internal/forward/two_answers_test.go
@@ -133,3 +133,21 @@
 }
 
 func upstreamCookie(n int) flowcookie.Cookie { return flowcookie.Of(upstream(n).ID, 1000) }
+
+// Guards against two answers to one opening packet whose copies are decided together, after a
+// pause of the instance or with its first snapshot: the first upstream had no time to answer.
+func TestCopiesDecidedTogetherGoToOneUpstream(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2), upstream(3))
+	first := f.open(1, 0).Upstream
+	f.now = f.now.Add(time.Millisecond)
+	require.Equal(t, first.ID, f.open(1, 1).Upstream.ID)
+	require.Equal(t, 1, f.engine.loadOf(first.Cookie).flows)
+
+	leaving := upstream(int(first.Token))
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	second := f.open(1, 1).Upstream
+	require.NotEqual(t, first.ID, second.ID, "the first one takes no new flows any more")
+	f.now = f.now.Add(openTimeout)
+	require.NotContains(t, []string{first.ID, second.ID}, f.open(1, 2).Upstream.ID, "both had time to answer")
+}
