Add a failing test of extra attempts while the routers move flows

Callers saw: a second upstream answered the opening packet of a flow that was open already, the precondition of its packets at the wrong upstream. Schedule (hash_policy mod, any instance joins or leaves the rotation): the opening packet passes instance 1. Then the rotation changes, and the answer is acknowledged through instance 2 within one round trip. Instance 1 misses that packet and sends an extra attempt 10 to 100 ms later, to an upstream that may also have ended meanwhile and then resets the flow. Now: TestNoExtraAttemptWhileFlowsMove fails: the extra attempt is sent although instance 1 has got requests of flows that were opened elsewhere since then.

--- a/internal/forward/two_answers_test.go
+++ b/internal/forward/two_answers_test.go
@@ -9,6 +9,7 @@
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/evidence"
 	"github.com/chivemast/chivemast/internal/flowcookie"
+	"github.com/chivemast/chivemast/internal/hedge"
 )
 
 // openTwice opens a flow whose extra attempt reaches a second upstream, and lets the caller
@@ -151,3 +152,27 @@
 	f.now = f.now.Add(openTimeout)
 	require.NotContains(t, []string{first.ID, second.ID}, f.open(1, 2).Upstream.ID, "both had time to answer")
 }
+
+// Guards against extra attempts for flows that were opened through another instance meanwhile,
+// because the routers move flows: the second answer would reach the caller of an open flow.
+func TestNoExtraAttemptWhileFlowsMove(t *testing.T) {
+	for name, test := range map[string]struct {
+		packet Packet
+		sent   bool
+	}{
+		"request of a flow opened elsewhere": {Packet{Seq: 5, Ack: 5, Data: 100}, false},
+		"last packet of a closed flow":       {Packet{Seq: 5, Ack: 5}, true},
+	} {
+		f := newHedgeFixture(t, 1, upstream(1), upstream(2), upstream(3))
+		f.open(1, 0)
+		f.now = f.now.Add(time.Millisecond)
+		test.packet.Flow, test.packet.Cookie = caller(2), upstreamCookie(3)
+		f.engine.Decide(f.now, &test.packet)
+		due, _ := f.engine.NextHedge()
+		f.now = due
+		hedges := f.engine.TakeHedges(f.now, nil)
+		require.Len(t, hedges, 1)
+		require.Equal(t, test.sent, hedges[0].Result == hedge.Sent, name)
+		require.Equal(t, hedge.Sent, f.overdue(3).Result, "the flow was opened after the others had moved")
+	}
+}
