--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -117,6 +117,9 @@
 		if result.Outcome != evidence.ProbeAlive {
 			addGrounds(fields, effect.Grounds)
 		}
+		if result.Err != nil {
+			fields["error"] = result.Err
+		}
 		return fields
 	})
 }
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -44,7 +44,7 @@
 	// evidence.LateProbeAfter.
 	unanswered chan evidence.Probe
 	// connectOnce makes one connection attempt; tests replace it.
-	connectOnce func(context.Context, evidence.Probe) evidence.ProbeOutcome
+	connectOnce func(context.Context, evidence.Probe) (evidence.ProbeOutcome, error)
 	// wake interrupts the traffic goroutine after a probe was added to results or
 	// unanswered.
 	wake     func()
@@ -119,7 +119,7 @@
 	result := evidence.ProbeResult{Upstream: probe.Upstream, Trigger: probe.Trigger, Started: time.Now()}
 	for range maxProbeAttempts {
 		began := time.Now()
-		result.Outcome = p.connectOnce(ctx, probe)
+		result.Outcome, result.Err = p.connectOnce(ctx, probe)
 		if result.Outcome != evidence.ProbeSilent || time.Since(began) < probeTimeout+probeGrace+probeLateness {
 			break
 		}
@@ -145,8 +145,8 @@
 }
 
 // connect connects to the upstream, asks it for its ID if the probe has a health path,
-// and closes the connection.
-func (p *prober) connect(ctx context.Context, probe evidence.Probe) evidence.ProbeOutcome {
+// and closes the connection. The error is that of the connection attempt.
+func (p *prober) connect(ctx context.Context, probe evidence.Probe) (evidence.ProbeOutcome, error) {
 	address := probe.Upstream.Address
 	dialContext, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -155,18 +155,18 @@
 	dialer := net.Dialer{KeepAlive: -1}
 	conn, err := dialer.DialContext(dialContext, "tcp4", address.String())
 	if err != nil {
-		return outcomeOf(err)
+		return outcomeOf(err), err
 	}
 	defer func() { _ = conn.Close() }() // A failed close has no effect on the result.
 	if probe.HealthPath == "" || conn.SetDeadline(time.Now().Add(probeTimeout)) != nil {
-		return evidence.ProbeAlive
+		return evidence.ProbeAlive, nil
 	}
 	id, err := p.identify.Identify(conn, address, probe.HealthPath)
 	if err == nil && id != "" && id != probe.Upstream.ID {
-		return evidence.ProbeOther
+		return evidence.ProbeOther, nil
 	}
 	// A busy upstream may not answer in time, but it accepted the connection.
-	return evidence.ProbeAlive
+	return evidence.ProbeAlive, nil
 }
 
 func outcomeOf(err error) evidence.ProbeOutcome {
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -30,15 +30,15 @@
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	p := newProber(fixedIdentifier("i-2"), func() {})
 	probe := evidence.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{ID: "i-1", Address: address}}}
-	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeAlive, p.outcome(t, probe))
 	probe.HealthPath = "/health"
-	require.Equal(t, evidence.ProbeOther, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeOther, p.outcome(t, probe))
 	p.identify = fixedIdentifier("i-1")
-	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeAlive, p.outcome(t, probe))
 	p.identify = fixedIdentifier("")
-	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), probe), "a busy upstream is alive")
+	require.Equal(t, evidence.ProbeAlive, p.outcome(t, probe), "a busy upstream is alive")
 	require.NoError(t, listener.Close())
-	require.Equal(t, evidence.ProbeRefused, p.connect(t.Context(), probe))
+	require.Equal(t, evidence.ProbeRefused, p.outcome(t, probe))
 	require.Equal(t, evidence.ProbeSilent, outcomeOf(context.DeadlineExceeded))
 }
 
@@ -48,9 +48,9 @@
 	defer goleak.VerifyNone(t)
 	p := newProber(fixedIdentifier("i-1"), func() {})
 	end := make(chan struct{})
-	p.connectOnce = func(context.Context, evidence.Probe) evidence.ProbeOutcome {
+	p.connectOnce = func(context.Context, evidence.Probe) (evidence.ProbeOutcome, error) {
 		<-end
-		return evidence.ProbeSilent
+		return evidence.ProbeSilent, nil
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
@@ -70,12 +70,12 @@
 	defer goleak.VerifyNone(t)
 	p := newProber(fixedIdentifier(""), func() {})
 	end := make(chan struct{})
-	p.connectOnce = func(_ context.Context, probe evidence.Probe) evidence.ProbeOutcome {
+	p.connectOnce = func(_ context.Context, probe evidence.Probe) (evidence.ProbeOutcome, error) {
 		if probe.Trigger == evidence.TriggerControl {
-			return evidence.ProbeAlive
+			return evidence.ProbeAlive, nil
 		}
 		<-end
-		return evidence.ProbeSilent
+		return evidence.ProbeSilent, nil
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
@@ -139,5 +139,10 @@
 		}
 	}()
 	p := newProber(fixedIdentifier(""), func() {})
-	require.Equal(t, evidence.ProbeAlive, p.connect(t.Context(), evidence.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{Address: address}}}))
+	require.Equal(t, evidence.ProbeAlive, p.outcome(t, evidence.Probe{Upstream: &catalog.Entry{Upstream: catalog.Upstream{Address: address}}}))
+}
+
+func (p *prober) outcome(t *testing.T, probe evidence.Probe) evidence.ProbeOutcome {
+	outcome, _ := p.connect(t.Context(), probe) // The error is the cause of the outcome, for the log.
+	return outcome
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -76,6 +76,8 @@
 	Trigger ProbeTrigger
 	// Started is when the connection attempt began.
 	Started time.Time
+	// Err is the error of the connection attempt; nil if it was accepted.
+	Err error
 }
 
 // HandleSilenceReport handles another instance's report that its probe of an upstream
