Test connections that an upstream at its limit resets

Callers saw open flows reset by an instance while their upstream served. Schedule: callers come in a burst, an upstream reaches its limit of connections and resets further ones, the connection of a probe or a control probe among them. The attempt fails after 1 to 10 ms with connection reset by peer, which counts as silence; another upstream answers its probe, so that the silence is conclusive, and all flow records of the upstream are reset, up to 19 on one instance in one trace, 3 to 23 ms after the upstream had answered. Fails now: TestResetConnectionIsNoSilence.

--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -146,3 +147,11 @@
 	outcome, _ := p.connect(t.Context(), probe) // The error is the cause of the outcome, for the log.
 	return outcome
 }
+
+// Guards against the reset of all open flows of an upstream that resets further connections,
+// for example because it is at its connection limit: that is an answer, and no silence.
+func TestResetConnectionIsNoSilence(t *testing.T) {
+	outcome := outcomeOf(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNRESET)})
+	require.NotEqual(t, evidence.ProbeSilent, outcome)
+	require.NotEqual(t, evidence.ProbeRefused, outcome)
+}
