Do not take reset connections for silence of an upstream

Cause: a connection attempt that failed with any error but a refusal counted as silence. An upstream at its limit of connections resets further ones; the probe then ended after 1 to 10 ms as "silent". Any other upstream that answered a probe made the silence conclusive, and all flow records of the upstream were reset, for a second also the flows that came from other instances. The more callers come, the more openings stay unanswered, the more instances probe, and the more of these probes are reset. The class: one negative answer to a new connection is taken as the end of the open flows.

Change: a reset connection has an outcome of its own. The upstream gets no new flows until a probe or a packet shows that it takes some; its open flows go on, because a process answers and only that process knows whether it holds them. The metric and the log have the verdict "reset".

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -175,6 +175,8 @@
 		return evidence.ProbeAlive
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return evidence.ProbeRefused
+	case errors.Is(err, syscall.ECONNRESET):
+		return evidence.ProbeReset
 	}
 	return evidence.ProbeSilent
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -50,11 +50,14 @@
 	ProbeSilent
 	// ProbeOther: another upstream answers at the address.
 	ProbeOther
+	// ProbeReset: the connection was reset while it opened. A process has the port and takes
+	// no further connection, for example because it is at its limit; its flows may go on.
+	ProbeReset
 )
 
 // ProbeOutcomeLabels holds the label of each outcome, indexed by ProbeOutcome. Index 0,
 // "none", is no outcome.
-var ProbeOutcomeLabels = []string{"none", "alive", "refused", "silent", "other"}
+var ProbeOutcomeLabels = []string{"none", "alive", "refused", "silent", "other", "reset"}
 
 func (o ProbeOutcome) String() string { return ProbeOutcomeLabels[o] }
 
@@ -237,8 +240,8 @@
 // apply. For any other result, all fields are zero.
 type ProbeEffect struct {
 	// Inconclusive is true when the probe was unanswered and this instance may itself
-	// be partitioned or slow, or when a draining upstream refused it and may still hold
-	// its flows.
+	// be partitioned or slow, or when the upstream may still hold its flows: it drains and
+	// refused the probe, or it reset the connection.
 	Inconclusive bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
@@ -263,6 +266,11 @@
 		state.probe.unsettled = false
 		return ProbeEffect{}
 	}
+	if result.Outcome == ProbeReset {
+		state.probe.recordOutcome(now, result.Outcome)
+		state.probe.unsettled = true
+		return ProbeEffect{Inconclusive: true}
+	}
 	first := !state.probe.failed()
 	if result.Outcome == ProbeRefused && first && t.mayBeLeaving(now, result.Upstream.Cookie) {
 		state.probe.unsettled = true
