Test that an old failure does not make the first refusal end open flows

Callers see open flows of an upstream that serves reset. Schedule: an instance is cut off from a draining upstream and finds it silent; the cut ends, and its flows go on through other instances; the upstream closes its port, and the repeated probe, 0.9 to 4 s later, is refused.

Fails now: the exception for draining upstreams holds only for the first failed probe.

--- a/internal/forward/verdict_test.go
+++ b/internal/forward/verdict_test.go
@@ -66,3 +66,20 @@
 	}
 	f.requireServes(4001, cookie)
 }
+
+// Guards against resets of the open flows of a draining upstream whose first refusal follows
+// an old failure, here of the network: its flows go on after the failure.
+func TestRefusalAfterAnOldFailureResetsNoFlows(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	cookie := flowcookie.Of("i-1", 1000)
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
+	f.answerProbe(2)
+	silent := evidence.ProbeResult{Upstream: f.engine.snapshot.Resolve(cookie), Outcome: evidence.ProbeSilent, Started: f.now}
+	require.True(t, f.engine.HandleProbeResult(f.now, silent).Failed)
+	f.advance(2 * time.Second)
+	require.Equal(t, Forward, f.send(4001, cookie, 1, 1, 100).Action)
+	require.Empty(t, f.refuse("i-1").Resets)
+	f.requireServes(4001, cookie)
+}
