Test that a probe that could not be made proves nothing

Callers would see all open flows of a serving upstream reset. Schedule: an instance is at its limit of open files, or the system refuses the socket; the probe ends with that error, and another one that begins in the same moment is answered. It needs the limit to be reached and was not observed.

Fails now: every error but a refused connection counts as silence.

--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -155,3 +155,14 @@
 	require.NotEqual(t, evidence.ProbeSilent, outcome)
 	require.NotEqual(t, evidence.ProbeRefused, outcome)
 }
+
+// Guards against resets because this instance could not make a probe, for example at its
+// limit of open files: the upstream was not asked.
+func TestProbeThatIsNotMadeProvesNothing(t *testing.T) {
+	for _, err := range []error{syscall.EMFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EPERM} {
+		require.NotEqual(t, evidence.ProbeSilent, outcomeOf(err), err)
+	}
+	for _, err := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, context.Canceled} {
+		require.Equal(t, evidence.ProbeSilent, outcomeOf(err), err)
+	}
+}
