Reset flows at a refusal only when nothing but the end explains it

Callers saw open flows of a serving upstream reset by an instance whose probe was refused.

Cause: a refused probe was taken as the end of the process. A closed port is not that: an upstream that leaves closes it before its flows end. Only upstreams known to drain were excepted, for 0.3 s, and not once their entry was removed.

Change: a refusal takes the upstream out of the choice and is repeated. It proves the end - of an upstream that cannot be leaving (listed, not draining, state confirmed less than 2 s ago), or that is gone, with a second refusal 30 ms later; - of one that may be leaving, with one 0.3 s later when a request was found unanswered since the first one. A packet that shows an answer since the first refusal withdraws it.

Changed tests: those that took one refusal as a proof now expect that it resets nothing and that the next one, 30 ms later, does.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -98,15 +98,22 @@
 		case <-ctx.Done():
 			return
 		case probe := <-queue:
-			select {
-			case slots <- struct{}{}:
-			case <-ctx.Done():
-				return
+			start := func() {
+				select {
+				case slots <- struct{}{}:
+				case <-ctx.Done():
+					return
+				}
+				go func() {
+					defer func() { <-slots }()
+					p.runProbe(ctx, probe)
+				}()
 			}
-			go func() {
-				defer func() { <-slots }()
-				p.runProbe(ctx, probe)
-			}()
+			if probe.Delay > 0 {
+				time.AfterFunc(probe.Delay, start)
+				continue
+			}
+			start()
 		}
 	}
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -15,9 +15,6 @@
 	// network partitions last a few seconds.
 	reprobeMin = 900 * time.Millisecond
 	reprobeMax = 4 * time.Second
-	// leavingConfirmedAfter is the least time between two refusals that prove that a
-	// draining upstream has ended: it closes its port shortly before its flows.
-	leavingConfirmedAfter = 300 * time.Millisecond
 	// aliveFor is how long a successful probe keeps the flows of an upstream that the
 	// store no longer lists.
 	aliveFor = 2 * time.Second
@@ -66,6 +63,8 @@
 	Upstream *catalog.Entry
 	// Trigger is the reason for the probe.
 	Trigger ProbeTrigger
+	// Delay is the time to wait before the connection attempt.
+	Delay time.Duration
 	// HealthPath is the path at which the upstream reports its id. When it is empty, an
 	// accepted connection is enough.
 	HealthPath string
@@ -103,8 +102,8 @@
 	// an inconclusive first failure, until a packet shows that the upstream answers or a
 	// probe settles its state.
 	unsettled bool
-	// refusedAt is when a draining upstream first refused a probe; zero after a packet or
-	// a probe that shows that it runs.
+	// refusedAt is when the first refused probe began; zero after a packet or a probe that
+	// shows that the upstream runs.
 	refusedAt time.Time
 	// requestedAt is when a probe was last requested.
 	requestedAt time.Time
@@ -163,14 +162,7 @@
 	if entry == nil || entry.Replaced || state.probe.pending || now.Sub(state.probe.requestedAt) < probeInterval {
 		return
 	}
-	state.probe.pending, state.probe.requestedAt = true, now
-	probe := Probe{Upstream: entry, Trigger: trigger}
-	// The address of an upstream that failed or was removed may belong to another one
-	// now.
-	if service := t.snapshot.Service(entry.Service); service != nil && (state.trial || !entry.RemovedAt.IsZero()) {
-		probe.HealthPath = service.HealthPath
-	}
-	t.probes = append(t.probes, probe)
+	t.probes = append(t.probes, t.newProbe(now, entry, trigger))
 }
 
 // TakeProbes returns the requested probes and removes them from the tracker. The owner
@@ -214,12 +206,12 @@
 		// domains.
 		t.unconfirmedProbes = append(t.unconfirmedProbes, probe)
 	}
-	return probe.Trigger != TriggerReport && probe.Trigger != TriggerControl
+	return reportable(probe.Trigger)
 }
 
 // RequestRetryProbes requests probes of the upstreams in the store whose last probe failed,
-// except with ProbeOther, once their backoff is over, and of those that are unsettled. An
-// upstream that returns is thus used again.
+// except with ProbeOther, once their backoff is over, of those that are unsettled, and of
+// removed ones whose refusal is not confirmed. An upstream that returns is thus used again.
 func (t *Tracker) RequestRetryProbes(now time.Time) {
 	if t.snapshot == nil {
 		return
@@ -229,24 +221,24 @@
 		if !failed && !state.probe.unsettled {
 			continue
 		}
-		if entry := t.snapshot.Resolve(cookie); entry != nil && entry.RemovedAt.IsZero() {
+		if entry := t.snapshot.Resolve(cookie); entry != nil && (entry.RemovedAt.IsZero() || t.awaitsConfirmation(cookie)) {
 			t.RequestProbe(now, cookie, TriggerProbeFailed)
 		}
 	}
 }
 
-// ProbeEffect says what follows from a probe result. An inconclusive result sets only
-// Inconclusive. A conclusive failure sets Failed, and FirstFailure and Report when they
-// apply. For any other result, all fields are zero.
+// ProbeEffect says what follows from a probe result. An inconclusive result sets
+// Inconclusive, and Report when it applies. A conclusive failure sets Failed, and
+// FirstFailure and Report when they apply. For any other result, all fields are zero.
 type ProbeEffect struct {
 	// Inconclusive is true when the probe was unanswered and this instance may itself
-	// be partitioned or slow, or when the upstream may still hold its flows: it drains and
-	// refused the probe, or it reset the connection.
+	// be partitioned or slow, or when the upstream refused it or reset the connection and
+	// may still hold its flows.
 	Inconclusive bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
 	FirstFailure bool
-	// Report is true when other instances should be told of the failure.
+	// Report is true when other instances should be told of the failed probe.
 	Report bool
 	// Failed is true when the probe proves that the upstream has failed, so that its
 	// flows are to be reset.
@@ -272,13 +264,17 @@
 		return ProbeEffect{Inconclusive: true}
 	}
 	first := !state.probe.failed()
-	if result.Outcome == ProbeRefused && first && t.mayBeLeaving(now, result.Upstream.Cookie) {
-		state.probe.unsettled = true
-		return ProbeEffect{Inconclusive: true}
-	}
+	report := first && reportable(result.Trigger)
 	if result.Outcome == ProbeAlive {
 		state.probe.refusedAt = time.Time{}
 	}
+	if result.Outcome == ProbeRefused {
+		confirmed, reportRefusal := t.handleRefusal(now, result)
+		if !confirmed {
+			return ProbeEffect{Inconclusive: true, Report: reportRefusal}
+		}
+		report = report && reportRefusal
+	}
 	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
 		state.probe.unsettled = first
@@ -296,24 +292,9 @@
 	if first {
 		t.probeNeighbours(now, result.Upstream.Cookie, result.Trigger)
 	}
-	report := first && result.Trigger != TriggerReport && result.Trigger != TriggerControl
 	return ProbeEffect{FirstFailure: first, Report: report, Failed: true}
 }
 
-// mayBeLeaving reports whether a refusal does not prove yet that an upstream has ended: it
-// is listed as draining, and no earlier refusal is leavingConfirmedAfter old. The first
-// one is recorded.
-func (t *Tracker) mayBeLeaving(now time.Time, cookie flowcookie.Cookie) bool {
-	entry, state := t.snapshot.Resolve(cookie), t.stateOf(cookie)
-	if entry == nil || !entry.Draining || !entry.RemovedAt.IsZero() {
-		return false
-	}
-	if state.probe.refusedAt.IsZero() {
-		state.probe.refusedAt = now
-	}
-	return now.Sub(state.probe.refusedAt) < leavingConfirmedAfter
-}
-
 // probeNeighbours requests probes of the failure domain of an upstream that does not
 // answer, unless its end was announced by draining or by the removal of its entry. It
 // does nothing for probes of a failure domain, control probes and probes caused by a
--- a/internal/evidence/silence.go
+++ b/internal/evidence/silence.go
@@ -84,7 +84,10 @@
 	// firstRequestAt is when the first request on a flow with acksPromptly since the last
 	// answer or timeout was sent; zero when none was.
 	firstRequestAt time.Time
-	probe          probeState
+	// unansweredAt is when a request was last found unanswered: the caller repeated it, or
+	// its timeout ended.
+	unansweredAt time.Time
+	probe        probeState
 	// responseTime is the smoothed response time. The upstream counts as slow until
 	// slowUntil.
 	responseTime responseTime
@@ -131,6 +134,9 @@
 	if now.Sub(state.answeredAt) < AnswerWindow {
 		return
 	}
+	if trigger == TriggerRepeat {
+		state.unansweredAt = now
+	}
 	state.triggers++
 	if excess := state.triggers - suspectAfter; excess >= 0 {
 		state.trial = true
@@ -169,7 +175,7 @@
 			continue
 		}
 		// The next request starts a new timeout.
-		state.firstRequestAt = time.Time{}
+		state.firstRequestAt, state.unansweredAt = time.Time{}, now
 		if now.Sub(t.lastRequestTriggerAt) >= requestTriggerInterval {
 			t.lastRequestTriggerAt = now
 			t.RequestProbe(now, request.target, TriggerUnanswered)
--- a/internal/forward/control_test.go
+++ b/internal/forward/control_test.go
@@ -125,6 +125,10 @@
 		}
 		f.engine.RecordTrigger(f.now, entry.Cookie, evidence.TriggerRepeat)
 		f.engine.TakeProbes()
+		if outcome == evidence.ProbeRefused {
+			require.True(t, fail().Inconclusive)
+			f.advance(evidence.LateProbeAfter)
+		}
 		require.True(t, fail().FirstFailure)
 		require.Equal(t, Reset, f.send(50, entry.Cookie, 1, 1, 100).Action)
 		f.engine.TakeProbes()
--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -71,9 +71,12 @@
 func TestUnknownCookieDoesNotLeadToAnEndedUpstream(t *testing.T) {
 	f := newFixtureByID(t, restart(upstream(1)), upstream(2))
 	f.advance(6 * time.Second)
-	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{
-		Upstream: f.engine.snapshot.Resolve(flowcookie.Of("i-1", 6000)), Outcome: evidence.ProbeRefused, Started: f.now,
-	})
+	for range 2 {
+		f.engine.HandleProbeResult(f.now, evidence.ProbeResult{
+			Upstream: f.engine.snapshot.Resolve(flowcookie.Of("i-1", 6000)), Outcome: evidence.ProbeRefused, Started: f.now,
+		})
+		f.advance(evidence.LateProbeAfter)
+	}
 	d := f.send(4001, flowcookie.ByID("i-1", 1000), 1, 1, 100)
 	require.Equal(t, Reset, d.Action)
 	require.Equal(t, ReasonUnknownCookie, d.Reason)
@@ -100,7 +103,10 @@
 	cookie := flowcookie.Of("i-1", 1000)
 	f.updateUpstream(restart(upstream(1)))
 	latest := f.engine.snapshot.Successor(cookie)
-	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: latest, Outcome: evidence.ProbeRefused, Started: f.now})
+	for range 2 {
+		f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: latest, Outcome: evidence.ProbeRefused, Started: f.now})
+		f.advance(evidence.LateProbeAfter)
+	}
 	d := f.send(4001, cookie, 1, 1, 100)
 	require.Equal(t, Reset, d.Action)
 	require.Equal(t, ReasonUpstreamFailed, d.Reason)
