Send up to three opening packets in one probe

Callers saw all open flows of a serving upstream reset by one instance, because one packet of its probe was lost, or met a full accept queue, while another upstream answered.

Cause: a probe gave up after 220 ms, before TCP repeats its first opening packet after 1 s. With a loss of p a probe was silent with 2p.

Change: a probe without an answer sends further opening packets after 50 and 100 ms. The first answer counts; without any the probe ends after 220 ms as before, so that the time to a reset does not change. Three losses are needed for a false silence: 8p^3. An upstream that does answer within 50 ms gets one connection as before.

Price: two more packets for each probe of a silent upstream.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -24,6 +24,12 @@
 	// probeLateness is how late the timer of a probe may fire. If it fires later,
 	// the instance itself was paused, and the probe is repeated.
 	probeLateness = 50 * time.Millisecond
+	// dialInterval is the time between the opening packets of one probe, of which any may be
+	// lost: the system would repeat the first one only after the probe has ended. It is ten
+	// times the longest round trip, and half of the timeout is left after the last one.
+	dialInterval = 50 * time.Millisecond
+	// maxDials is the maximum number of opening packets of one attempt.
+	maxDials = 3
 	// maxProbeAttempts is the maximum number of attempts of one probe.
 	maxProbeAttempts = 3
 	// maxProbes is the maximum number of connection attempts in progress, without
@@ -159,8 +165,7 @@
 	defer cancel()
 	timeout := time.AfterFunc(probeTimeout, func() { time.AfterFunc(probeGrace, cancel) })
 	defer timeout.Stop()
-	dialer := net.Dialer{KeepAlive: -1}
-	conn, err := dialer.DialContext(dialContext, "tcp4", address.String())
+	conn, err := dial(dialContext, address)
 	if err != nil {
 		return outcomeOf(err), err
 	}
@@ -176,6 +181,45 @@
 	return evidence.ProbeAlive, nil
 }
 
+// dial connects to an address, with further opening packets every dialInterval while there
+// is no answer. It returns the first answer, and otherwise the error of the first one.
+func dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		conn net.Conn
+		err  error
+	}
+	answers := make(chan answer)
+	begin := func() {
+		dialer := net.Dialer{KeepAlive: -1}
+		conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+		select {
+		case answers <- answer{conn, err}:
+		case <-ctx.Done():
+			if conn != nil {
+				_ = conn.Close() // Another one was answered first.
+			}
+		}
+	}
+	go begin()
+	again := time.NewTicker(dialInterval)
+	defer again.Stop()
+	for dials := 1; ; {
+		select {
+		case first := <-answers:
+			return first.conn, first.err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-again.C:
+			if dials < maxDials {
+				dials++
+				go begin()
+			}
+		}
+	}
+}
+
 func outcomeOf(err error) evidence.ProbeOutcome {
 	switch {
 	case err == nil:
