Simulate upstreams that leave after they have closed their port

The simulation had no upstream that refuses probes while its flows go on, so that resets of such flows passed all patterns. It now counts resets of flows whose upstream serves, and honours the delay of a probe.

--- a/internal/loadsim/flow_test.go
+++ b/internal/loadsim/flow_test.go
@@ -129,7 +129,7 @@
 					arrived = true
 					target.accept(sim, r, func() {
 						f.received += 1000
-						f.ended = f.ended || sim.rng.Float64() < c.kind.closingShare(sim)
+						f.ended = f.ended || target.closing || sim.rng.Float64() < c.kind.closingShare(sim)
 						ack := &forward.Packet{Flow: f.Flow, Cookie: flowcookie.Cookie(f.cookie), Seq: seq, Ack: f.received, Fin: f.ended && sim.shortRefusals}
 						sim.send(c, ack, func(*catalog.Entry, *upstream) {}, func() {})
 					}, func() {
@@ -169,7 +169,7 @@
 		switch d.Action {
 		case forward.Reset:
 			if !p.Open {
-				sim.resets++
+				sim.countReset(c.flow.upstream)
 			}
 			if p.Data > 0 {
 				sim.late = append(sim.late, sim.now)
@@ -192,6 +192,14 @@
 	})
 }
 
+// countReset counts the reset of a flow of an upstream; nil when the flow is not open.
+func (sim *simulation) countReset(u *upstream) {
+	sim.resets++
+	if u != nil && !u.silent && !u.ended {
+		sim.wrong++
+	}
+}
+
 // accept serves or queues a request, or refuses it when the queue is full.
 func (u *upstream) accept(sim *simulation, r *request, answered, refused func()) {
 	sim.arrivals++
--- a/internal/loadsim/instance_test.go
+++ b/internal/loadsim/instance_test.go
@@ -84,9 +84,11 @@
 			continue
 		}
 		u := sim.find(p.Upstream.ID)
-		result := evidence.ProbeResult{Upstream: p.Upstream, Trigger: p.Trigger, Started: sim.now, Outcome: evidence.ProbeAlive}
+		result := evidence.ProbeResult{Upstream: p.Upstream, Trigger: p.Trigger, Started: sim.now.Add(p.Delay), Outcome: evidence.ProbeAlive}
 		delay := 2 * time.Millisecond
 		switch {
+		case u.closed && sim.reach(i.domain, u.FailureDomain):
+			result.Outcome = evidence.ProbeRefused
 		case u.silent || !sim.reach(i.domain, u.FailureDomain):
 			result.Outcome, delay = evidence.ProbeSilent, probeSilence
 		case u.ended:
@@ -94,20 +96,20 @@
 		}
 		engine := i.engine
 		if delay > evidence.LateProbeAfter {
-			sim.after(evidence.LateProbeAfter, func() {
+			sim.after(p.Delay+evidence.LateProbeAfter, func() {
 				if i.alive && i.engine == engine && engine.HandleLateProbe(sim.now, p) {
 					sim.reportSilent(i, u)
 				}
 				i.runProbes()
 			})
 		}
-		sim.after(delay, func() {
+		sim.after(p.Delay+delay, func() {
 			if !i.alive || i.engine != engine {
 				return
 			}
 			effect := engine.HandleProbeResult(sim.now, result)
 			for _, packet := range effect.Resets {
-				sim.resets++
+				sim.countReset(u)
 				sim.resetFlow(packet.Flow)
 			}
 			if effect.Report {
--- a/internal/loadsim/simulation_test.go
+++ b/internal/loadsim/simulation_test.go
@@ -76,6 +76,8 @@
 
 	requests []*request
 	resets   int
+	// wrong is the number of resets of flows whose upstream was neither silent nor ended.
+	wrong int
 	// broken is the number of packets of established flows that reached another
 	// upstream.
 	broken int
@@ -132,6 +134,10 @@
 	// silent is set while the upstream answers nothing; ended is set once it refuses
 	// connections.
 	silent, ended bool
+	// closed is set while the upstream refuses probes but does not end its flows by that.
+	closed bool
+	// closing is set while the upstream ends each flow after its next response.
+	closing bool
 	// drained is when the upstream reported that it drains.
 	drained time.Time
 	// failing is the part of the requests, 0 to 1, that the upstream resets.
