Take only missing answers for silence of a probed upstream

Callers would see all open flows of a serving upstream reset when an instance could not open a socket for its probe.

Cause: every error of a connection attempt but a refusal or a reset counted as silence.

Change: an attempt is silent after a timeout or when no path leads to the upstream.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/netip"
+	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -220,6 +222,13 @@
 	}
 }
 
+// noAnswer holds the errors of a connection attempt that had no answer from the upstream.
+var noAnswer = []error{
+	context.Canceled, context.DeadlineExceeded, os.ErrDeadlineExceeded,
+	syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH,
+}
+
+// outcomeOf returns what the error of a connection attempt shows about the upstream.
 func outcomeOf(err error) evidence.ProbeOutcome {
 	switch {
 	case err == nil:
@@ -228,6 +237,8 @@
 		return evidence.ProbeRefused
 	case errors.Is(err, syscall.ECONNRESET):
 		return evidence.ProbeReset
+	case slices.ContainsFunc(noAnswer, func(known error) bool { return errors.Is(err, known) }):
+		return evidence.ProbeSilent
 	}
-	return evidence.ProbeSilent
+	return evidence.ProbeNotMade
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -38,9 +38,11 @@
 
 // Probe outcomes.
 const (
+	// ProbeNotMade: this instance could not make a connection attempt.
+	ProbeNotMade ProbeOutcome = iota
 	// ProbeAlive: the upstream accepted the connection and, when the probe has a
 	// HealthPath, reported no other id. A busy upstream may not report its id in time.
-	ProbeAlive ProbeOutcome = iota + 1
+	ProbeAlive
 	// ProbeRefused: the machine answers, but no process listens at the address.
 	ProbeRefused
 	// ProbeSilent: there was no answer.
@@ -52,8 +54,7 @@
 	ProbeReset
 )
 
-// ProbeOutcomeLabels holds the label of each outcome, indexed by ProbeOutcome. Index 0,
-// "none", is no outcome.
+// ProbeOutcomeLabels holds the label of each outcome, indexed by ProbeOutcome.
 var ProbeOutcomeLabels = []string{"none", "alive", "refused", "silent", "other", "reset"}
 
 func (o ProbeOutcome) String() string { return ProbeOutcomeLabels[o] }
@@ -108,8 +109,8 @@
 	// requestedAt is when a probe was last requested.
 	requestedAt time.Time
 	// outcome is the last recorded outcome, decidedAt its time; an inconclusive first
-	// failure is not recorded. outcome is 0 when there is none or when a packet has
-	// disproved a failure.
+	// failure is not recorded. outcome is ProbeNotMade when there is none or when a packet
+	// has disproved a failure.
 	outcome   ProbeOutcome
 	decidedAt time.Time
 	// conclusiveAt is the time of the last conclusive failure.
@@ -150,7 +151,7 @@
 func (s *probeState) withdrawFailure() {
 	s.unsettled, s.refusedAt = false, time.Time{}
 	if s.failed() {
-		s.outcome = 0
+		s.outcome = ProbeNotMade
 	}
 }
 
@@ -250,6 +251,9 @@
 func (t *Tracker) HandleProbeResult(now time.Time, result ProbeResult) ProbeEffect {
 	state := t.stateOf(result.Upstream.Cookie)
 	state.probe.pending = false
+	if result.Outcome == ProbeNotMade {
+		return ProbeEffect{}
+	}
 	if result.Outcome != ProbeSilent {
 		t.recordProbeAnswer(now, result.Started)
 	}
