Reset unknown cookies only after a check that began later

Callers saw: an open flow was reset as unknown_cookie by an instance that had not yet read the entry of the flow's upstream, which served. Cause: Complete says that the store has been available for 5 s, not that this instance has all that the store had when the flow was opened. Instances differ by up to 50 ms by publishInterval alone, and by up to 2.5 s with a lost update. Change: an instance remembers when the first packet of a flow arrived that it cannot place (4096 flows at most, 12 s). Its packets wait, and the flow is reset only when the store has confirmed the upstreams in a check that began later: 1 s more than the time of arrival, because the confirmation may be of a peer. No call and no message is added.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,6 +25,10 @@
 	// break before the state is complete: entries that expired are back within
 	// missingGrace, and instances find them with the next check, at most 3 s later.
 	completeDelay = 3*time.Second + missingGrace
+	// checkDelay bounds the time from the start of a check in the store to the arrival of
+	// its result, also from the peer that made the check: the call ends within 0.6 s, the
+	// rest is for the message.
+	checkDelay = time.Second
 	// evacuationColdTime is how long the upstreams of a failure domain count as
 	// cold after its evacuation has ended, whatever their entries say, unless the cold
 	// start of their service is shorter. It covers a report of an upstream, 1.2 s, and
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -148,12 +148,19 @@
 // UpstreamCount returns the number of upstream incarnations that cookies resolve to.
 func (s *Snapshot) UpstreamCount() int { return len(s.byCookie) }
 
-// Complete tells whether an upstream that is not known has certainly ended: the
-// store has been available for at least completeDelay.
+// Complete tells whether the store has been available for at least completeDelay, so that
+// entries that expired meanwhile are back. An upstream that is not known may still run: it
+// may have started since the last check (CheckedSince).
 func (s *Snapshot) Complete(now time.Time) bool {
 	return !s.AvailableSince.IsZero() && now.Sub(s.AvailableSince) >= completeDelay
 }
 
+// CheckedSince tells whether the store itself has confirmed the state of a kind in a check
+// that began after the given time: all that was written before is known.
+func (s *Snapshot) CheckedSince(kind Kind, at time.Time) bool {
+	return s.Confirmed[kind].Sub(at) > checkDelay
+}
+
 // Snapshot returns a snapshot of the state, or nil and false when nothing has
 // changed since the last one. When only confirmations have changed, the snapshot
 // shares the maps of the last one, because building them takes 1.6 ms at the
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -60,7 +60,8 @@
 	peerRank PeerRank
 	// flows holds the flow records. A record is removed when its flow ends, is reset or
 	// is idle for flowIdle.
-	flows flowTable
+	flows    flowTable
+	unplaced unplacedFlows
 	// loads holds what this instance sends to each upstream, by its cookie. SetSnapshot
 	// removes the entries of upstreams that the snapshot does not know and that have no flow
 	// records.
@@ -131,7 +132,7 @@
 		Tracker: evidence.New(), cfg: cfg, flows: newFlowTable(cfg.MaxFlows),
 		loads: map[flowcookie.Cookie]*upstreamLoad{}, lastOpen: map[netip.Addr]*flowRecord{},
 		load: load.NewView(cfg.Seed), speed: newSpeedState(), routeUses: map[routeKey]*overload.Activity{},
-		hedging: newHedging(), demand: newDemand(),
+		hedging: newHedging(), demand: newDemand(), unplaced: unplacedFlows{},
 	}
 	if cfg.OverloadControl {
 		e.inFlight = inflight.NewView(cfg.Seed)
@@ -191,6 +192,7 @@
 	for _, record := range e.flows.expire(now) {
 		e.releaseLoad(record)
 	}
+	e.unplaced.expire(now)
 	for address, record := range e.lastOpen {
 		if now.Sub(record.lastSeen) > retryWindow {
 			delete(e.lastOpen, address)
@@ -235,11 +237,9 @@
 	}
 	entry, reason := e.resolve(now, p)
 	if entry == nil {
-		if e.snapshot.Complete(now) && !p.Reset {
-			return e.resetFlow(p, ReasonUnknownCookie, nil)
-		}
-		return Decision{Action: Wait, Reason: ReasonUnknownCookie}
+		return e.decideUnplaced(p, ReasonUnknownCookie, e.cookieUnknown(now, p))
 	}
+	e.unplaced.remove(p)
 	p.Cookie = entry.Cookie
 	if standing := e.Standing(now, entry); standing != evidence.Running && !p.Reset {
 		grounds := e.Grounds(now, entry)
@@ -264,7 +264,7 @@
 		}
 		return entry, ReasonEstablished
 	}
-	if !e.cfg.CookieByID && !e.snapshot.Complete(now) {
+	if !e.cfg.CookieByID && !e.cookieUnknown(now, p) {
 		return nil, ReasonUnknownCookie
 	}
 	latest := e.snapshot.ResolveID(p.Flow.Service, p.Cookie)
--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -31,6 +31,36 @@
 	}
 }
 
+// Guards against callers that get no answer for longer than the next check takes, against a
+// check that began before the flow's first packet, and against resets of callers' resets.
+func TestUnplacedFlowIsResetAfterALaterCheck(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	f.advance(10 * time.Second)
+	require.Equal(t, Wait, f.send(1, 12345, 1, 1, 100).Action)
+	f.advance(500 * time.Millisecond)
+	require.Equal(t, Wait, f.send(1, 12345, 1, 1, 100).Action, "the check may have begun before the flow was opened")
+	f.advance(2 * time.Second)
+	closing := Packet{Flow: caller(1), Cookie: 12345, Reset: true}
+	require.Equal(t, Wait, f.engine.Decide(f.now, &closing).Action)
+	require.Equal(t, Wait, f.send(2, 12345, 1, 1, 100).Action, "another flow")
+	require.Equal(t, Reset, f.send(1, 12345, 1, 1, 100).Action)
+}
+
+// Guards against unplaced flows that take memory without a limit, and against resets of
+// those that do not fit.
+func TestUnplacedFlowsAreBounded(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	f.advance(10 * time.Second)
+	for n := range 2 * maxUnplaced {
+		require.Equal(t, Wait, f.send(n, 12345, 1, 1, 100).Action)
+	}
+	require.Len(t, f.engine.unplaced, maxUnplaced)
+	f.advance(flowIdle)
+	require.Equal(t, Wait, f.send(2*maxUnplaced-1, 12345, 1, 1, 100).Action)
+	f.engine.RemoveIdleFlows(f.now)
+	require.Empty(t, f.engine.unplaced)
+}
+
 // configure puts a configuration into force whose routes are for the given addresses and
 // have all services of the fixture.
 func (f *fixture) configure(version uint64, services []string, routes ...netip.AddrPort) {
