Reset flows of removed routes only after a check that began later

Callers saw: an open flow was reset as route_removed although the configuration in force has its route again. Cause: an instance that has read the removal, but not the next version, took the removal for the present state for as long as it was behind: 200 ms by changePause, 2.5 s with a lost update. Change: packets of such a flow wait, and the flow is reset when the store has confirmed the configuration in a check that began after its first packet, as for unknown cookies. Opening packets are still reset at once. TestFlowsOfARemovedRouteAreReset expected the reset of the first packet; it now expects that packet to wait and the reset after the next check.

--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -230,7 +230,7 @@
 // and its first report.
 func (e *Engine) decideEstablished(now time.Time, p *Packet) Decision {
 	if e.snapshot.RouteRemoved(p.Flow.Service) {
-		return e.resetFlow(p, ReasonRouteRemoved, nil)
+		return e.decideUnplaced(p, ReasonRouteRemoved, e.absent(now, p, catalog.KindConfiguration))
 	}
 	if p.Cookie == flowcookie.None {
 		return Decision{Action: Drop, Reason: ReasonNoCookie}
--- a/internal/forward/engine_test.go
+++ b/internal/forward/engine_test.go
@@ -79,8 +79,10 @@
 	unknown := Packet{Flow: Flow{Caller: caller(1).Caller, Service: netip.MustParseAddrPort("198.18.0.9:443")}, Cookie: entry.Cookie}
 	require.Equal(t, Forward, f.engine.Decide(f.now, &unknown).Action)
 	f.apply(catalog.ConfigurationRead{Configuration: catalog.Configuration{Version: 2, Revision: 200, Services: []catalog.Service{{Name: "s"}}}})
-	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
 	require.Equal(t, Reset, f.open(2, 0).Action)
+	require.Equal(t, Wait, f.send(1, entry.Cookie, 1, 1, 100).Action, "the route may have been added again")
+	f.advance(2 * time.Second)
+	require.Equal(t, Reset, f.send(1, entry.Cookie, 1, 1, 100).Action)
 }
 
 // Guards against allocations for each packet of an established flow.
