Reset unknown cookies only after a check of the configuration

Callers saw: with cookie_by_id, an open flow of a route, or of a service of a route, that a configuration had just added was reset as unknown_cookie. Cause: a cookie by id leads only to services that the route has had in a configuration that this instance has read. One that is behind on the configuration takes the cookie for unknown, and only the upstreams had to be confirmed. Change: the flow is reset when the configuration was confirmed as well since its first packet. Both kinds are checked every 2 s already; no call is added. Evidence: TestFlowOfAServiceThatTheRouteGotSinceIsNotReset fails without the change when only the upstreams are confirmed in between, for both cases. Result: it passes. What remains: an instance that never reads a version, because two were written while it could only list them, does not know the services of that version and resets flows that were opened under it (by reading, not run).

--- a/internal/forward/unplaced.go
+++ b/internal/forward/unplaced.go
@@ -79,7 +79,7 @@
 }
 
 // cookieUnknown reports whether the cookie of a packet that resolve does not know belongs to
-// no upstream that still runs.
+// no upstream that still runs. A cookie by id also rests on the services of the route.
 func (e *Engine) cookieUnknown(now time.Time, p *Packet) bool {
-	return e.absent(now, p, catalog.KindUpstreams)
+	return e.absent(now, p, catalog.KindUpstreams, catalog.KindConfiguration)
 }
