End flows of missing entries only after a check that began later

Callers saw: an open flow was reset as upstream_gone although its upstream served and the store had its entry again. Cause: 2 s after an instance has read a removal, an upstream without a clear probe counts as gone. That the entry may have come back was excluded by the time alone; an instance that is behind does not know of the return. Change: the store must have confirmed in a check that began after GoneAt that the entry is still missing. Probes that find the upstream ended, or another one at its address, reset flows as before, at once. Evidence: TestFlowOfAnUpstreamWhoseEntryIsBackIsNotReset, and that the flow ends after such a check.

--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -90,7 +90,8 @@
 // last one failed or the entry is missing. A missing entry alone does not prove that the
 // upstream has ended, because it also vanishes when the upstream loses its connection to
 // the store: flows continue while a probe is pending, and for aliveFor after one that
-// succeeded. After an inconclusive or cancelled probe, Gone decides.
+// succeeded. After an inconclusive or cancelled probe, they end when the store has
+// confirmed in a check that began after GoneAt that the entry is still missing.
 func (t *Tracker) Standing(now time.Time, entry *catalog.Entry) Standing {
 	if entry.Replaced {
 		return Ended
@@ -108,7 +109,8 @@
 		return Running
 	}
 	t.RequestProbe(now, entry.Cookie, TriggerRemoved)
-	if entry.Gone(now) && t.snapshot.Complete(now) && !state.probe.alive(now) && !state.probe.pending {
+	missing := t.snapshot.Complete(now) && t.snapshot.CheckedSince(catalog.KindUpstreams, entry.GoneAt)
+	if missing && !state.probe.alive(now) && !state.probe.pending {
 		return Ended
 	}
 	return Running
--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -138,4 +138,10 @@
 	f.now = f.now.Add(300 * time.Millisecond)
 	d := f.send(4001, cookie, 101, 1, 100)
 	require.Equal(t, Forward, d.Action, "nothing was heard of the store since the entry may be back: %s", d.Reason)
+	f.advance(time.Second)
+	f.send(4001, cookie, 201, 1, 100)
+	for _, probe := range f.engine.TakeProbes() {
+		f.engine.CancelProbe(probe)
+	}
+	require.Equal(t, Reset, f.send(4001, cookie, 301, 1, 100).Action, "the store has confirmed that the entry is missing")
 }
