Tell starting instances of upstreams whose entries are missing

Callers saw: an open flow was reset as unknown_cookie by an instance that had started while the store did not list the flow's upstream, which served. Cause: instances that saw the entry vanish keep it for 90 s and probe the upstream; one that starts later lists the store and has never heard of it. The store can only confirm that there is no entry, not that the upstream has ended. Change: answers to hellos tell up to 12 upstreams whose entries have been missing for 2 to 90 s, without those that drained. An instance that knows neither the id nor an upstream at the address adds them as missing: no new flows, and probes decide about the open ones. The time since the removal is passed on, so that nothing circulates for longer than 90 s. Any entry in the store counts as newer, also in another era. Flows of an upstream that crashed before the start are now reset by the probe instead of the next check.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -224,6 +224,8 @@
 		c.recordChange(Change{Event: "list_pages_differ", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("newest=%d", e.Newest)})
 	case EarlierIncarnations:
 		c.applyEarlierIncarnations(now, e)
+	case MissingUpstreams:
+		c.applyMissingUpstreams(now, e)
 	case EvacuationsEnded:
 		c.applyEvacuationEnds(now, e)
 	case EarlierEvacuationEnds:
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -249,6 +249,16 @@
 // ignored.
 type EarlierIncarnations struct{ Incarnations []Incarnation }
 
+// MissingUpstream is an upstream whose entry has been missing from the store for the time Ago.
+type MissingUpstream struct {
+	Upstream Upstream
+	Ago      time.Duration
+}
+
+// MissingUpstreams carries upstreams whose entries other instances have seen vanish, for an
+// instance that started after that. The upstreams may still serve their flows.
+type MissingUpstreams struct{ Upstreams []MissingUpstream }
+
 // EndedEvacuation is an evacuation that ended the time Ago ago.
 type EndedEvacuation struct {
 	FailureDomain string
@@ -307,6 +317,7 @@
 func (EvacuationsEnded) event()      {}
 func (EarlierEvacuationEnds) event() {}
 func (EarlierIncarnations) event()   {}
+func (MissingUpstreams) event()      {}
 func (ListPagesDiffer) event()       {}
 func (PeerStateFetched) event()      {}
 func (UpstreamsListed) event()       {}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -101,6 +101,22 @@
 	return earlier
 }
 
+// MissingUpstreams returns at most limit of the upstreams whose entries are missing and that
+// did not announce their end by draining, at random.
+func (s *Snapshot) MissingUpstreams(now time.Time, limit int) []MissingUpstream {
+	var missing []MissingUpstream
+	for _, entry := range s.byCookie {
+		if len(missing) == limit {
+			break
+		}
+		if entry.RemovedAt.IsZero() || entry.Replaced || entry.Draining || entry.Invalid || now.Before(entry.GoneAt) {
+			continue
+		}
+		missing = append(missing, MissingUpstream{Upstream: entry.Upstream, Ago: now.Sub(entry.RemovedAt)})
+	}
+	return missing
+}
+
 // EndedEvacuations returns the evacuations that ended less than evacuationToldFor ago.
 func (s *Snapshot) EndedEvacuations(now time.Time) []EndedEvacuation {
 	var ended []EndedEvacuation
--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// applyMissingUpstreams adds upstreams whose entries vanished before this instance read the
+// upstreams, so that probes decide about their flows. They get no new flows. Any entry in the
+// store counts as newer.
+func (c *Catalog) applyMissingUpstreams(now time.Time, missing MissingUpstreams) {
+	for _, m := range missing.Upstreams {
+		u := m.Upstream
+		u.Revision = 0
+		known := c.byID[u.ID] != nil || c.byAddress[u.Address] != nil
+		if known || !u.Address.IsValid() || u.Check() != nil || m.Ago < missingGrace || m.Ago >= removedRetention {
+			continue
+		}
+		c.addIncarnation(now, nil, u)
+		if entry := c.byID[u.ID]; entry != nil {
+			c.markMissing(now.Add(-m.Ago), entry, u.Revision)
+		}
+	}
+}
+
 // successor returns the latest incarnation under the id of an entry, or nil if that is
 // the entry itself.
 func (c *Catalog) successor(entry *Entry) *Entry {
--- a/internal/catalog/upstreams_test.go
+++ b/internal/catalog/upstreams_test.go
@@ -190,6 +190,28 @@
 	require.Equal(t, 1, snapshotAt(t, c, start.Add(removedRetention)).UpstreamCount())
 }
 
+// Guards against missing upstreams of peers that get new flows, replace what the store lists,
+// hide an entry that comes back in another era, or are passed on for ever.
+func TestMissingUpstreamsOfPeersOnlyKeepTheirFlows(t *testing.T) {
+	told := func(id, address string, ago time.Duration) MissingUpstream {
+		return MissingUpstream{Upstream: listedEntry(id, 1000, address, 900).Upstream, Ago: ago}
+	}
+	c := newSynchronized(listedEntry("i-1", 1000, "10.0.0.1:80", 10))
+	c.Apply(start, MissingUpstreams{[]MissingUpstream{
+		told("i-1", "10.0.0.1:80", 3*time.Second), told("i-2", "10.0.0.2:80", 3*time.Second), told("i-3", "10.0.0.1:80", 3*time.Second),
+		told("i-4", "10.0.0.4:80", removedRetention), told("i-5", "10.0.0.5:80", time.Second),
+	}})
+	s := snapshotAt(t, c, start)
+	require.Equal(t, 2, s.UpstreamCount())
+	require.True(t, s.Resolve(flowcookie.Of("i-1", 1000)).Listed())
+	require.True(t, s.Resolve(flowcookie.Of("i-2", 1000)).Gone(start))
+	require.Len(t, s.Service("s").Entries, 1)
+	require.Equal(t, 5*time.Second, s.MissingUpstreams(start.Add(2*time.Second), 5)[0].Ago)
+
+	c.Apply(start, UpstreamsChanged{Changes: []UpstreamChange{listedEntry("i-2", 1000, "10.0.0.2:80", 101)}, Revision: 101})
+	require.Len(t, snapshotAt(t, c, start).Service("s").Entries, 2)
+}
+
 // Guards against an instance that starts as an evacuation ends and takes upstreams for warm
 // that became cold during it, and against upstreams that count as cold again and again
 // because instances pass the end on to each other.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -63,19 +63,19 @@
 	for _, incarnation := range past.Replaced {
 		earlier.Incarnations = append(earlier.Incarnations, catalog.Incarnation(incarnation))
 	}
-	for _, event := range []catalog.Event{catalog.EvacuationsEnded{Evacuations: past.EndedEvacuations}, earlier} {
+	for _, event := range []catalog.Event{catalog.EvacuationsEnded{Evacuations: past.EndedEvacuations}, earlier, catalog.MissingUpstreams{Upstreams: past.Missing}} {
 		select {
 		case instance.events <- catalogsync.Event{Event: event}:
 		default:
 			instance.log.Event(logrus.WarnLevel, "past_dropped", logrus.Fields{
-				"replaced": len(past.Replaced), "ended_evacuations": len(past.EndedEvacuations),
+				"replaced": len(past.Replaced), "missing": len(past.Missing), "ended_evacuations": len(past.EndedEvacuations),
 			})
 		}
 	}
 }
 
 // past returns what the published state shows about the past, with at most limit replaced
-// incarnations.
+// incarnations and missing upstreams.
 func (instance *Instance) past(limit int) (past relay.Past) {
 	snapshot := instance.snapshot.Load()
 	if snapshot == nil {
@@ -84,6 +84,7 @@
 	for _, incarnation := range snapshot.EarlierIncarnations(limit) {
 		past.Replaced = append(past.Replaced, relay.UpstreamIncarnation(incarnation))
 	}
+	past.Missing = snapshot.MissingUpstreams(time.Now(), limit)
 	past.EndedEvacuations = snapshot.EndedEvacuations(time.Now())
 	return past
 }
--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -145,3 +145,20 @@
 	}
 	require.Equal(t, Reset, f.send(4001, cookie, 301, 1, 100).Action, "the store has confirmed that the entry is missing")
 }
+
+// Guards against resets of flows of an upstream whose entry vanished before this instance
+// started, as long as probes find it, and against flows that go on after a probe that does not.
+func TestProbesDecideAboutUpstreamsThatPeersMiss(t *testing.T) {
+	f := newFixture(t, upstream(1))
+	cookie := flowcookie.Of("i-2", 1000)
+	f.apply(catalog.MissingUpstreams{Upstreams: []catalog.MissingUpstream{{Upstream: upstream(2), Ago: 5 * time.Second}}})
+	for _, outcome := range []evidence.ProbeOutcome{evidence.ProbeAlive, evidence.ProbeAlive, evidence.ProbeRefused} {
+		f.advance(5 * time.Second)
+		require.Equal(t, Forward, f.send(4001, cookie, 1, 1, 100).Action)
+		for _, probe := range f.engine.TakeProbes() {
+			f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: outcome, Trigger: probe.Trigger, Started: f.now})
+		}
+	}
+	require.Equal(t, Reset, f.send(4001, cookie, 1, 1, 100).Action)
+	require.Equal(t, "i-1", f.open(4002, 0).Upstream.ID)
+}
--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -99,6 +99,7 @@
 	for _, member := range m.Members {
 		w.Members = append(w.Members, names.member(member))
 	}
+	w.Missing = names.missing(m.Missing)
 	for _, ended := range m.EndedEvacuations {
 		w.EndedEvacuations = append(w.EndedEvacuations, &relayv1.EndedEvacuation{
 			FailureDomain: names.index(ended.FailureDomain), AgoMs: uint64(max(ended.Ago.Milliseconds(), 0)),
@@ -150,6 +151,7 @@
 	for _, member := range w.Members {
 		m.Members = append(m.Members, names.member(member))
 	}
+	m.Missing = names.missing(w.Missing)
 	for _, ended := range w.EndedEvacuations {
 		m.EndedEvacuations = append(m.EndedEvacuations, catalog.EndedEvacuation{
 			FailureDomain: names.name(ended.FailureDomain), Ago: time.Duration(min(ended.AgoMs, math.MaxInt32)) * time.Millisecond,
--- a/internal/relay/binary_update.go
+++ b/internal/relay/binary_update.go
@@ -125,6 +125,25 @@
 	return changes
 }
 
+func (t *nameTable) missing(upstreams []catalog.MissingUpstream) (encoded []*relayv1.MissingUpstream) {
+	for _, missing := range upstreams {
+		one := t.upstreams([]catalog.UpstreamChange{{Upstream: missing.Upstream}}).Upstreams[0]
+		encoded = append(encoded, &relayv1.MissingUpstream{Upstream: one, AgoMs: uint64(max(missing.Ago.Milliseconds(), 0))})
+	}
+	return encoded
+}
+
+func (r *nameReader) missing(encoded []*relayv1.MissingUpstream) (upstreams []catalog.MissingUpstream) {
+	for _, m := range encoded {
+		if m.Upstream == nil {
+			continue
+		}
+		one := r.upstreams(&relayv1.Upstreams{Upstreams: []*relayv1.Upstream{m.Upstream}})[0]
+		upstreams = append(upstreams, catalog.MissingUpstream{Upstream: one.Upstream, Ago: milliseconds(m.AgoMs)})
+	}
+	return upstreams
+}
+
 func (t *nameTable) configuration(c *catalog.Configuration) *relayv1.Configuration {
 	w := &relayv1.Configuration{Version: c.Version, Revision: c.Revision, IdleTimeoutMs: uint64(max(c.IdleTimeout.Milliseconds(), 0))}
 	for _, route := range c.Routes {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -20,8 +20,8 @@
 // even with the longest names; the receivers may reject a longer report.
 const MaxReportedUpstreams = 12
 
-// maxReplaced is the largest number of earlier incarnations in one answer. If there are
-// more, each answer has others at random.
+// maxReplaced is the largest number of earlier incarnations, and that of missing upstreams,
+// in one answer. If there are more, each answer has others at random.
 const maxReplaced = 12
 
 // MessageKind is the kind of a message between instances, for the counters.
@@ -107,6 +107,8 @@
 	// Replaced lists earlier incarnations of upstreams that have started again under
 	// their ids.
 	Replaced []UpstreamIncarnation
+	// Missing lists upstreams whose entries are missing from the store.
+	Missing []catalog.MissingUpstream
 	// EndedEvacuations lists evacuations that ended a moment ago.
 	EndedEvacuations []catalog.EndedEvacuation
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,7 +82,7 @@
 	// the goroutine that receives datagrams.
 	OnPast func(Past)
 	// Past returns what this instance knows about the past, with at most limit replaced
-	// incarnations.
+	// incarnations and missing upstreams.
 	Past func(limit int) Past
 	// OnLoad is called with what an instance reports on response times and requests in
 	// flight, on the goroutine that receives datagrams.
@@ -221,7 +221,7 @@
 		}
 		r.sendMessage(receiver{m.From.Address, senderSession, m.senderFormat()}, answer)
 	}
-	if len(m.Replaced)+len(m.EndedEvacuations) > 0 {
+	if len(m.Replaced)+len(m.Missing)+len(m.EndedEvacuations) > 0 {
 		r.cfg.OnPast(m.Past)
 	}
 	if m.Loads != nil {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -130,8 +130,8 @@
 	kind MessageKind
 }
 
-// sendMessage sends a message. Lists that do not fit are shortened, that of replaced
-// incarnations first, and an update that does not fit is sent without its events.
+// sendMessage sends a message. Lists that do not fit are shortened, those of the past
+// first, and an update that does not fit is sent without its events.
 func (r *Relay) sendMessage(to receiver, m *message) {
 	var encoded encodedMessage
 	r.sendEncoded(to, m, &encoded)
@@ -160,9 +160,9 @@
 func (m *message) encodeToFit(f format) (encoding, error) {
 	tooLarge := func(data []byte) bool { return len(data)+peerauth.Overhead > MaxDatagram }
 	data, err := m.encode(f)
-	for err == nil && tooLarge(data) && len(m.Members)+len(m.Replaced) > 0 {
-		if len(m.Replaced) > 0 {
-			m.Replaced = m.Replaced[:len(m.Replaced)/2]
+	for err == nil && tooLarge(data) && len(m.Members)+len(m.Replaced)+len(m.Missing) > 0 {
+		if len(m.Replaced)+len(m.Missing) > 0 {
+			m.Replaced, m.Missing = m.Replaced[:len(m.Replaced)/2], m.Missing[:len(m.Missing)/2]
 		} else {
 			m.Members = m.Members[:len(m.Members)/2]
 		}
