Take a flow that an upstream accepts after a failed probe as an answer

Callers saw: a new flow was reset as upstream_silent although the upstream had just answered its opening packet. Cause: a failed probe lets flows be reset for a second without another one. The packet that shows that the upstream answers again was reset before it was looked at. Change: when the upstream of a packet counts as failed, and the flow was opened here after that failure and this is its first packet since, it counts as an answer of the upstream first, which withdraws the failure. What remains: a flow that another instance has opened after the failure is reset here as long as the failure counts and nothing else shows that the upstream answers.

--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -140,6 +140,11 @@
 	return t.stateOf(cookie).answeredAt
 }
 
+// FailedAt returns when a conclusive probe of an upstream last failed; zero when none has.
+func (t *Tracker) FailedAt(cookie flowcookie.Cookie) time.Time {
+	return t.stateOf(cookie).probe.conclusiveAt
+}
+
 // IsSuspect reports whether new flows avoid an upstream because it appears to be silent.
 func (t *Tracker) IsSuspect(now time.Time, cookie flowcookie.Cookie) bool {
 	return t.stateOf(cookie).isSuspect(now)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -241,7 +242,12 @@
 	}
 	e.unplaced.remove(p)
 	p.Cookie = entry.Cookie
-	if standing := e.Standing(now, entry); standing != evidence.Running && !p.Reset {
+	standing := e.Standing(now, entry)
+	if standing == evidence.Failed && e.answeredSinceFailure(p) {
+		e.RecordAnswer(now, p.Cookie)
+		standing = e.Standing(now, entry)
+	}
+	if standing != evidence.Running && !p.Reset {
 		grounds := e.Grounds(now, entry)
 		decision := e.resetFlow(p, resetReasons[standing], entry)
 		decision.Grounds = &grounds
@@ -283,6 +289,14 @@
 	return record.targets[0]
 }
 
+// answeredSinceFailure reports whether a packet is the first that follows the opening packet
+// of a flow that was opened here after the last failed probe of its upstream: the caller has
+// the cookie from the upstream's answer.
+func (e *Engine) answeredSinceFailure(p *Packet) bool {
+	record := e.flows.get(p.Flow)
+	return record != nil && !record.answered && slices.Contains(record.triedTargets(), p.Cookie) && record.opened.After(e.FailedAt(p.Cookie))
+}
+
 // resetReasons holds the reason of a reset by the standing of the flow's upstream.
 var resetReasons = map[evidence.Standing]Reason{evidence.Ended: ReasonUpstreamGone, evidence.Failed: ReasonUpstreamFailed}
 
