Open the flow of the leaving test at the leaving upstream

Cause: TestRefusalByDrainingUpstreamResetsNoFlowsAtOnce opened its flow at i-2, as the hash of port 4001 chooses, and then sent packets with the cookie of i-1, which no answer can have given to the caller. That passed because the cookie of a later packet replaced the upstream of the record. Change: a port whose flow opens at i-1, and a check that it does; all other checks stay as they are.

--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -31,7 +31,7 @@
 // closes its port shortly before its flows end.
 func TestRefusalByDrainingUpstreamResetsNoFlowsAtOnce(t *testing.T) {
 	f := newFixture(t, upstream(1), upstream(2))
-	f.establish(4001)
+	require.Equal(t, "i-1", f.establish(4002).ID)
 	leaving := upstream(1)
 	leaving.Draining = true
 	f.updateUpstream(leaving)
@@ -39,7 +39,7 @@
 	effect := f.refuse("i-1")
 	require.True(t, effect.Inconclusive)
 	require.Empty(t, effect.Resets)
-	require.Equal(t, Forward, f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
+	require.Equal(t, Forward, f.send(4002, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
 	f.advance(100 * time.Millisecond)
 	require.True(t, f.refuse("i-1").Inconclusive)
 
@@ -50,7 +50,7 @@
 	require.True(t, f.refuse("i-1").Inconclusive, "no request was found unanswered")
 	require.Equal(t, Forward, f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
 	require.True(t, f.refuse("i-1").Failed)
-	require.Equal(t, Reset, f.send(4001, flowcookie.Of("i-1", 1000), 101, 1, 100).Action)
+	require.Equal(t, Reset, f.send(4002, flowcookie.Of("i-1", 1000), 101, 1, 100).Action)
 }
 
 // Guards against flows of an upstream that was not announced to leave, or is gone, that
