Keep an open flow at the upstream whose answer its caller accepted

Callers saw: an open flow was reset, or its packets went to another upstream, when two upstreams had answered its opening packet. Cause: the cookie alone decided, and each cookie replaced the upstream of the flow record. A caller returns the cookie that it received last, that of the late answer, though it accepted the other one. The wrong record also made every failed probe of the second upstream reset the flow with its real sequence number. Change: a record from the instance's own packets outweighs a cookie that names another upstream or none, while both sequence numbers continue those of the record and its upstream runs. Reason flow_record in logs and counters. A caller's reset follows its cookie and leaves the record. Handed-over records do not outweigh a cookie. Without a record the cookie decides as before.

--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -225,10 +225,10 @@
 	return decision
 }
 
-// decideEstablished decides on a packet of an established flow from its cookie. It
-// replaces the packet's cookie by the Cookie of the upstream. The latest incarnation has the
-// token of earlier ones, so that it has accepted flows that were opened between its start
-// and its first report.
+// decideEstablished decides on a packet of an established flow from its cookie, or from the
+// flow record if that shows another upstream. It replaces the packet's cookie by the Cookie
+// of the upstream. The latest incarnation has the token of earlier ones, so that it has
+// accepted flows that were opened between its start and its first report.
 func (e *Engine) decideEstablished(now time.Time, p *Packet) Decision {
 	if e.snapshot.RouteRemoved(p.Flow.Service) {
 		return e.decideUnplaced(p, ReasonRouteRemoved, e.absent(now, p, catalog.KindConfiguration))
@@ -236,7 +236,18 @@
 	if p.Cookie == flowcookie.None {
 		return Decision{Action: Drop, Reason: ReasonNoCookie}
 	}
+	record := e.flows.get(p.Flow)
 	entry, reason := e.resolve(now, p)
+	if recorded := e.otherRecorded(record, entry); recorded != nil {
+		switch {
+		case !p.Reset && record.continuedBy(p) && e.Standing(now, recorded) == evidence.Running:
+			entry, reason = recorded, ReasonFlowRecord
+		case p.Reset && entry != nil:
+			// It rejects the answer of another upstream than the recorded one.
+			p.Cookie = entry.Cookie
+			return Decision{Action: Forward, Reason: reason, Upstream: entry}
+		}
+	}
 	if entry == nil {
 		return e.decideUnplaced(p, ReasonUnknownCookie, e.cookieUnknown(now, p))
 	}
@@ -254,7 +265,7 @@
 		return decision
 	}
 	decision := Decision{Action: Forward, Reason: reason, Upstream: entry}
-	e.observePacket(now, p, &decision)
+	e.observePacket(now, p, record, &decision)
 	return decision
 }
 
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -56,6 +56,8 @@
 	// upstreamLoad.opening.
 	opening  [maxTargets + 1]bool
 	answered bool
+	// imported is true while the record is known from another instance alone.
+	imported bool
 	// hedge is the extra attempt that the opening packet waits for or got; nil without one,
 	// and from the first packet that follows when none was sent.
 	hedge *hedgeWait
@@ -222,11 +224,10 @@
 	return earlier.triedTargets()
 }
 
-// observePacket updates the flow record and the state of the upstream from a packet of
-// an established flow. It sets Decision.MovedFrom and, for the first packet that follows the
-// opening packet, Decision.HandshakeTime and Decision.Hedge.
-func (e *Engine) observePacket(now time.Time, p *Packet, decision *Decision) {
-	record := e.flows.get(p.Flow)
+// observePacket updates the flow record, which may be nil, and the state of the upstream from
+// a packet of an established flow. It sets Decision.MovedFrom and, for the first packet that
+// follows the opening packet, Decision.HandshakeTime and Decision.Hedge.
+func (e *Engine) observePacket(now time.Time, p *Packet, record *flowRecord, decision *Decision) {
 	if record == nil {
 		if p.Fin || p.Reset {
 			return
@@ -240,7 +241,7 @@
 		e.attachRoute(record, e.snapshot.Resolve(p.Cookie))
 	}
 	idle := now.Sub(record.lastSeen)
-	record.lastSeen = now
+	record.lastSeen, record.imported = now, false
 	if !record.answered {
 		decision.HandshakeTime, decision.Hedge = now.Sub(record.opened), e.recordAnswerTime(now, record, p.Cookie)
 		record.ack, record.dataEnd = p.Ack, p.Seq
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -55,6 +55,7 @@
 		if record == nil {
 			return imported
 		}
+		record.imported = true
 		record.ack, record.dataEnd, record.opened, record.lastSeen = flow.Ack, flow.DataEnd, lastSeen, lastSeen
 		e.attributeFlow(record, flow.Cookie)
 		imported++
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -107,6 +107,9 @@
 	// ReasonCallerShare: the flow is refused because its caller has opened more than its
 	// share of flows while the service is short of capacity.
 	ReasonCallerShare
+	// ReasonFlowRecord: the cookie names another upstream, or none that is known, than the
+	// one at which the flow was opened through this instance.
+	ReasonFlowRecord
 	reasonCount
 )
 
@@ -114,7 +117,7 @@
 var ReasonLabels = [reasonCount]string{
 	"established", "earlier_incarnation", "opened", "open_repeated", "no_route", "route_removed", "no_upstream", "cold_limit",
 	"upstream_gone", "upstream_silent", "unknown_cookie", "no_cookie", "not_synchronized", "other_service",
-	"overloaded", "caller_share",
+	"overloaded", "caller_share", "flow_record",
 }
 
 func (r Reason) String() string { return ReasonLabels[r] }
--- a/internal/forward/unplaced_test.go
+++ b/internal/forward/unplaced_test.go
@@ -152,13 +152,18 @@
 	f := newFixture(t, upstream(1))
 	cookie := flowcookie.Of("i-2", 1000)
 	f.apply(catalog.MissingUpstreams{Upstreams: []catalog.MissingUpstream{{Upstream: upstream(2), Ago: 5 * time.Second}}})
-	for _, outcome := range []evidence.ProbeOutcome{evidence.ProbeAlive, evidence.ProbeAlive, evidence.ProbeRefused} {
-		f.advance(5 * time.Second)
-		require.Equal(t, Forward, f.send(4001, cookie, 1, 1, 100).Action)
+	answerProbes := func(outcome evidence.ProbeOutcome) {
 		for _, probe := range f.engine.TakeProbes() {
 			f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: probe.Upstream, Outcome: outcome, Trigger: probe.Trigger, Started: f.now})
 		}
 	}
+	for _, outcome := range []evidence.ProbeOutcome{evidence.ProbeAlive, evidence.ProbeAlive, evidence.ProbeRefused} {
+		f.advance(5 * time.Second)
+		require.Equal(t, Forward, f.send(4001, cookie, 1, 1, 100).Action)
+		answerProbes(outcome)
+	}
+	f.advance(evidence.LateProbeAfter)
+	answerProbes(evidence.ProbeRefused)
 	require.Equal(t, Reset, f.send(4001, cookie, 1, 1, 100).Action)
 	require.Equal(t, "i-1", f.open(4002, 0).Upstream.ID)
 }
