Send late copies of an opening packet to the upstream of the open flow

Callers saw: an open flow was reset by an upstream or an instance that it does not belong to, while its own upstream serves. Cause: an opening packet was decided without regard to whether its flow was open. The upstreams tried so far, the flow's own one first, were excluded, so that the copy reached another upstream, which answers it or, when it is not listening, resets the flow; or, without a usable one, the instance reset it. A record that began with a later packet took the copy for a new flow. Change: a copy whose flow is open by its record goes to the upstream of the flow and is dropped when that has ended (reason flow_record). A record that began with a later packet recognizes the copy by its distance to the data that the caller has sent, at most 76,800 bytes. Copies that meet no record are decided as before.

--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -82,7 +82,8 @@
 	repeated bool
 	// response is the response to the last request; used with Config.OverloadControl.
 	response responseRecord
-	// opened is when the first copy of the opening packet arrived.
+	// opened is when the first copy of the opening packet arrived; zero when it did not pass
+	// this instance.
 	opened   time.Time
 	lastSeen time.Time
 	// use counts the uses of the flow's route; nil unless Config.OverloadControl is set.
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -56,7 +56,7 @@
 			return imported
 		}
 		record.imported = true
-		record.ack, record.dataEnd, record.opened, record.lastSeen = flow.Ack, flow.DataEnd, lastSeen, lastSeen
+		record.ack, record.dataEnd, record.lastSeen = flow.Ack, flow.DataEnd, lastSeen
 		e.attributeFlow(record, flow.Cookie)
 		imported++
 	}
--- a/internal/forward/open.go
+++ b/internal/forward/open.go
@@ -14,12 +14,15 @@
 	if !e.snapshot.Ready() {
 		return Decision{Action: Wait, Reason: ReasonNotSynchronized}
 	}
+	record := e.flows.get(p.Flow)
+	if record.openedBy(p) && !e.snapshot.RouteRemoved(p.Flow.Service) {
+		return e.decideLateCopy(now, record)
+	}
 	route := e.snapshot.Route(p.Flow.Service)
 	if route == nil {
 		return e.decideNoRoute(now, p)
 	}
 	hash := p.Flow.hash(p.Seq)
-	record := e.flows.get(p.Flow)
 	if record != nil && record.seq != p.Seq {
 		// The caller reuses the port for a new flow.
 		e.removeFlow(p.Flow)
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -108,7 +108,8 @@
 	// share of flows while the service is short of capacity.
 	ReasonCallerShare
 	// ReasonFlowRecord: the cookie names another upstream, or none that is known, than the
-	// one at which the flow was opened through this instance.
+	// one at which the flow was opened by its record; or the packet is a late copy of the
+	// opening packet, which goes to that upstream and is dropped when it has ended.
 	ReasonFlowRecord
 	reasonCount
 )
@@ -136,7 +137,7 @@
 	// Upstream is set for Forward, and for Reset when the flow's upstream is known.
 	Upstream *catalog.Entry
 	// Choice says how the upstream of a new flow was selected; nil unless the packet is an
-	// opening packet that is forwarded.
+	// opening packet that is forwarded and not a copy for an open flow.
 	Choice *Choice
 	// Admission is the decision of admission control; nil unless the packet is the first
 	// copy of an opening packet and Config.OverloadControl is set.
--- a/internal/forward/recorded.go
+++ b/internal/forward/recorded.go
@@ -1,6 +1,11 @@
 package forward
 
-import "github.com/chivemast/chivemast/internal/catalog"
+import (
+	"time"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/evidence"
+)
 
 // sequenceWindow is the greatest distance in bytes between the sequence numbers of a
 // record and those of the flow's next packet. Callers accept no reset that is farther
@@ -18,6 +23,30 @@
 	return distance >= -sequenceWindow && distance <= sequenceWindow
 }
 
+// openedBy reports whether an opening packet is a copy of the one that opened the flow of the
+// record, which may be nil.
+func (r *flowRecord) openedBy(p *Packet) bool {
+	switch {
+	case r == nil || !r.answered:
+		return false
+	case !r.opened.IsZero():
+		return r.seq == p.Seq
+	}
+	// The opening packet passed another instance. The caller has sent little since then.
+	sent := r.dataEnd - p.Seq
+	return sent > 0 && sent <= sequenceWindow
+}
+
+// decideLateCopy decides on a copy of the opening packet of an open flow. Another upstream than
+// that of the flow would answer it or reset the flow.
+func (e *Engine) decideLateCopy(now time.Time, record *flowRecord) Decision {
+	entry := e.snapshot.Resolve(record.targets[0])
+	if entry == nil || e.Standing(now, entry) != evidence.Running {
+		return Decision{Action: Drop, Reason: ReasonFlowRecord, Upstream: entry}
+	}
+	return Decision{Action: Forward, Reason: ReasonFlowRecord, Upstream: entry}
+}
+
 // otherRecorded returns the upstream at which a flow is open by its record, which may be nil;
 // nil when that is entry, the upstream by the cookie, or is not known. Several upstreams may
 // answer the copies of one opening packet. The caller accepts the first answer, which the
