Send copies of an opening packet that are read together to one upstream

Callers saw: an opening packet answered by two upstreams, the precondition of packets of the open flow at the wrong one. Cause: each copy excluded the upstreams of the earlier ones, also when the earlier one had been sent on a few microseconds before. The limits of cold upstreams count the copy. Extra attempts are as before.

--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -55,8 +55,8 @@
 }
 
 // Explain returns what Decide would return now for the first copy of an opening packet
-// with a sequence number, and why. When the flow is open, no choice is explained. It changes
-// nothing.
+// with a sequence number, and why. For a copy that goes where an earlier one went, no choice
+// is explained. It changes nothing.
 func (e *Engine) Explain(now time.Time, flow Flow, seq uint32) Explanation {
 	s := e.shadow(now, flow)
 	x := Explanation{Decision: s.Decide(now, &Packet{Flow: flow, Open: true, Seq: seq})}
@@ -64,7 +64,7 @@
 		return x
 	}
 	x.Route, x.Domains = e.snapshot.Route(flow.Service), slices.Clone(s.domains)
-	if x.Route == nil || x.Decision.Reason == ReasonFlowRecord {
+	if x.Route == nil || s.weights == nil {
 		return x
 	}
 	// Another shadow, because the decision has changed the state of the first one.
--- a/internal/forward/open.go
+++ b/internal/forward/open.go
@@ -28,6 +28,13 @@
 		e.removeFlow(p.Flow)
 		record = nil
 	}
+	if entry := e.justTried(now, record); entry != nil {
+		if entry.Cold(now) {
+			e.loadOf(entry.Cookie).cold.record(now)
+		}
+		e.rememberOpen(now, p, entry, record)
+		return Decision{Action: Forward, Reason: ReasonOpenRepeated, Upstream: entry}
+	}
 	service, cause := e.pickService(now, route, hash)
 	if service == nil {
 		return Decision{Action: Reset, Reason: ReasonNoUpstream}
--- a/internal/forward/recorded.go
+++ b/internal/forward/recorded.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -47,6 +48,31 @@
 	return Decision{Action: Forward, Reason: ReasonFlowRecord, Upstream: entry}
 }
 
+// justTried returns the upstream to which the last copy of an opening packet was sent, if it
+// has not had openTimeout for its answer and may still get the flow; nil otherwise. The
+// record may be nil. The upstream of an extra attempt does not count.
+func (e *Engine) justTried(now time.Time, record *flowRecord) *catalog.Entry {
+	if record == nil || record.attempts == 0 {
+		return nil
+	}
+	last := record.attempts - 1
+	if !record.opening[last] || record.targets[last] == record.extra() {
+		return nil
+	}
+	entry := e.snapshot.Resolve(record.targets[last])
+	if entry == nil || e.IsSuspect(now, entry.Cookie) {
+		return nil
+	}
+	service := e.snapshot.Service(entry.Service)
+	if service == nil || !slices.Contains(service.Entries, entry) || entry.Gone(now) {
+		return nil
+	}
+	if entry.Cold(now) && !e.loadOf(entry.Cookie).cold.allows(now, e.coldBudget(service)) {
+		return nil
+	}
+	return entry
+}
+
 // otherRecorded returns the upstream at which a flow is open by its record, which may be nil;
 // nil when that is entry, the upstream by the cookie, or is not known. Several upstreams may
 // answer the copies of one opening packet. The caller accepts the first answer, which the
