Send no extra attempt while the routers move flows

Callers saw: a second upstream answered the opening packet of a flow that was open already, the precondition of its packets at the wrong upstream. Cause: an extra attempt rests on the missing next packet of the flow. When the rotation changes with hash_policy mod, that packet passes another instance. Change: a request of a flow without a record shows that the routers have moved flows to this instance. An opening packet that was sent on before such a request gets no extra attempt, result flows_moved. Packets without data do not count, because the last ones of a closed flow look the same. Cost: openings that do wait for a silent upstream in the seconds after a change of the rotation wait for the caller's copy after 200 ms. An instance that leaves the rotation gets no such request and may still send an extra attempt for flows that were opened within the round trip before.

--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -236,6 +236,9 @@
 		if record = e.flows.add(p.Flow, p.Seq); record == nil {
 			return
 		}
+		if p.Data > 0 { // The last packets of a closed flow carry none.
+			e.hedging.flowMovedAt = now
+		}
 		record.targets[0], record.attempts, record.answered = p.Cookie, 1, true
 		record.ack, record.dataEnd = p.Ack, p.Seq
 		e.loadOf(p.Cookie).flows++
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -130,7 +130,9 @@
 		_, short = e.occupancy(now, service)
 		result.Second = e.pickSecond(now, wait, service, result.First, short)
 	}
-	result.Result = hedge.Decide(hedge.Input{Idempotent: true, Short: short, Upstream: result.Second != nil, Tokens: result.Tokens})
+	result.Result = hedge.Decide(hedge.Input{
+		Idempotent: true, Moved: e.hedging.flowMovedAt.After(wait.sentAt), Short: short, Upstream: result.Second != nil, Tokens: result.Tokens,
+	})
 	if result.Result == hedge.Sent {
 		e.hedging.budget.Spend()
 		wait.extra, wait.extraAt = result.Second.Cookie, now
--- a/internal/forward/hedge_queue.go
+++ b/internal/forward/hedge_queue.go
@@ -75,6 +75,9 @@
 	times map[string]*hedge.Histogram
 	// overdue holds the latest overdue opening of each upstream, oldest first.
 	overdue []overdueOpen
+	// flowMovedAt is when the last request of a flow arrived that was opened through another
+	// instance.
+	flowMovedAt time.Time
 }
 
 func newHedging() hedging { return hedging{times: map[string]*hedge.Histogram{}} }
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -22,6 +22,9 @@
 	NoUpstream
 	// NotKept: too many opening packets are kept already, or this one was kept for too long.
 	NotKept
+	// FlowsMoved: the answer may have been acknowledged through another instance, because
+	// flows have moved to this one since the first attempt.
+	FlowsMoved
 	// Answered: the first attempt was answered.
 	Answered
 	// NotIdempotent: the request must not run twice.
@@ -29,11 +32,11 @@
 )
 
 // Labels holds the label of each result, indexed by Result.
-var Labels = []string{"none", "sent", "won", "budget", "short", "no_upstream", "not_kept", "answered", "not_idempotent"}
+var Labels = []string{"none", "sent", "won", "budget", "short", "no_upstream", "not_kept", "flows_moved", "answered", "not_idempotent"}
 
-// CounterLabels holds the labels of the results from Sent to NotKept, in their order. The
+// CounterLabels holds the labels of the results from Sent to FlowsMoved, in their order. The
 // others concern attempts that never wait for an extra one.
-var CounterLabels = Labels[Sent : NotKept+1]
+var CounterLabels = Labels[Sent : FlowsMoved+1]
 
 func (r Result) String() string { return Labels[r] }
 
@@ -42,6 +45,8 @@
 	Idempotent bool
 	// Answered is true when the answer to the first attempt is known.
 	Answered bool
+	// Moved is true when flows have moved to this instance since the first attempt.
+	Moved bool
 	// Short is true while the service is short of capacity.
 	Short bool
 	// Upstream is true when another upstream may receive the extra attempt.
@@ -58,6 +63,8 @@
 		return NotIdempotent
 	case in.Answered:
 		return Answered
+	case in.Moved:
+		return FlowsMoved
 	case in.Short:
 		return Short
 	case !in.Upstream:
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -17,6 +17,7 @@
 		Sent:          func(*Input) {},
 		NotIdempotent: func(in *Input) { in.Idempotent = false },
 		Answered:      func(in *Input) { in.Answered, in.Short = true, true },
+		FlowsMoved:    func(in *Input) { in.Moved, in.Short = true, true },
 		Short:         func(in *Input) { in.Short, in.Tokens = true, 0 },
 		NoUpstream:    func(in *Input) { in.Upstream, in.Tokens = false, 0 },
 		OverBudget:    func(in *Input) { in.Tokens = 0.9 },
