Keep the previous upstream of a bucket while its health checks fail

What callers saw: packets of open flows reached another upstream for good, although their own still served them, when the upstream that had taken over a bucket drained while the previous one counted as dead. Cause: a plan made the draining owner the previous upstream if the earlier one was dead. Flows without a record, among them all that are idle, go to the previous upstream. But three failed health checks do not prove that its flows have ended, and the flows on the owner have records. Change: only a previous upstream that was taken out gives its place up. Price: if the previous upstream has ended, opening packets wait for the activation of the first change as for any dead upstream, and flows on the owner are lost if all their records are.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -63,8 +63,8 @@
 // A bucket in transition moves again only if its owner leaves. Its previous
 // upstream, which receives flows without a record, stays the oldest upstream that
 // still serves its flows; flows on the upstreams in between have records at the
-// trackers. If the previous upstream is dead or taken out and the owner is draining,
-// the owner becomes the previous upstream.
+// trackers. If the previous upstream was taken out and the owner is draining, the owner
+// becomes the previous upstream.
 func Plan(old *pb.ServiceTable, desired []Target, opt PlanOptions) (*pb.ServiceTable, bool) {
 	p := newPlanner(old, desired, opt)
 	p.endTransitions(opt.FinishedTransitions)
@@ -265,9 +265,10 @@
 
 // nextPrevious returns the previous upstream that a bucket gets when its owner
 // leaves. This is the one that it has, or the owner if there is no previous one, or
-// if that is dead or taken out while the owner drains. An owner that was taken out
-// does not replace the previous upstream, because new flows must not be placed
-// elsewhere before every member has adopted the change.
+// if that was taken out while the owner drains. A dead previous upstream stays, because
+// health checks also fail while it serves its flows, and the flows on the owner have
+// records. An owner that was taken out does not replace the previous upstream, because
+// new flows must not be placed elsewhere before every member has adopted the change.
 func (p *planner) nextPrevious(previous, owner uint32) uint32 {
 	switch {
 	case previous == 0:
@@ -275,8 +276,7 @@
 	case owner == 0:
 		return previous
 	}
-	lost := p.states[previous-1] == TargetDead || p.states[previous-1] == TargetTakenOut
-	if lost && p.states[owner-1] == TargetDraining {
+	if p.states[previous-1] == TargetTakenOut && p.states[owner-1] == TargetDraining {
 		return owner
 	}
 	return previous
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -58,6 +58,14 @@
 		}
 		s.kill(s.busiestTracker())
 	}},
+	{"owners drain while health checks of the previous upstream fail", func(s *simulation) {
+		s.setState("u0", TargetDead)
+		s.writeTable(nil)
+		for _, u := range []string{"u1", "u2", "u3"} {
+			s.run(2500 * time.Millisecond)
+			drain(s, u)
+		}
+	}},
 	{"failure domain out and in", func(s *simulation) {
 		drain(s, "u0")
 		s.run(4 * time.Second)
