Keep the addresses of services whose team object cannot be decoded

What callers saw: the packets of open flows at a service address went to the upstreams of another team's service. Cause: the services of an object that cannot be decoded were kept without regard to addresses. One in conflict took the address from the service that had it, and the addresses of the kept ones counted as free for others. Change: such objects are handled first. Their services keep their addresses, and those in conflict still do not serve. Evidence: TestInvalidObjectMovesNoAddress failed in two of its three cases when it ran (the cases run in any order), and passes now. Price: none for valid objects. An instance that starts while an object cannot be decoded does not know its addresses, as before.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -62,6 +62,15 @@
 	plan             planState
 }
 
+// declaredAddresses returns the addresses of the service and of its declared upstreams.
+func (s *service) declaredAddresses() []netip.AddrPort {
+	addresses := []netip.AddrPort{s.declared.Address}
+	for _, u := range s.declared.Upstreams {
+		addresses = append(addresses, u.Address)
+	}
+	return addresses
+}
+
 func (s *service) upstreamName(name string) string { return s.name + "/" + name }
 
 // applyObjects applies changed configuration objects. An object that cannot be decoded
@@ -198,7 +207,8 @@
 }
 
 // rebuildServices decodes every team object. A service that keeps its address keeps the
-// state of its table planning.
+// state of its table planning. The services of objects that cannot be decoded come first,
+// so that their addresses stay theirs.
 func (node *Node) rebuildServices() {
 	previous := node.services
 	node.services = map[string]*service{}
@@ -209,15 +219,22 @@
 	slices.SortFunc(objects, func(a, b *pb.Object) int { return compare(a.GetRevision(), b.GetRevision()) })
 	used := map[netip.AddrPort]string{}
 	node.serviceByDeclaredAddress = used
-	for _, o := range objects {
+	teams := make([]*declare.Team, len(objects))
+	for i, o := range objects {
 		team, err := declare.Decode(o.GetKey(), o.GetValue())
 		if err != nil {
 			node.observer.InvalidObject(&InvalidObjectError{Key: o.GetKey(), Version: o.GetVersion(), Err: err})
-			node.keepTeamServices(previous, strings.TrimPrefix(o.GetKey(), declare.KeyPrefix))
+			node.keepTeamServices(previous, strings.TrimPrefix(o.GetKey(), declare.KeyPrefix), used)
+			continue
+		}
+		teams[i] = team
+	}
+	for i, team := range teams {
+		if team == nil {
 			continue
 		}
 		for _, declared := range team.Services {
-			node.addService(previous, team.Name, declared, o.GetRevision(), used)
+			node.addService(previous, team.Name, declared, objects[i].GetRevision(), used)
 		}
 	}
 	for name := range previous {
@@ -239,12 +256,20 @@
 }
 
 // keepTeamServices keeps the current services of a team whose new object cannot be
-// decoded.
-func (node *Node) keepTeamServices(previous map[string]*service, team string) {
+// decoded, and records their addresses in used. A service with an address conflict still
+// does not serve.
+func (node *Node) keepTeamServices(previous map[string]*service, team string, used map[netip.AddrPort]string) {
 	for name, s := range previous {
-		if s.team == team {
-			node.services[name] = s
-			node.serviceByAddress[s.declared.Address] = s
+		if s.team != team {
+			continue
+		}
+		node.services[name] = s
+		if s.addressConflict {
+			continue
+		}
+		node.serviceByAddress[s.declared.Address] = s
+		for _, a := range s.declaredAddresses() {
+			used[a] = name
 		}
 	}
 }
@@ -254,10 +279,7 @@
 // the conflict is reported to the observer and the service does not serve.
 func (node *Node) addService(previous map[string]*service, team string, declared declare.Service, revision uint64, used map[netip.AddrPort]string) {
 	s := &service{name: team + "/" + declared.Name, team: team, declared: declared, revision: revision}
-	addresses := []netip.AddrPort{declared.Address}
-	for _, u := range declared.Upstreams {
-		addresses = append(addresses, u.Address)
-	}
+	addresses := s.declaredAddresses()
 	for _, a := range addresses {
 		if other, ok := used[a]; ok && other != s.name {
 			s.addressConflict = true
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -110,6 +110,31 @@
 	require.Contains(t, node.serviceByAddress, netip.MustParseAddrPort("127.2.0.1:80"))
 }
 
+// Guards against packets of open flows that reach the upstreams of another service, which
+// gets the address while the object of either team cannot be decoded.
+func TestInvalidObjectMovesNoAddress(t *testing.T) {
+	address := netip.MustParseAddrPort("127.2.0.1:80")
+	invalid := func(team string, version, revision uint64) *pb.Object {
+		return &pb.Object{Key: "teams/" + team, Value: []byte("{"), Version: version, Revision: revision}
+	}
+	first := teamObject(t, "b", "127.2.0.1:80", "127.3.0.1:80", 1)
+	second := teamObject(t, "a", "127.2.0.1:80", "127.3.0.2:80", 2)
+	later := teamObject(t, "a", "127.2.0.1:80", "127.3.0.2:80", 3)
+	for name, changes := range map[string][]*pb.Object{
+		"of the team in conflict":                   {second, invalid("a", 2, 3)},
+		"of the team with the address":              {invalid("b", 2, 2), later},
+		"of the team with the address, in conflict": {second, invalid("b", 2, 3)},
+	} {
+		node, _ := newTestNode()
+		loadObjects(node, start, 1, first)
+		for _, o := range changes {
+			node.HandlePlatform(start, action.ObjectsRead{Watched: true, Revision: o.GetRevision(), Objects: []*pb.Object{o}})
+		}
+		require.Equal(t, "b/s", node.serviceByAddress[address].name, name)
+		require.Equal(t, "b/s/u", node.upstreamByAddress[netip.MustParseAddrPort("127.3.0.1:80")].name, name)
+	}
+}
+
 // Guards against an instance that writes a new table more than once or not at all within
 // a second, or without the conditions of a safe write (expected version and change id).
 func TestTableIsWrittenOnceConditionally(t *testing.T) {
