Soak open flows of sound upstreams with the faults that make them look ended

What callers saw: instances reset open flows of upstreams that served them. The soak could not see most of these resets: it excused every reset within 4 s of any fault of any instance, callers read a reset only with their next request, no flow was idle or older than a few seconds, and upstreams closed their port and their flows at the same moment. Change: the checker attributes a reset to the instance that sent it; a SIGTERM excuses none, and resets that a fault excuses are printed. A packet for an earlier upstream of an address counts if its flow is open elsewhere. A stall of the soak of over 0.1 s counts as a fault of the store.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED`", Value: 1},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds", Value: 1},
 			&cli.IntFlag{Name: "jobs", Usage: "seeds at a time", Value: 4},
+			&cli.IntFlag{Name: "slot", Usage: "first `SLOT` of loopback addresses; commands at the same time need slots of their own"},
 			&cli.DurationFlag{Name: "faults", Usage: "how long faults are injected", Value: 20 * time.Second},
 			&cli.StringFlag{Name: "binary", Usage: "`PATH` of chivemast-edge", Value: "bin/chivemast-edge"},
 			&cli.StringFlag{Name: "logs", Usage: "`FOLDER` for logs", Value: "soak-out"},
@@ -51,7 +52,7 @@
 	failed := false
 	slots := make(chan int, cmd.Int("jobs"))
 	for slot := range cmd.Int("jobs") {
-		slots <- slot
+		slots <- cmd.Int("slot") + slot
 	}
 	var group errgroup.Group
 	for n := range cmd.Int("seeds") {
@@ -68,6 +69,9 @@
 			for _, violation := range report.Violations {
 				fmt.Println("   ", violation)
 			}
+			for _, reset := range report.Excused {
+				fmt.Println("    excused:", reset)
+			}
 			failed = failed || !report.Passed()
 			return nil
 		})
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -16,8 +16,8 @@
 	// maxRequestPause is the longest pause between two requests of a caller outside of
 	// bursts.
 	maxRequestPause = 100 * time.Millisecond
-	// maxRequestsPerFlow is the largest number of requests of a flow; the number
-	// of each flow is drawn from 1 to this.
+	// maxRequestsPerFlow is the largest number of requests of a flow of most callers;
+	// the number of each flow is drawn from 1 to this.
 	maxRequestsPerFlow = 60
 	// requestTimeout is the time within which a request must be served, with all
 	// its attempts.
@@ -51,7 +51,11 @@
 	domain string
 	// maxPause is the longest pause between two requests.
 	maxPause time.Duration
-	rng      *rand.Rand
+	// maxRequests is the largest number of requests of a flow.
+	maxRequests int
+	// uncounted is set if the results of the requests are not recorded.
+	uncounted bool
+	rng       *rand.Rand
 	// port is the source port of the last flow; each flow has the next one.
 	port uint16
 
@@ -77,17 +81,49 @@
 				break
 			}
 		}
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !caller.uncounted {
 			caller.checker.recordRequest(requestResult{startedAt: start, took: time.Since(start), served: err == nil})
 		}
-		select {
-		case <-time.After(time.Duration(caller.rng.Int64N(int64(caller.maxPause)))):
-		case <-ctx.Done():
-		}
+		caller.pause(ctx, time.Duration(caller.rng.Int64N(int64(caller.maxPause))))
 	}
 	caller.closeFlow()
 }
 
+// pause waits for a time, or until ctx ends, and then forgets the flow if it was reset
+// meanwhile.
+func (caller *caller) pause(ctx context.Context, span time.Duration) {
+	defer context.AfterFunc(ctx, func() { _ = caller.conn.SetReadDeadline(time.Now()) })()
+	until, reset := time.Now().Add(span), false
+	for ctx.Err() == nil && caller.conn.SetReadDeadline(until) == nil {
+		answer, err := caller.receive()
+		if err != nil {
+			break
+		}
+		reset = reset || answer != nil && answer.Reset
+	}
+	if reset {
+		caller.forgetFlow()
+	}
+}
+
+// receive receives a packet until the read deadline. It returns nil if the packet does not
+// belong to the flow. A reset by an instance is checked.
+func (caller *caller) receive() (*standin.Packet, error) {
+	buffer := make([]byte, 2048)
+	n, from, err := caller.conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		return nil, err
+	}
+	var p standin.Packet
+	if p.Parse(buffer[:n]) != nil || p.Destination != caller.local || p.Source != caller.service {
+		return nil, nil
+	}
+	if p.Reset && !p.HasChecksum && caller.flowOpen {
+		caller.checker.checkReset(caller.local, caller.service, from.Addr().Unmap().String())
+	}
+	return &p, nil
+}
+
 // sendRequest makes one attempt at a request, on a new flow if none is open.
 func (caller *caller) sendRequest(ctx context.Context, deadline time.Time) error {
 	if !caller.flowOpen {
@@ -127,7 +163,8 @@
 func (caller *caller) openFlow(ctx context.Context, deadline time.Time) error {
 	caller.port++
 	caller.local = netip.AddrPortFrom(caller.address, caller.port)
-	caller.seq, caller.requestsLeft = caller.rng.Uint32(), 1+caller.rng.IntN(maxRequestsPerFlow)
+	caller.seq, caller.requestsLeft = caller.rng.Uint32(), 1+caller.rng.IntN(caller.maxRequests)
+	sentAt := time.Now()
 	open := standin.Packet{Source: caller.local, Destination: caller.service, Open: true, HasChecksum: true, Seq: caller.seq}
 	if openDeadline := time.Now().Add(openTimeout); openDeadline.Before(deadline) {
 		deadline = openDeadline
@@ -137,7 +174,7 @@
 		return err
 	}
 	caller.seq, caller.ack, caller.cookie, caller.flowOpen = caller.seq+1, answer.Seq+1, answer.Cookie, true
-	caller.checker.recordFlow(caller.local, caller.fleet.upstreamByToken(answer.Seq^(caller.seq-1)))
+	caller.checker.recordFlow(caller.local, caller.fleet.upstreamByToken(answer.Seq^(caller.seq-1)), sentAt)
 	return nil
 }
 
@@ -145,7 +182,6 @@
 // an answer. It fails with errReset or errTimeout, or an error of the socket. An
 // opening packet carries the number of its retransmissions.
 func (caller *caller) sendUntilAnswered(ctx context.Context, p *standin.Packet, deadline time.Time, accept func(*standin.Packet) bool) (*standin.Packet, error) {
-	buffer := make([]byte, 2048)
 	delay := firstRetransmitDelay
 	for retransmits := uint32(0); ; retransmits++ {
 		if p.Open {
@@ -161,25 +197,18 @@
 			if err := caller.conn.SetReadDeadline(until); err != nil {
 				return nil, err
 			}
-			n, _, err := caller.conn.ReadFromUDPAddrPort(buffer)
+			answer, err := caller.receive()
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				break
 			}
 			if err != nil {
 				return nil, err
 			}
-			var answer standin.Packet
-			if answer.Parse(buffer[:n]) != nil || answer.Destination != caller.local || answer.Source != caller.service {
-				continue
-			}
-			if answer.Reset {
-				if !answer.HasChecksum && caller.flowOpen {
-					caller.checker.checkReset(caller.local, caller.service)
-				}
+			if answer != nil && answer.Reset {
 				return nil, errReset
 			}
-			if accept(&answer) {
-				return &answer, nil
+			if answer != nil && accept(answer) {
+				return answer, nil
 			}
 		}
 		if !time.Now().Before(deadline) || ctx.Err() != nil {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -29,10 +29,8 @@
 	mu         sync.Mutex
 	startedAt  time.Time
 	violations []string
-	// faultEnds holds the end of the last fault by part, partStore or partInstances.
-	// It only moves later: an estimate from the start of a fault stays if the fault
-	// ends sooner. Entries are never removed.
-	faultEnds map[string]time.Time
+	// faults holds the faults of each part by kind. Entries are never removed.
+	faults map[partFault]faultTimes
 	// drainedAt holds the time at which the drain of an upstream was written to the
 	// store, by upstream id. Entries are never removed.
 	drainedAt map[string]time.Time
@@ -42,16 +40,50 @@
 	// removedAt holds the time at which the removal of a route was written to the
 	// store, by service address. It is removed when the route is added again.
 	removedAt map[netip.AddrPort]time.Time
+	// addedAt holds the time at which a route was last added again, by service address.
+	addedAt map[netip.AddrPort]time.Time
 	// allowedServices holds, by service address, the services that its route has had
 	// at any time.
 	allowedServices map[netip.AddrPort]map[string]bool
-	// flowUpstreams holds the upstream of each open flow by the caller's address and
-	// port; nil if it was not among the running upstreams when the flow opened.
-	flowUpstreams map[netip.AddrPort]*upstream
+	// flows holds the open flows by the caller's address and port.
+	flows map[netip.AddrPort]openFlow
+	// excused holds a line for each reset of a flow whose upstream still had it that a fault
+	// of the instance or the store excuses.
+	excused []string
 
 	requests []requestResult
 }
 
+// openFlow is a flow that a caller has open.
+type openFlow struct {
+	// upstream is nil if it was not among the running upstreams when the flow opened.
+	upstream *upstream
+	// sentAt is when the caller first sent the opening packet.
+	sentAt time.Time
+}
+
+// partFault is a kind of fault of a part: partStore or the address of an instance.
+type partFault struct {
+	kind faultKind
+	part string
+}
+
+// faultTimes counts the running faults and holds the last time at which that changed.
+type faultTimes struct {
+	running   int
+	changedAt time.Time
+}
+
+// faultKind says which rules do not hold while a part has a fault.
+type faultKind int
+
+const (
+	// unplannedFault excuses violations of all rules with a time bound.
+	unplannedFault faultKind = iota
+	// plannedStop is a stop by SIGTERM: flows must survive it.
+	plannedStop
+)
+
 // requestResult is the result of one request with all its attempts.
 type requestResult struct {
 	startedAt time.Time
@@ -62,8 +94,9 @@
 
 func newChecker() *checker {
 	return &checker{
-		startedAt: time.Now(), faultEnds: map[string]time.Time{}, drainedAt: map[string]time.Time{}, evacuatedAt: map[string]time.Time{},
-		removedAt: map[netip.AddrPort]time.Time{}, allowedServices: map[netip.AddrPort]map[string]bool{}, flowUpstreams: map[netip.AddrPort]*upstream{},
+		startedAt: time.Now(), faults: map[partFault]faultTimes{}, drainedAt: map[string]time.Time{}, evacuatedAt: map[string]time.Time{},
+		removedAt: map[netip.AddrPort]time.Time{}, addedAt: map[netip.AddrPort]time.Time{},
+		allowedServices: map[netip.AddrPort]map[string]bool{}, flows: map[netip.AddrPort]openFlow{},
 	}
 }
 
@@ -79,45 +112,50 @@
 
 // recordViolationLocked is recordViolation for callers that hold c.mu.
 func (c *checker) recordViolationLocked(format string, args ...any) {
-	c.violations = append(c.violations, fmt.Sprintf("%.3f s: ", time.Since(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
+	c.violations = append(c.violations, c.line(format, args...))
 }
 
-// recordFault records that a part has a fault until a time, which may be an estimate.
-func (c *checker) recordFault(part string, until time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if until.After(c.faultEnds[part]) {
-		c.faultEnds[part] = until
+// line returns a text with the time since the start.
+func (c *checker) line(format string, args ...any) string {
+	return fmt.Sprintf("%.3f s: ", time.Since(c.startedAt).Seconds()) + fmt.Sprintf(format, args...)
+}
+
+// beginFault records that a fault of a part begins. The returned function records its
+// end.
+func (c *checker) beginFault(kind faultKind, part string) (end func()) {
+	change := func(count int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		key := partFault{kind, part}
+		c.faults[key] = faultTimes{running: c.faults[key].running + count, changedAt: time.Now()}
 	}
+	change(1)
+	return func() { change(-1) }
 }
 
-// undisturbed returns whether no part had a fault within undisturbedPeriod before now.
-// The caller holds c.mu.
-func (c *checker) undisturbed(now time.Time, parts ...string) bool {
-	for _, part := range parts {
-		if until, ok := c.faultEnds[part]; ok && now.Sub(until) < undisturbedPeriod {
+// undisturbed returns whether the store and an instance had no fault of a kind within
+// undisturbedPeriod before now. The caller holds c.mu.
+func (c *checker) undisturbed(now time.Time, kind faultKind, instance string) bool {
+	for _, part := range []string{partStore, instance} {
+		if times := c.faults[partFault{kind, part}]; times.running > 0 || now.Sub(times.changedAt) < undisturbedPeriod {
 			return false
 		}
 	}
 	return true
 }
 
-// partInstances stands for all instances, as a part that can have faults. The checker
-// does not know which instance handled a packet.
-const partInstances = "instances"
-
-// checkOpen checks an opening packet that reached an upstream. The route of its
-// destination must have had the upstream's service at some time. If neither store nor
-// instances had a fault within undisturbedPeriod, the bounds for drained upstreams,
+// checkOpen checks an opening packet that reached an upstream from an instance. The route
+// of its destination must have had the upstream's service at some time. If neither store
+// nor instance had a fault within undisturbedPeriod, the bounds for drained upstreams,
 // evacuated failure domains and removed routes are checked as well.
-func (c *checker) checkOpen(u *upstream, p standin.Packet) {
+func (c *checker) checkOpen(u *upstream, p standin.Packet, instance string) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if allowed := c.allowedServices[p.Destination]; !allowed[u.Service] {
 		c.recordViolationLocked("ROUTE: upstream %s of %s got a flow to %s", u.ID, u.Service, p.Destination)
 	}
-	if !c.undisturbed(now, partStore, partInstances) {
+	if !c.undisturbed(now, unplannedFault, instance) || !c.undisturbed(now, plannedStop, instance) {
 		return
 	}
 	if at, ok := c.drainedAt[u.ID]; ok && now.Sub(at) > drainBound {
@@ -134,11 +172,8 @@
 // checkUnknownFlow checks a packet of a flow that the upstream u does not have. It is a
 // violation if another upstream has the flow.
 func (c *checker) checkUnknownFlow(u *upstream, p standin.Packet) {
-	c.mu.Lock()
-	flowUpstream := c.flowUpstreams[p.Source]
-	c.mu.Unlock()
-	if flowUpstream != nil && flowUpstream != u && flowUpstream.hasFlow(p.Source) {
-		c.recordViolation("FLOW: a packet of %s reached %s instead of %s", p.Source, u.ID, flowUpstream.ID)
+	if other := c.otherUpstream(u, p); other != nil {
+		c.recordViolation("FLOW: a packet of %s reached %s instead of %s", p.Source, u.ID, other.ID)
 	}
 }
 
@@ -146,44 +181,57 @@
 // opening packet may open a flow at several upstreams; it is a violation if another one
 // of them gets requests than the one whose answer the caller accepted.
 func (c *checker) checkFlowPacket(u *upstream, p standin.Packet) {
+	if other := c.otherUpstream(u, p); other != nil {
+		c.recordViolation("FLOW: a request of %s reached %s, its flow is open at %s", p.Source, u.ID, other.ID)
+	}
+}
+
+// otherUpstream returns the upstream at which the flow of a packet is open, or nil if
+// that is u or none.
+func (c *checker) otherUpstream(u *upstream, p standin.Packet) *upstream {
 	c.mu.Lock()
-	flowUpstream := c.flowUpstreams[p.Source]
+	flowUpstream := c.flows[p.Source].upstream
 	c.mu.Unlock()
-	if flowUpstream != nil && flowUpstream != u && flowUpstream.hasFlow(p.Source) {
-		c.recordViolation("FLOW: a request of %s reached %s, its flow is open at %s", p.Source, u.ID, flowUpstream.ID)
+	if flowUpstream == nil || flowUpstream == u || !flowUpstream.hasFlow(p.Source) {
+		return nil
 	}
+	return flowUpstream
 }
 
-// recordFlow records the upstream whose answer opened the flow of a caller.
-func (c *checker) recordFlow(caller netip.AddrPort, u *upstream) {
+// recordFlow records the upstream whose answer opened the flow of a caller, and when the
+// caller first sent the opening packet.
+func (c *checker) recordFlow(caller netip.AddrPort, u *upstream, sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.flowUpstreams[caller] = u
+	c.flows[caller] = openFlow{upstream: u, sentAt: sentAt}
 }
 
 // forgetFlow removes the flow of a caller.
 func (c *checker) forgetFlow(caller netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.flowUpstreams, caller)
+	delete(c.flows, caller)
 }
 
 // checkReset checks a reset that an instance sent on an open flow. It is a violation if
-// the flow's upstream still has the flow, its route has not been removed, and neither
-// store nor instances had a fault within undisturbedPeriod.
-func (c *checker) checkReset(caller, service netip.AddrPort) {
+// the flow's upstream still has the flow, its route has not been removed since it opened,
+// and neither store nor instance had an unplanned fault within undisturbedPeriod.
+func (c *checker) checkReset(caller, service netip.AddrPort, instance string) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	flowUpstream := c.flowUpstreams[caller]
-	if flowUpstream == nil || !flowUpstream.hasFlow(caller) {
+	flow := c.flows[caller]
+	if flow.upstream == nil || !flow.upstream.hasFlow(caller) {
 		return
 	}
-	if _, removed := c.removedAt[service]; removed {
+	if _, removed := c.removedAt[service]; removed || flow.sentAt.Before(c.addedAt[service]) {
 		return
 	}
-	if c.undisturbed(now, partStore, partInstances, flowUpstream.ID) {
-		c.recordViolationLocked("FLOW: the open flow of %s at %s was reset", caller, flowUpstream.ID)
+	line := c.line("FLOW: %s reset the open flow of %s at %s", instance, caller, flow.upstream.ID)
+	if c.undisturbed(now, unplannedFault, instance) {
+		c.violations = append(c.violations, line)
+	} else {
+		c.excused = append(c.excused, line)
 	}
 }
 
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -6,5 +6,6 @@
 // their id, and lose their address to an upstream of another service. The store refuses
 // calls, loses its history, and is restored from a copy. Some seeds run with overload
 // control and hedging: their upstreams refuse requests above a bound or become slow, and
-// bursts of callers exceed what they can run.
+// bursts of callers exceed what they can run. Others have faults that bear on open flows of
+// sound upstreams, and callers with long and idle flows.
 package soak
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -56,14 +56,18 @@
 // faults holds all kinds of faults. Each has the same probability; one kind may be
 // drawn several times in a row, and faults may overlap.
 var faults = []fault{
-	{"kill", func(ctx context.Context, injector *faultInjector) { injector.restartProcess(ctx, syscall.SIGKILL) }},
-	{"terminate", func(ctx context.Context, injector *faultInjector) { injector.restartProcess(ctx, syscall.SIGTERM) }},
+	{"kill", func(ctx context.Context, injector *faultInjector) {
+		injector.restartProcess(ctx, injector.randomInstance(), syscall.SIGKILL)
+	}},
+	{"terminate", func(ctx context.Context, injector *faultInjector) {
+		injector.restartProcess(ctx, injector.randomInstance(), syscall.SIGTERM)
+	}},
 	{"pause", func(ctx context.Context, injector *faultInjector) { injector.pauseProcess(ctx) }},
 	{"reload", func(_ context.Context, injector *faultInjector) { injector.randomInstance().reloadSettings() }},
 	{"proxy", func(ctx context.Context, injector *faultInjector) { injector.disturbStoreConnection(ctx) }},
 	{"store_down", func(ctx context.Context, injector *faultInjector) { injector.refuseStoreCalls(ctx) }},
 	{"store_history", func(_ context.Context, injector *faultInjector) {
-		injector.checker.recordFault(partStore, time.Now())
+		defer injector.checker.beginFault(unplannedFault, partStore)()
 		injector.fleet.store.DropHistory()
 	}},
 	{"store_restored", func(ctx context.Context, injector *faultInjector) { injector.restoreStore(ctx) }},
@@ -99,19 +103,21 @@
 // pauseProcess stops a process with SIGSTOP for 0.3 to 4 seconds.
 func (injector *faultInjector) pauseProcess(ctx context.Context) {
 	instance := injector.randomInstance()
-	injector.checker.recordFault(partInstances, time.Now().Add(4*time.Second))
+	defer injector.checker.beginFault(unplannedFault, instance.address.String())()
 	instance.sendSignal(syscall.SIGSTOP)
 	injector.sleepBetween(ctx, 300*time.Millisecond, 4*time.Second)
 	instance.sendSignal(syscall.SIGCONT)
-	injector.checker.recordFault(partInstances, time.Now())
 }
 
 // restartProcess ends the process of an instance with a signal and starts it again.
-func (injector *faultInjector) restartProcess(ctx context.Context, signal syscall.Signal) {
-	instance := injector.randomInstance()
+func (injector *faultInjector) restartProcess(ctx context.Context, instance *instance, signal syscall.Signal) {
 	instance.restartMu.Lock()
 	defer instance.restartMu.Unlock()
-	injector.checker.recordFault(partInstances, time.Now().Add(terminationTimeout))
+	kind := unplannedFault
+	if signal == syscall.SIGTERM {
+		kind = plannedStop
+	}
+	defer injector.checker.beginFault(kind, instance.address.String())()
 	instance.stopProcess(signal)
 	injector.sleepBetween(ctx, restartDelay, 2*restartDelay)
 	if ctx.Err() != nil {
@@ -120,7 +126,6 @@
 	if err := instance.startProcess(injector.fleet.binary); err != nil {
 		injector.checker.recordViolation("cannot start instance %s again: %v", instance.name, err)
 	}
-	injector.checker.recordFault(partInstances, time.Now())
 }
 
 // rotateKeys replaces the peer key in three steps, each on one instance after the
@@ -130,11 +135,8 @@
 	defer injector.fleet.keyMu.Unlock()
 	oldKey, nextKey := injector.fleet.peerKey, newKey(injector.rng)
 	for _, keys := range [][]string{{oldKey, nextKey}, {nextKey, oldKey}, {nextKey}} {
-		for n, instance := range injector.fleet.instances {
-			if err := injector.fleet.writeSettings(n, instance, keys); err != nil {
-				injector.checker.recordViolation("cannot write settings of instance %s: %v", instance.name, err)
-			}
-			instance.reloadSettings()
+		for n := range injector.fleet.instances {
+			injector.replaceKeys(n, keys)
 			if !injector.sleepBetween(ctx, 10*time.Millisecond, 100*time.Millisecond) {
 				return
 			}
@@ -143,6 +145,15 @@
 	injector.fleet.peerKey = nextKey
 }
 
+// replaceKeys gives the instance with index n other peer keys.
+func (injector *faultInjector) replaceKeys(n int, keys []string) {
+	instance := injector.fleet.instances[n]
+	if err := injector.fleet.writeSettings(n, instance, keys); err != nil {
+		injector.checker.recordViolation("cannot write settings of instance %s: %v", instance.name, err)
+	}
+	instance.reloadSettings()
+}
+
 // sendForgedReports sends an instance two false reports of a silent upstream, one
 // without a signature and one signed with a key that the instance does not know.
 func (injector *faultInjector) sendForgedReports() {
@@ -167,20 +178,18 @@
 func (injector *faultInjector) disturbStoreConnection(ctx context.Context) {
 	instance, mode := injector.randomInstance(), Mode(1+injector.rng.IntN(4))
 	injector.log("store proxy of %s set to mode %s", instance.name, mode)
-	injector.checker.recordFault(partInstances, time.Now().Add(5*time.Second))
+	defer injector.checker.beginFault(unplannedFault, instance.address.String())()
 	instance.proxy.setMode(mode)
 	injector.sleepBetween(ctx, 500*time.Millisecond, 5*time.Second)
 	instance.proxy.setMode(ModePass)
-	injector.checker.recordFault(partInstances, time.Now())
 }
 
 // refuseStoreCalls makes the store refuse all calls for 0.5 to 5 seconds.
 func (injector *faultInjector) refuseStoreCalls(ctx context.Context) {
-	injector.checker.recordFault(partStore, time.Now().Add(5*time.Second))
+	defer injector.checker.beginFault(unplannedFault, partStore)()
 	injector.fleet.store.RefuseCalls([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[injector.rng.IntN(2)])
 	injector.sleepBetween(ctx, 500*time.Millisecond, 5*time.Second)
 	injector.fleet.store.RefuseCalls(0)
-	injector.checker.recordFault(partStore, time.Now())
 }
 
 // lagReplicas lets replicas of the store lag for 0.5 to 6 seconds, again and again until a
@@ -202,7 +211,7 @@
 // expire after crashedListingTime.
 func (injector *faultInjector) restoreStore(ctx context.Context) {
 	fleet := injector.fleet
-	injector.checker.recordFault(partStore, time.Now().Add(5*time.Second))
+	end := injector.checker.beginFault(unplannedFault, partStore)
 	fleet.mu.Lock()
 	backup := fleet.copies[injector.rng.IntN(len(fleet.copies))]
 	fleet.mu.Unlock()
@@ -213,7 +222,7 @@
 	injector.log("store restored")
 	injector.sleepBetween(ctx, time.Millisecond, 300*time.Millisecond)
 	injector.writeAgain()
-	injector.checker.recordFault(partStore, time.Now())
+	end()
 	if injector.sleepBetween(ctx, crashedListingTime, crashedListingTime+time.Millisecond) {
 		running := fleet.runningIDs()
 		for _, id := range fleet.store.UpstreamIDs() {
@@ -257,7 +266,7 @@
 }
 
 // toggleExtraRoute adds the route of extraAddress, or removes it if it exists. No
-// caller uses it. The configuration version grows by a random number from 1 to 5.
+// caller before firstFlowSeed uses it. The configuration version grows by a random number from 1 to 5.
 func (injector *faultInjector) toggleExtraRoute() {
 	extra := catalog.Route{Name: "extra", Address: extraAddress, Split: []catalog.Weight{{Service: services[0], Weight: 1}}}
 	injector.shared.mu.Lock()
@@ -276,6 +285,7 @@
 	if present {
 		injector.checker.removedAt[extraAddress] = time.Now()
 	} else {
+		injector.checker.addedAt[extraAddress] = time.Now()
 		delete(injector.checker.removedAt, extraAddress)
 	}
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -80,6 +81,8 @@
 	// number of consecutive failed readiness probes.
 	inRotation   bool
 	missedProbes int
+	// takenOut is the number of faults that keep the instance out of rotation.
+	takenOut atomic.Int32
 }
 
 // fleet holds the store, instances and upstreams of one seed.
@@ -100,6 +103,8 @@
 	// conn sends the packets of all callers to the instances.
 	conn      *net.UDPConn
 	instances []*instance
+	// losing is the number of faults that make callers' packets be lost.
+	losing atomic.Int32
 
 	// keyMu is held while the peer key of the instances is rotated.
 	keyMu   sync.Mutex
@@ -310,19 +315,18 @@
 
 // sendToInstance sends a packet of a caller to an instance in rotation of a failure
 // domain, chosen by a hash of the flow. If fewer than half of the instances of the
-// failure domain are in rotation, it chooses among all of them.
+// failure domain are in rotation, it chooses among all of them; if none is, among those in
+// rotation of the other failure domains, if there are any.
 func (fleet *fleet) sendToInstance(domain string, p *standin.Packet) {
-	var all, inRotation []*instance
-	for _, instance := range fleet.instances {
-		if instance.domain != domain {
-			continue
-		}
-		all = append(all, instance)
-		instance.mu.Lock()
-		if instance.inRotation {
-			inRotation = append(inRotation, instance)
+	if fleet.losing.Load() > 0 && rand.IntN(5) == 0 {
+		return
+	}
+	inRotation, all := fleet.instancesInRotation(domain)
+	if len(inRotation) == 0 {
+		for _, other := range domains {
+			others, _ := fleet.instancesInRotation(other)
+			inRotation = append(inRotation, others...)
 		}
-		instance.mu.Unlock()
 	}
 	if 2*len(inRotation) < len(all) {
 		inRotation = all
@@ -334,6 +338,23 @@
 	_, _ = fleet.conn.WriteToUDPAddrPort(p.Append(nil), netip.AddrPortFrom(to.address, trafficPort))
 }
 
+// instancesInRotation returns the instances of a failure domain that are in rotation, and
+// all of them.
+func (fleet *fleet) instancesInRotation(domain string) (inRotation, all []*instance) {
+	for _, instance := range fleet.instances {
+		if instance.domain != domain {
+			continue
+		}
+		all = append(all, instance)
+		instance.mu.Lock()
+		if instance.inRotation && instance.takenOut.Load() == 0 {
+			inRotation = append(inRotation, instance)
+		}
+		instance.mu.Unlock()
+	}
+	return inRotation, all
+}
+
 // upstreamByToken returns the running upstream whose token has the given low 32 bits,
 // or nil.
 func (fleet *fleet) upstreamByToken(token uint32) *upstream {
--- a/internal/soak/overload.go
+++ b/internal/soak/overload.go
@@ -145,7 +145,8 @@
 		return nil, err
 	}
 	return &caller{
-		fleet: fleet, checker: fleet.checker, conn: conn, address: address, domain: domain, service: service, maxPause: pause, rng: rng, port: 1024,
+		fleet: fleet, checker: fleet.checker, conn: conn, address: address, domain: domain, service: service, maxPause: pause,
+		maxRequests: maxRequestsPerFlow, rng: rng, port: 1024,
 	}, nil
 }
 
--- a/internal/soak/overload_test.go
+++ b/internal/soak/overload_test.go
@@ -57,7 +57,7 @@
 	first := &upstream{flows: map[netip.AddrPort]uint32{caller: 1}}
 	second := &upstream{flows: map[netip.AddrPort]uint32{caller: 2}}
 	checker := newChecker()
-	checker.recordFlow(caller, second)
+	checker.recordFlow(caller, second, time.Now())
 	checker.checkFlowPacket(second, request)
 	require.Empty(t, checker.violations)
 	checker.checkFlowPacket(first, request)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,6 +31,8 @@
 	recoveryTime = 12 * time.Second
 	// measureTime is the time after recoveryTime in which requests are counted.
 	measureTime = 3 * time.Second
+	// maxStall is half of the time without an answer after which a probe fails.
+	maxStall = 100 * time.Millisecond
 	// minServedShare is the project's target for the share of the requests in
 	// measureTime that are served.
 	minServedShare = 0.995
@@ -82,8 +85,13 @@
 	// RecoveredShare is the share of the requests that were served after the
 	// recovery time that follows the last fault, from 0 to 1.
 	RecoveredShare float64
+	// LongestStall is the longest time for which this process did not run.
+	LongestStall time.Duration
 	// FaultCount is the number of injected faults.
 	FaultCount int
+	// Excused holds a line for each reset of an open flow that a fault of the instance or
+	// the store excuses.
+	Excused []string
 }
 
 // Passed returns whether no rule was violated and, after the recovery time, at least
@@ -95,8 +103,8 @@
 	if !r.Passed() {
 		verdict = "FAIL"
 	}
-	return fmt.Sprintf("seed=%d settings=%s %s faults=%d requests=%d served=%.4f recovered=%.4f violations=%d",
-		r.Seed, r.Settings, verdict, r.FaultCount, r.Requests, r.ServedShare, r.RecoveredShare, len(r.Violations))
+	return fmt.Sprintf("seed=%d settings=%s %s faults=%d requests=%d served=%.4f recovered=%.4f excused_resets=%d longest_stall=%.2fs violations=%d",
+		r.Seed, r.Settings, verdict, r.FaultCount, r.Requests, r.ServedShare, r.RecoveredShare, len(r.Excused), r.LongestStall.Seconds(), len(r.Violations))
 }
 
 // Run runs one seed and returns its report. It fails if the fleet or the callers cannot
@@ -124,6 +132,8 @@
 	if err != nil {
 		return nil, err
 	}
+	var stall atomic.Int64
+	go checker.recordStalls(ctx, &stall)
 	startedAt := time.Now()
 	injector.sleepBetween(ctx, warmupTime, warmupTime+time.Millisecond)
 	count := injector.injectFaults(ctx, cfg.FaultTime)
@@ -133,12 +143,29 @@
 	fleet.checkStates(ctx, injector.shared)
 	cancel()
 	callers.Wait()
-	report := &Report{Seed: cfg.Seed, Settings: settings.String(), Violations: checker.violations, FaultCount: count}
+	report := &Report{Seed: cfg.Seed, Settings: settings.String(), Violations: checker.violations, FaultCount: count, Excused: checker.excused,
+		LongestStall: time.Duration(stall.Load())}
 	report.ServedShare, report.Requests = checker.servedShare(startedAt)
 	report.RecoveredShare, _ = checker.servedShare(recoveredAt)
 	return report, nil
 }
 
+// recordStalls stores the longest time for which this process did not run, until ctx ends.
+// The store and all upstreams stand still meanwhile: from maxStall on, that is a fault.
+func (c *checker) recordStalls(ctx context.Context, longest *atomic.Int64) {
+	const interval = 20 * time.Millisecond
+	for last := time.Now(); ctx.Err() == nil; {
+		time.Sleep(interval)
+		now := time.Now()
+		stalled := now.Sub(last) - interval
+		longest.Store(max(longest.Load(), int64(stalled)))
+		if stalled > maxStall {
+			c.beginFault(unplannedFault, partStore)()
+		}
+		last = now
+	}
+}
+
 // startAll starts the store, upstreams and instances, and waits until all instances are
 // in rotation.
 func (fleet *fleet) startAll(ctx context.Context, injector *faultInjector) error {
@@ -217,6 +244,11 @@
 		}
 		group.Go(func() { caller.run(ctx) })
 	}
+	if seed >= firstFlowSeed {
+		if err := fleet.startFlowCallers(ctx, seed, &group); err != nil {
+			return nil, err
+		}
+	}
 	return &group, nil
 }
 
@@ -234,6 +266,14 @@
 		// Twice, so that a run of the default length has about five of them.
 		kinds = slices.Concat(faults, overloadFaults, overloadFaults)
 	}
+	switch {
+	case injector.seed < firstFlowSeed:
+	case injector.seed%2 == 0:
+		kinds = slices.Concat(flowFaults, kinds[len(faults):])
+	default:
+		// Twice, so that half of the faults are of these kinds.
+		kinds = slices.Concat(kinds, flowFaults, flowFaults)
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		fault := kinds[injector.rng.IntN(len(kinds))]
 		// Faults overlap, so each has its own random source and range of numbers for
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -25,6 +25,7 @@
 	catalog.Upstream
 	checker      *checker
 	conn         *net.UDPConn
+	port         *port
 	healthServer *http.Server
 	// queue bounds the requests; nil if the upstream runs all of them at once.
 	queue *workQueue
@@ -42,16 +43,16 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp4", u.Address.String())
+	port, err := listenPort(u.Address.String())
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	newUpstream := &upstream{Upstream: u, checker: checker, conn: conn, queue: queue, flows: map[netip.AddrPort]uint32{}}
+	newUpstream := &upstream{Upstream: u, checker: checker, conn: conn, port: port, queue: queue, flows: map[netip.AddrPort]uint32{}}
 	newUpstream.healthServer = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(standin.IDHeader, u.ID)
 	})}
-	go func() { _ = newUpstream.healthServer.Serve(listener) }() // Ends when the upstream is stopped.
+	go func() { _ = newUpstream.healthServer.Serve(port) }() // Ends when the upstream is stopped.
 	go newUpstream.receivePackets()
 	return newUpstream, nil
 }
@@ -67,12 +68,13 @@
 }
 
 // receivePackets handles datagrams until the socket is closed. A datagram with another
-// token was meant for an earlier upstream of the address and is ignored. A packet that
-// is malformed or has no checksum, which every caller's packet has, is a violation.
+// token was meant for an earlier upstream of the address and is ignored, unless its flow
+// is open at another upstream. A packet that is malformed or has no checksum, which every
+// caller's packet has, is a violation.
 func (u *upstream) receivePackets() {
 	buffer := make([]byte, 2048)
 	for {
-		n, _, err := u.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := u.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -80,21 +82,23 @@
 			u.checker.recordViolation("UNASKED: upstream %s got a datagram of %d bytes", u.ID, n)
 			continue
 		}
-		if token := binary.BigEndian.Uint64(buffer); token != u.Token {
-			continue
-		}
 		var p standin.Packet
 		if p.Parse(buffer[prefixSize:n]) != nil || !p.HasChecksum {
 			u.checker.recordViolation("UNASKED: upstream %s got a packet that no caller wrote", u.ID)
 			continue
 		}
+		if token := binary.BigEndian.Uint64(buffer); token != u.Token {
+			u.checker.checkUnknownFlow(u, p)
+			continue
+		}
 		p.Data = append([]byte(nil), p.Data...)
-		u.handlePacket(p)
+		u.handlePacket(p, from.Addr().Unmap().String())
 	}
 }
 
-// handlePacket opens and closes flows, echoes data, and resets unknown flows.
-func (u *upstream) handlePacket(p standin.Packet) {
+// handlePacket opens and closes flows, echoes data, and resets unknown flows. instance is
+// the address of the instance that forwarded the packet.
+func (u *upstream) handlePacket(p standin.Packet, instance string) {
 	u.mu.Lock()
 	_, known := u.flows[p.Source]
 	u.mu.Unlock()
@@ -105,7 +109,7 @@
 		u.mu.Lock()
 		u.flows[p.Source] = initialSeq
 		u.mu.Unlock()
-		u.checker.checkOpen(u, p)
+		u.checker.checkOpen(u, p, instance)
 		answer.Open, answer.Seq, answer.AckNumber = true, initialSeq, p.Seq+1
 		u.answerOpen(answer)
 	case !known:
--- a/internal/soak/upstream_faults.go
+++ b/internal/soak/upstream_faults.go
@@ -30,6 +30,15 @@
 	return removable
 }
 
+// drawUpstream draws one of removableUpstreams, or returns nil.
+func (injector *faultInjector) drawUpstream() *upstream {
+	removable := injector.removableUpstreams()
+	if len(removable) == 0 {
+		return nil
+	}
+	return removable[injector.rng.IntN(len(removable))]
+}
+
 // forgetUpstream removes an upstream from the list of the running ones.
 func (injector *faultInjector) forgetUpstream(u *upstream) {
 	injector.fleet.mu.Lock()
@@ -88,11 +97,10 @@
 // crashUpstream stops an upstream that the store still lists. After crashedListingTime
 // an upstream of another service gets its address, and a new one replaces it.
 func (injector *faultInjector) crashUpstream(ctx context.Context) {
-	removable := injector.removableUpstreams()
-	if len(removable) == 0 {
+	u := injector.drawUpstream()
+	if u == nil {
 		return
 	}
-	u := removable[injector.rng.IntN(len(removable))]
 	other := services[(slices.Index(services, u.Service)+1)%len(services)]
 	injector.forgetUpstream(u)
 	u.stop(ctx)
@@ -107,11 +115,10 @@
 // same id and address. It makes its first report up to a report interval later; the store
 // lists the earlier incarnation meanwhile.
 func (injector *faultInjector) restartUpstream(ctx context.Context) {
-	removable := injector.removableUpstreams()
-	if len(removable) == 0 {
+	u := injector.drawUpstream()
+	if u == nil {
 		return
 	}
-	u := removable[injector.rng.IntN(len(removable))]
 	injector.forgetUpstream(u)
 	u.stop(ctx)
 	if !injector.sleepBetween(ctx, 200*time.Millisecond, time.Second) {
@@ -126,11 +133,20 @@
 // drainUpstream starts a replacement for an upstream, drains the upstream, and stops
 // and removes it after 5 to 8 seconds.
 func (injector *faultInjector) drainUpstream(ctx context.Context) {
-	removable := injector.removableUpstreams()
-	if len(removable) == 0 {
+	u := injector.drawUpstream()
+	if u == nil {
 		return
 	}
-	u := removable[injector.rng.IntN(len(removable))]
+	injector.startDrain(u)
+	if injector.sleepBetween(ctx, 5*time.Second, 8*time.Second) {
+		injector.forgetUpstream(u)
+		u.stop(ctx)
+		injector.fleet.store.RemoveUpstream(u.ID)
+	}
+}
+
+// startDrain starts a replacement for an upstream and drains the upstream.
+func (injector *faultInjector) startDrain(u *upstream) {
 	injector.addUpstream("", u.Service, u.FailureDomain, netip.AddrPort{})
 	injector.fleet.mu.Lock()
 	u.Draining = true
@@ -139,9 +155,4 @@
 	injector.checker.mu.Lock()
 	injector.checker.drainedAt[u.ID] = time.Now()
 	injector.checker.mu.Unlock()
-	if injector.sleepBetween(ctx, 5*time.Second, 8*time.Second) {
-		injector.forgetUpstream(u)
-		u.stop(ctx)
-		injector.fleet.store.RemoveUpstream(u.ID)
-	}
 }
