Confirm the silence of upstreams that may be leaving like their refusals

Callers saw open flows of a serving upstream reset 220 ms after its entry was removed.

Cause: a probe without an answer, while another upstream answered one, was a proof by itself. An upstream that leaves may answer no new connections, be it that its port is closed or that packets to it are dropped, before its flows end. Only refusals had to be confirmed.

Change: both go through one rule (confirmFailure). For an upstream that may be leaving, a failed probe takes it out of the choice; its flows end with another failed probe 0.3 s later or more, if a request was found unanswered since the first one, or if the machine refused first and is silent now. Silence of an upstream that cannot be leaving is a proof as before: it rests on three packets.

Tried and dropped: a second probe for every silent upstream, with which the last packet went to a crashed upstream after 535 ms (bound 400 ms).

--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -139,7 +139,7 @@
 func addGrounds(fields logrus.Fields, g evidence.Grounds) {
 	fields["draining"], fields["probe_pending"], fields["last_verdict"] = g.Draining, g.Pending, g.Outcome.String()
 	for name, age := range map[string]time.Duration{
-		"missing_ms": g.Missing, "answered_ms": g.Answered, "probed_ms": g.Probed, "refused_ms": g.Refused,
+		"missing_ms": g.Missing, "answered_ms": g.Answered, "probed_ms": g.Probed, "doubted_ms": g.Doubted,
 	} {
 		if fields[name] = int64(-1); age != evidence.Never {
 			fields[name] = age.Milliseconds()
--- a/internal/evidence/refusal.go
+++ b/internal/evidence/confirm.go
@@ -8,38 +8,43 @@
 )
 
 const (
-	// refusalConfirmedAfter is the least time between the first and the last of the refusals
-	// that prove that an upstream that cannot be leaving has ended: the time in which an
-	// answer on a flow contradicts the first one.
-	refusalConfirmedAfter = LateProbeAfter
-	// leavingConfirmedAfter is the same for an upstream that may be leaving. It closes its
-	// port before its flows, so that an unanswered request is needed as well.
+	// failureConfirmedAfter is the least time between the first and the last of the failed
+	// probes that prove that an upstream that cannot be leaving has ended: the time in which
+	// an answer on a flow contradicts the first one.
+	failureConfirmedAfter = LateProbeAfter
+	// leavingConfirmedAfter is the same for an upstream that may be leaving. It takes no new
+	// connections before its flows end, so that more is needed: an unanswered request, or
+	// silence after a refusal.
 	leavingConfirmedAfter = 300 * time.Millisecond
 	// leavingNotice is the least time between the store's confirmation that an upstream
 	// drains and the closing of its port.
 	leavingNotice = 2 * time.Second
 )
 
-// handleRefusal records that an upstream refused a probe. confirmed says that its process has
-// ended; the refusal is then recorded like every other failure. Otherwise new flows avoid
-// the upstream, and report says whether to tell other instances.
-func (t *Tracker) handleRefusal(now time.Time, result ProbeResult) (confirmed, report bool) {
+// confirmFailure records that an upstream refused a probe or, while others answered, left it
+// unanswered. confirmed says that its process has ended; the outcome is then recorded.
+// Otherwise new flows avoid the upstream, and report says whether to tell other instances.
+func (t *Tracker) confirmFailure(now time.Time, result ProbeResult) (confirmed, report bool) {
 	state := t.stateOf(result.Upstream.Cookie)
-	first := !state.probe.failed()
-	if state.probe.refusedAt.IsZero() {
-		state.probe.refusedAt = result.Started
+	first, silent := !state.probe.failed(), result.Outcome == ProbeSilent
+	if state.probe.doubtedAt.IsZero() {
+		state.probe.doubtedAt, state.probe.doubt = result.Started, result.Outcome
 	}
-	since := result.Started.Sub(state.probe.refusedAt)
+	since := result.Started.Sub(state.probe.doubtedAt)
 	entry := t.snapshot.Resolve(result.Upstream.Cookie)
 	mayLeave := t.mayBeLeaving(now, entry)
 	announced := mayLeave && (entry.Draining || !entry.RemovedAt.IsZero())
-	needed, unanswered := refusalConfirmedAfter, true
+	// A probe without an answer has sent several packets already.
+	needed, confirmed := failureConfirmedAfter, silent || since >= failureConfirmedAfter
 	if mayLeave {
-		needed, unanswered = leavingConfirmedAfter, state.unansweredAt.After(state.probe.refusedAt)
+		needed = leavingConfirmedAfter
+		// A machine that refused and is silent now has gone.
+		gone := silent && state.probe.doubt == ProbeRefused
+		confirmed = since >= needed && (gone || state.unansweredAt.After(state.probe.doubtedAt))
 	}
-	if since >= needed && unanswered {
+	if confirmed {
 		// Unless the end was announced, the first refusal was reported.
-		return true, announced
+		return true, announced || silent
 	}
 	state.probe.unsettled = first
 	if !first {
@@ -48,13 +53,14 @@
 	// An announced end needs no haste: RequestRetryProbes repeats the probe.
 	if entry != nil && since < needed && !announced {
 		probe := t.newProbe(now, entry, result.Trigger)
-		probe.Delay = needed - since
+		probe.Delay = max(needed-now.Sub(state.probe.doubtedAt), 0)
 		t.probes = append(t.probes, probe)
 	}
-	return false, since == 0 && first && !announced && reportable(result.Trigger)
+	// A probe without an answer was reported when it was late.
+	return false, since == 0 && first && !announced && !silent && reportable(result.Trigger)
 }
 
-// mayBeLeaving reports whether an upstream may have closed its port although its flows go
+// mayBeLeaving reports whether an upstream may take no new connections although its flows go
 // on: it is draining, its entry was removed less than the grace time of the catalog ago, or
 // the store's last confirmation is so old that a drain may be unknown here.
 func (t *Tracker) mayBeLeaving(now time.Time, entry *catalog.Entry) bool {
@@ -77,11 +83,11 @@
 	return probe
 }
 
-// awaitsConfirmation reports whether an upstream refused a probe and is probed again although
+// awaitsConfirmation reports whether a probe of an upstream failed and is repeated although
 // the store may no longer list it.
 func (t *Tracker) awaitsConfirmation(cookie flowcookie.Cookie) bool {
 	probe := &t.stateOf(cookie).probe
-	return probe.unsettled && !probe.refusedAt.IsZero()
+	return probe.unsettled && !probe.doubtedAt.IsZero()
 }
 
 // reportable reports whether other instances are told of a failed probe with this trigger.
--- a/internal/evidence/grounds.go
+++ b/internal/evidence/grounds.go
@@ -21,8 +21,8 @@
 	// Outcome is the last recorded outcome of a probe, 0 without one, and Probed its age.
 	Outcome ProbeOutcome
 	Probed  time.Duration
-	// Refused is the time since the refusal that a draining upstream has not contradicted.
-	Refused time.Duration
+	// Doubted is the time since the first failed probe that nothing has contradicted.
+	Doubted time.Duration
 	// Pending is true while a probe is under way.
 	Pending bool
 }
@@ -35,10 +35,10 @@
 		}
 		return now.Sub(at)
 	}
-	g := Grounds{Draining: entry.Draining, Missing: age(entry.RemovedAt), Answered: Never, Probed: Never, Refused: Never}
+	g := Grounds{Draining: entry.Draining, Missing: age(entry.RemovedAt), Answered: Never, Probed: Never, Doubted: Never}
 	if state := t.upstreams[entry.Cookie]; state != nil {
 		g.Answered, g.Outcome, g.Probed = age(state.answeredAt), state.probe.outcome, age(state.probe.decidedAt)
-		g.Refused, g.Pending = age(state.probe.refusedAt), state.probe.pending
+		g.Doubted, g.Pending = age(state.probe.doubtedAt), state.probe.pending
 	}
 	return g
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -103,9 +103,11 @@
 	// an inconclusive first failure, until a packet shows that the upstream answers or a
 	// probe settles its state.
 	unsettled bool
-	// refusedAt is when the first refused probe began; zero after a packet or a probe that
-	// shows that the upstream runs.
-	refusedAt time.Time
+	// doubtedAt is when the first probe began that was refused or, while others were answered,
+	// had no answer; zero after a packet or a probe that shows that the upstream runs.
+	doubtedAt time.Time
+	// doubt is the outcome of that probe.
+	doubt ProbeOutcome
 	// requestedAt is when a probe was last requested.
 	requestedAt time.Time
 	// outcome is the last recorded outcome, decidedAt its time; an inconclusive first
@@ -149,7 +151,7 @@
 // withdrawFailure discards a failed or late probe because a packet shows that the
 // upstream answers.
 func (s *probeState) withdrawFailure() {
-	s.unsettled, s.refusedAt = false, time.Time{}
+	s.unsettled, s.doubtedAt = false, time.Time{}
 	if s.failed() {
 		s.outcome = ProbeNotMade
 	}
@@ -233,8 +235,8 @@
 // FirstFailure and Report when they apply. For any other result, all fields are zero.
 type ProbeEffect struct {
 	// Inconclusive is true when the probe was unanswered and this instance may itself
-	// be partitioned or slow, or when the upstream refused it or reset the connection and
-	// may still hold its flows.
+	// be partitioned or slow, or when the upstream may still hold its flows: the failure is
+	// not confirmed, or it reset the connection.
 	Inconclusive bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
@@ -270,14 +272,7 @@
 	first := !state.probe.failed()
 	report := first && reportable(result.Trigger)
 	if result.Outcome == ProbeAlive {
-		state.probe.refusedAt = time.Time{}
-	}
-	if result.Outcome == ProbeRefused {
-		confirmed, reportRefusal := t.handleRefusal(now, result)
-		if !confirmed {
-			return ProbeEffect{Inconclusive: true, Report: reportRefusal}
-		}
-		report = report && reportRefusal
+		state.probe.doubtedAt = time.Time{}
 	}
 	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
@@ -287,6 +282,13 @@
 		}
 		return ProbeEffect{Inconclusive: true}
 	}
+	if result.Outcome == ProbeRefused || result.Outcome == ProbeSilent {
+		confirmed, reportFailure := t.confirmFailure(now, result)
+		if !confirmed {
+			return ProbeEffect{Inconclusive: true, Report: reportFailure}
+		}
+		report = report && reportFailure
+	}
 	state.probe.recordOutcome(now, result.Outcome)
 	if !state.probe.failed() {
 		return ProbeEffect{}
--- a/internal/forward/verdict_test.go
+++ b/internal/forward/verdict_test.go
@@ -72,12 +72,12 @@
 func TestRefusalAfterAnOldFailureResetsNoFlows(t *testing.T) {
 	f := newFixture(t, upstream(1), upstream(2))
 	cookie := flowcookie.Of("i-1", 1000)
-	leaving := upstream(1)
-	leaving.Draining = true
-	f.updateUpstream(leaving)
 	f.answerProbe(2)
 	silent := evidence.ProbeResult{Upstream: f.engine.snapshot.Resolve(cookie), Outcome: evidence.ProbeSilent, Started: f.now}
 	require.True(t, f.engine.HandleProbeResult(f.now, silent).Failed)
+	leaving := upstream(1)
+	leaving.Draining = true
+	f.updateUpstream(leaving)
 	f.advance(2 * time.Second)
 	require.Equal(t, Forward, f.send(4001, cookie, 1, 1, 100).Action)
 	require.Empty(t, f.refuse("i-1").Resets)
