Add a failing test of a record that began with the wrong cookie

Callers saw: packets of an open flow went to another upstream than its own for as long as its record lasted. Schedule: two upstreams answer an opening packet, the routers move the flow, and the first packet that passes the next instance has the cookie of the late answer. The caller then returns the right cookie, but the record outweighs it. Now: TestRecordOfAFlowOpenedElsewhereNeedsProgress fails.

--- a/internal/forward/two_answers_test.go
+++ b/internal/forward/two_answers_test.go
@@ -176,3 +176,20 @@
 		require.Equal(t, hedge.Sent, f.overdue(3).Result, "the flow was opened after the others had moved")
 	}
 }
+
+// Guards against a record that outweighs the cookie although its first packet here may have had
+// the cookie of the upstream that the caller did not accept.
+func TestRecordOfAFlowOpenedElsewhereNeedsProgress(t *testing.T) {
+	for name, opening := range map[string]bool{"without opening packet": false, "with a late opening packet": true} {
+		f := newFixture(t, upstream(1), upstream(2))
+		if opening {
+			f.open(1, 0)
+		}
+		first, second := f.engine.snapshot.Resolve(upstreamCookie(1)), f.engine.snapshot.Resolve(upstreamCookie(2))
+		require.Equal(t, second, f.send(1, second.Cookie, 101, 5401, 100).Upstream, name)
+		require.Equal(t, first, f.send(1, first.Cookie, 101, 5401, 100).Upstream, name)
+		require.Equal(t, second, f.send(1, second.Cookie, 101, 5401, 100).Upstream, name)
+		require.Equal(t, second, f.send(1, second.Cookie, 201, 5801, 0).Upstream, name)
+		require.Equal(t, second, f.send(1, first.Cookie, 201, 5801, 100).Upstream, "its answer was acknowledged")
+	}
+}
