Let a record outweigh the cookie only after a proof of its upstream

Cause: the cookie of the first packet that an instance saw became the record's upstream, also when the flow had been opened through another instance and that cookie came from the late answer of a second upstream. Change: a record outweighs the cookie when the first packet after the opening packet that passed here named its upstream, or a later packet with its cookie acknowledged more. This replaces the mark of handed-over records. Cost: a late second answer to a flow that has just moved still decides until the caller has acknowledged more through the new instance.

--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -56,8 +56,10 @@
 	// upstreamLoad.opening.
 	opening  [maxTargets + 1]bool
 	answered bool
-	// imported is true while the record is known from another instance alone.
-	imported bool
+	// confirmed is true when targets[0] is the upstream whose answer the caller accepted: the
+	// first packet after the opening packet named it, or a later packet with its cookie
+	// acknowledged more.
+	confirmed bool
 	// hedge is the extra attempt that the opening packet waits for or got; nil without one,
 	// and from the first packet that follows when none was sent.
 	hedge *hedgeWait
@@ -245,17 +247,22 @@
 		e.attachRoute(record, e.snapshot.Resolve(p.Cookie))
 	}
 	idle := now.Sub(record.lastSeen)
-	record.lastSeen, record.imported = now, false
+	record.lastSeen = now
 	if !record.answered {
+		record.confirmed = p.Seq == record.seq+1
 		decision.HandshakeTime, decision.Hedge = now.Sub(record.opened), e.recordAnswerTime(now, record, p.Cookie)
 		record.ack, record.dataEnd = p.Ack, p.Seq
 		e.RecordAnswer(now, p.Cookie)
 	}
-	if record.answered && record.targets[0] != p.Cookie {
+	switch {
+	case !record.answered:
+		e.attributeFlow(record, p.Cookie)
+	case record.targets[0] != p.Cookie:
 		decision.MovedFrom = e.movedFrom(record, p.Cookie)
-	}
-	if !record.answered || record.targets[0] != p.Cookie {
 		e.attributeFlow(record, p.Cookie)
+		record.confirmed = false
+	case int32(p.Ack-record.ack) > 0:
+		record.confirmed = true
 	}
 	e.compareSequence(now, p, record, idle)
 	if p.Fin || p.Reset {
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -55,7 +55,6 @@
 		if record == nil {
 			return imported
 		}
-		record.imported = true
 		record.ack, record.dataEnd, record.lastSeen = flow.Ack, flow.DataEnd, lastSeen
 		e.attributeFlow(record, flow.Cookie)
 		imported++
--- a/internal/forward/recorded.go
+++ b/internal/forward/recorded.go
@@ -75,10 +75,10 @@
 
 // otherRecorded returns the upstream at which a flow is open by its record, which may be nil;
 // nil when that is entry, the upstream by the cookie, or is not known. Several upstreams may
-// answer the copies of one opening packet. The caller accepts the first answer, which the
-// first packet that follows shows, but returns the cookie of the last one.
+// answer the copies of one opening packet. The caller accepts the first answer, but returns
+// the cookie of the last one.
 func (e *Engine) otherRecorded(record *flowRecord, entry *catalog.Entry) *catalog.Entry {
-	if record == nil || !record.answered || record.imported || (entry != nil && entry.Cookie == record.targets[0]) {
+	if record == nil || !record.confirmed || (entry != nil && entry.Cookie == record.targets[0]) {
 		return nil
 	}
 	recorded := e.snapshot.Resolve(record.targets[0])
