Drop opening packets that are read after a pause of the process

Callers saw: a packet of an open flow reached another upstream than its own. Cause: after a pause an instance sent on the opening packets that had waited in its socket, though the routers had sent the later copies to another instance. Change: when 500 ms have passed between two reads, in which two readiness probes can be missed, opening packets are dropped for 50 ms and counted as superseded. The loop has read the backlog then. Other packets are decided as before. The kernel's receive times would tell the age of each packet, but they come from another clock than the process uses where the time of day is set. Cost: one comparison a read; callers that open a flow in these 50 ms wait for their copy after 200 ms.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -39,7 +39,8 @@
 	dropProbe
 	// dropLoadReport is for reports on response times that found the queue full.
 	dropLoadReport
-	// dropSuperseded is for held opening packets whose caller has sent a copy since.
+	// dropSuperseded is for opening packets that were held, or waited while the process was
+	// paused, until their caller has probably sent a copy.
 	dropSuperseded
 )
 
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -36,6 +36,13 @@
 	firstCopyAfter = 200 * time.Millisecond
 	// pollInterval is the read timeout while packets wait for a snapshot.
 	pollInterval = 10 * time.Millisecond
+	// pausedAfter is the time between two reads, which last readTimeout at most, after which
+	// the process was paused and may have missed two readiness probes, which come twice a
+	// second: the routers then send its flows to other instances.
+	pausedAfter = 500 * time.Millisecond
+	// backlogTime is the time after a pause in which the loop reads what has arrived
+	// meanwhile. A full socketBuffer takes as long at 60,000 packets a second.
+	backlogTime = 50 * time.Millisecond
 	// expireInterval is the time between two passes over the remembered flows.
 	expireInterval = time.Second
 	// reachInterval is the time between two checks whether any upstream is
@@ -120,6 +127,9 @@
 	lastReachCheck time.Time
 	// lastLoadReport is when response times were last reported.
 	lastLoadReport time.Time
+	// lastRead is when the last read ended. Until backlogEnd, packets may have waited in
+	// the socket while the process was paused.
+	lastRead, backlogEnd time.Time
 	// deadline is the read deadline of the socket; zero after it has passed.
 	deadline time.Time
 	hedges   keptOpens
@@ -152,6 +162,7 @@
 	loop.prefix = prefix
 	// One byte more than the largest packet reveals an oversized one.
 	buffer := make([]byte, prefix+datagram+1)
+	loop.lastRead = time.Now()
 	for {
 		now := time.Now()
 		loop.sendHedges(now)
@@ -162,6 +173,11 @@
 		// read, so it is processed first.
 		loop.runPeriodicWork(now)
 		n, _, err := loop.conn.ReadFromUDPAddrPort(buffer[prefix:])
+		now = time.Now()
+		if now.Sub(loop.lastRead) > pausedAfter {
+			loop.backlogEnd = now.Add(backlogTime)
+		}
+		loop.lastRead = now
 		switch {
 		case ctx.Err() != nil:
 			return nil
@@ -175,7 +191,6 @@
 			loop.metrics.countDrop(dropSocket)
 			continue
 		}
-		now = time.Now()
 		loop.lastArrival.Store(now.UnixNano())
 		loop.handlePacket(now, buffer[:prefix+n], now)
 		loop.requestProbes()
@@ -279,6 +294,11 @@
 		loop.metrics.countDrop(dropMalformed)
 		return
 	}
+	if p.Open && now.Before(loop.backlogEnd) {
+		// The caller may have opened the flow through another instance since.
+		loop.metrics.countDrop(dropSuperseded)
+		return
+	}
 	decision := loop.engine.Decide(now, p)
 	switch decision.Action {
 	case forward.Forward:
