--- a/internal/forward/recovered_test.go
+++ b/internal/forward/recovered_test.go
@@ -24,3 +24,12 @@
 	require.Equal(t, Forward, d.Action, "the caller has the cookie from the upstream's answer: %s", d.Reason)
 	require.Equal(t, Forward, f.send(4002, cookie, 1, 1, 100).Action, "a flow that another instance has opened")
 }
+
+// Guards against resets of flows that another instance has opened since an upstream started
+// again under its id, by one whose probes were refused before that.
+func TestRefusalBeforeRestartResetsNoLaterFlow(t *testing.T) {
+	f := newFixture(t, upstream(1), upstream(2))
+	require.True(t, f.refuseTwice("i-1").Failed)
+	f.now = f.now.Add(165 * time.Millisecond)
+	require.NotEqual(t, Reset, f.send(4001, flowcookie.Of("i-1", 1000), 1, 1, 100).Action)
+}
