--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -14,7 +14,7 @@
 //	702: after the fault store_restored, an instance did not list an upstream for good,
 //	because it compared revisions of the restored store with those of before.
 //
-//	5001, 5006, 5011: a draining upstream closed its port and its entry was removed. One
+//	5001, 5006, 5011, 5402: a draining upstream closed its port and its entry was removed. One
 //	refused probe then counted as its end, and instances reset its flows, which it
 //	still served.
 //	5200: the accept queue of an upstream was full, and packets of callers were lost. An
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,3 +53,5 @@
 "$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak-logs" --seed 702
 # A seed with overload control, hedging and cookies by id.
 "$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak-logs" --seed 1005 --faults 4s
+# Upstreams that leave in steps while callers use open flows.
+"$work/soak" --binary "$work/chivemast-edge" --logs "$work/soak-logs" --seed 5402 --faults 5s
