--- a/internal/catalogsync/flows_test.go
+++ b/internal/catalogsync/flows_test.go
@@ -114,13 +114,14 @@
 }
 
 // runFlows returns the resets of open flows in a random schedule, by their reasons.
-func runFlows(t *testing.T, seed uint64) (resets map[forward.Reason]int) {
+func runFlows(t *testing.T, seed uint64, late map[string]time.Duration) (resets map[forward.Reason]int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &flowSimulation{
 			simulation: newSimulation(ctx, seed, false), engines: map[*simInstance]*forward.Engine{},
 			route: netip.MustParseAddrPort("198.18.0.1:443"), resets: map[forward.Reason]int{},
 		}
+		s.fleet.late = late
 		s.configure(true)
 		for n := range 5 {
 			s.fleet.start(ctx, n, false)
@@ -142,6 +143,16 @@
 // instances are turned away by the store or restart.
 func TestFlowsOpenedByInstancesThatAreAheadAreNotReset(t *testing.T) {
 	for seed := range uint64(8) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { require.Empty(t, runFlows(t, seed)) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { require.Empty(t, runFlows(t, seed, nil)) })
+	}
+}
+
+// Guards against resets of open flows by an instance that the messages of the others reach
+// late: the time at which a confirmation arrives is not that at which the store was asked.
+func TestLateConfirmationsResetNoFlows(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			require.Empty(t, runFlows(t, seed, map[string]time.Duration{"edge-3": 1500 * time.Millisecond}))
+		})
 	}
 }
--- a/internal/catalogsync/restore_fleet_test.go
+++ b/internal/catalogsync/restore_fleet_test.go
@@ -42,6 +42,8 @@
 	// started less than meetAfter ago gets none, because the others do not know it yet.
 	loss      float64
 	meetAfter time.Duration
+	// late is how much later messages to an instance arrive, by its name.
+	late map[string]time.Duration
 
 	mu        sync.Mutex
 	instances []*simInstance
@@ -145,7 +147,7 @@
 			// Earlier versions know neither eras nor checks.
 			sent.Era, sent.Current = 0, false
 		}
-		time.AfterFunc(time.Millisecond, func() { other.syncer.QueueUpdate(sent) })
+		time.AfterFunc(time.Millisecond+instance.fleet.late[other.name], func() { other.syncer.QueueUpdate(sent) })
 	}
 }
 
