Let a reset connection contradict earlier failures, and probe full upstreams less often

Callers would see flows of an upstream at its limit reset 3 s after its entry vanished, or after a later refusal. Cause: the verdict reset took new flows away but counted neither as a sign that a process runs nor as a contradiction of an earlier refusal, and it was repeated twice a second by each instance, as were refusals that are not confirmed. Change: a reset connection keeps the flows of a missing entry for 2 s, as an accepted one does, and withdraws doubts. Repeated resets back off from 0.9 to 4 s, unconfirmed failures to half of the time since the first one and 4 s at most. Evidence: TestMissingUpstreamAtItsLimitKeepsItsFlows, TestResetConnectionContradictsAnEarlierRefusal and TestUnsettledUpstreamsAreProbedWithBackoff failed before and pass. Price: an upstream that takes connections again is found by a probe up to 4 s later, unless a packet shows it sooner.

--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -125,7 +125,7 @@
 // up to reprobeMax.
 func (s *probeState) recordOutcome(now time.Time, outcome ProbeOutcome) {
 	retry := reprobeMin
-	if s.failed() {
+	if s.failed() || (s.outcome == ProbeReset && outcome == ProbeReset) {
 		retry = min(2*s.retryAfter, reprobeMax)
 	}
 	s.outcome, s.decidedAt, s.retryAfter, s.unsettled = outcome, now, retry, false
@@ -143,9 +143,23 @@
 	return s.outcome == ProbeOther || (s.failed() && now.Sub(s.conclusiveAt) < FailureProvenFor)
 }
 
-// alive reports whether a probe found the process within aliveFor.
+// retryDue reports whether a probe that failed or settled nothing is to be repeated.
+func (s *probeState) retryDue(now time.Time) bool {
+	switch {
+	case s.outcome == ProbeOther:
+		return s.unsettled
+	case s.failed() || s.outcome == ProbeReset:
+		return now.Sub(s.decidedAt) >= s.retryAfter
+	case s.unsettled && !s.doubtedAt.IsZero():
+		return now.Sub(s.requestedAt) >= min(now.Sub(s.doubtedAt)/2, reprobeMax)
+	}
+	return s.unsettled
+}
+
+// alive reports whether a probe found the process within aliveFor. One that resets
+// connections cannot tell its id; its flows are not reset for that.
 func (s *probeState) alive(now time.Time) bool {
-	return s.outcome == ProbeAlive && now.Sub(s.decidedAt) < aliveFor
+	return (s.outcome == ProbeAlive || s.outcome == ProbeReset) && now.Sub(s.decidedAt) < aliveFor
 }
 
 // withdrawFailure discards a failed or late probe because a packet shows that the
@@ -220,8 +234,7 @@
 		return
 	}
 	for cookie, state := range t.upstreams {
-		failed := state.probe.failed() && state.probe.outcome != ProbeOther && now.Sub(state.probe.decidedAt) >= state.probe.retryAfter
-		if !failed && !state.probe.unsettled {
+		if !state.probe.retryDue(now) {
 			continue
 		}
 		if entry := t.snapshot.Resolve(cookie); entry != nil && (entry.RemovedAt.IsZero() || t.awaitsConfirmation(cookie)) {
@@ -266,7 +279,7 @@
 	}
 	if result.Outcome == ProbeReset {
 		state.probe.recordOutcome(now, result.Outcome)
-		state.probe.unsettled = true
+		state.probe.unsettled, state.probe.doubtedAt = true, time.Time{}
 		return ProbeEffect{Inconclusive: true}
 	}
 	first := !state.probe.failed()
