Count the request that causes a probe as found unanswered

Callers of a machine that is silent would wait without end, if it may be leaving and the request that caused the first probe is their last one. Cause: a failure of an upstream that may be leaving needed a request that was found unanswered after the first failed probe began. The request whose timeout causes that probe is found unanswered a moment before. Evidence: TestFailedMachineEndsFlowsWhileTheStoreIsUnavailable failed before and passes; the tests of leaving upstreams in forward and loadsim pass.

--- a/internal/evidence/confirm.go
+++ b/internal/evidence/confirm.go
@@ -40,7 +40,7 @@
 		needed = leavingConfirmedAfter
 		// A machine that refused and is silent now has gone.
 		gone := silent && state.probe.doubt == ProbeRefused
-		confirmed = since >= needed && (gone || state.unansweredAt.After(state.probe.doubtedAt))
+		confirmed = since >= needed && (gone || state.unansweredSince(state.probe.doubtedAt))
 	}
 	if confirmed {
 		// Unless the end was announced, the first refusal was reported.
@@ -60,6 +60,12 @@
 	return false, since == 0 && first && !announced && !silent && reportable(result.Trigger)
 }
 
+// unansweredSince reports whether a request was found unanswered at a time or, as the reason
+// for a probe that began then, within AnswerWindow before. Answers withdraw all doubts.
+func (s *upstreamState) unansweredSince(at time.Time) bool {
+	return !s.unansweredAt.IsZero() && at.Sub(s.unansweredAt) <= AnswerWindow
+}
+
 // mayBeLeaving reports whether an upstream may take no new connections although its flows go
 // on: it is draining, its entry was removed less than the grace time of the catalog ago, or
 // the store's last confirmation is so old that a drain may be unknown here.
