Do not take a network that cannot be reached for silence of an upstream

Callers would see open flows reset by an instance without a route: the attempt fails within a millisecond, without any packet, and counted as the silence that three packets without an answer prove. Change: network and host unreachable are attempts that were not made. TestProbeThatIsNotMadeProvesNothing took both for silence and now demands the opposite: it is as strict for them as for the other errors of the own machine. Evidence: the test failed with the code before for these two errors and passes; found by the review, not observed.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -225,7 +225,7 @@
 // noAnswer holds the errors of a connection attempt that had no answer from the upstream.
 var noAnswer = []error{
 	context.Canceled, context.DeadlineExceeded, os.ErrDeadlineExceeded,
-	syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH,
+	syscall.ETIMEDOUT,
 }
 
 // outcomeOf returns what the error of a connection attempt shows about the upstream.
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -159,10 +159,10 @@
 // Guards against resets because this instance could not make a probe, for example at its
 // limit of open files: the upstream was not asked.
 func TestProbeThatIsNotMadeProvesNothing(t *testing.T) {
-	for _, err := range []error{syscall.EMFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EPERM} {
+	for _, err := range []error{syscall.EMFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.EPERM, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
 		require.NotEqual(t, evidence.ProbeSilent, outcomeOf(err), err)
 	}
-	for _, err := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, context.Canceled} {
+	for _, err := range []error{syscall.ETIMEDOUT, context.Canceled} {
 		require.Equal(t, evidence.ProbeSilent, outcomeOf(err), err)
 	}
 }
