--- a/internal/evidence/confirm.go
+++ b/internal/evidence/confirm.go
@@ -38,7 +38,7 @@
 	needed, confirmed := failureConfirmedAfter, silent || since >= failureConfirmedAfter
 	if mayLeave {
 		needed = leavingConfirmedAfter
-		// A machine that refused and is silent now has gone.
+		// Silence after a refusal shows that the machine has stopped.
 		gone := silent && state.probe.doubt == ProbeRefused
 		confirmed = since >= needed && (gone || state.unansweredSince(state.probe.doubtedAt))
 	}
@@ -50,7 +50,7 @@
 	if !first {
 		state.probe.recordOutcome(now, result.Outcome)
 	}
-	// An announced end needs no haste: RequestRetryProbes repeats the probe.
+	// RequestRetryProbes repeats the probe if the end was announced.
 	if entry != nil && since < needed && !announced {
 		probe := t.newProbe(now, entry, result.Trigger)
 		probe.Delay = max(needed-now.Sub(state.probe.doubtedAt), 0)
