--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,7 +31,7 @@
 fi
 
 # An entry of KNOWN-RED.txt starts with "test: <name>", where <name> is the name of
-# a test function.
+# a test function. One that starts with "script:" names a run that is not made here.
 skip=()
 if [ -f KNOWN-RED.txt ]; then
   names=$(sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|')
