Log what the resets by probes rest on about the instance itself

The log line of a reset tells the standing of the upstream, but not whether this instance reached any other upstream meanwhile, so a silent upstream and a slow observer look the same. The grounds now hold the number of probes that were answered in time or not at all, the age of the last answer in time and that of the last late one. No decision changes.

--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -138,8 +138,10 @@
 // not happened.
 func addGrounds(fields logrus.Fields, g evidence.Grounds) {
 	fields["draining"], fields["probe_pending"], fields["last_verdict"] = g.Draining, g.Pending, g.Outcome.String()
+	fields["path_answered"], fields["path_unanswered"] = g.PathAnswered, g.PathUnanswered
 	for name, age := range map[string]time.Duration{
 		"missing_ms": g.Missing, "answered_ms": g.Answered, "probed_ms": g.Probed, "doubted_ms": g.Doubted,
+		"reached_ms": g.Reached, "path_slow_ms": g.PathSlow,
 	} {
 		if fields[name] = int64(-1); age != evidence.Never {
 			fields[name] = age.Milliseconds()
--- a/internal/evidence/control.go
+++ b/internal/evidence/control.go
@@ -61,7 +61,6 @@
 // before, and the failure domains of their upstreams are probed.
 func (t *Tracker) recordProbeAnswer(now, started time.Time) {
 	if now.Sub(started) > LateProbeAfter {
-		t.lastLateAnswerAt = now
 		return
 	}
 	if !started.After(t.lastReachedStart) {
@@ -82,7 +81,7 @@
 // either an upstream answered a probe that started at that time or later, or the
 // snapshot is Ready and the last probe of every other listed upstream failed.
 func (t *Tracker) isConclusive(result ProbeResult) bool {
-	if t.lastLateAnswerAt.After(result.Started) {
+	if t.path.slowAt.After(result.Started) {
 		return false
 	}
 	if !t.lastReachedStart.Before(result.Started) {
--- a/internal/evidence/grounds.go
+++ b/internal/evidence/grounds.go
@@ -25,6 +25,12 @@
 	Doubted time.Duration
 	// Pending is true while a probe is under way.
 	Pending bool
+	// PathAnswered and PathUnanswered are the numbers of probes, of any upstream, that
+	// started within half a second and had an answer in time or none; Reached is the time
+	// since the last one began that was answered in time, and PathSlow that since the last
+	// late answer. Many unanswered probes point to this instance.
+	PathAnswered, PathUnanswered int
+	Reached, PathSlow            time.Duration
 }
 
 // Grounds returns what the standing of an upstream rests on. It changes nothing.
@@ -36,6 +42,8 @@
 		return now.Sub(at)
 	}
 	g := Grounds{Draining: entry.Draining, Missing: age(entry.RemovedAt), Answered: Never, Probed: Never, Doubted: Never}
+	g.PathAnswered, g.PathUnanswered = t.path.count(now.Add(-pathWindow))
+	g.Reached, g.PathSlow = age(t.lastReachedStart), age(t.path.slowAt)
 	if state := t.upstreams[entry.Cookie]; state != nil {
 		g.Answered, g.Outcome, g.Probed = age(state.answeredAt), state.probe.outcome, age(state.probe.decidedAt)
 		g.Doubted, g.Pending = age(state.probe.doubtedAt), state.probe.pending
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -269,6 +269,7 @@
 	if result.Outcome == ProbeNotMade {
 		return ProbeEffect{}
 	}
+	t.recordPath(now, result)
 	if result.Outcome != ProbeSilent {
 		t.recordProbeAnswer(now, result.Started)
 	}
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -41,11 +41,10 @@
 	// LateProbeAfter; a refusal counts as an answer. lastControlAt is when control
 	// probes were last requested.
 	lastReachedStart, lastControlAt time.Time
-	// lastLateAnswerAt is when a probe was last answered after more than
-	// LateProbeAfter. unconfirmedProbes holds the late probes during which no other
-	// upstream has answered a probe yet; it is cleared when one does.
-	lastLateAnswerAt  time.Time
+	// unconfirmedProbes holds the late probes during which no other upstream has answered
+	// a probe yet; it is cleared when one does.
 	unconfirmedProbes []Probe
+	path              path
 }
 
 // New returns a tracker without a snapshot. Until SetSnapshot is called, reports and
