Do not take a full link of the instance for the silence of upstreams

A probe without an answer was conclusive as soon as any other probe that began later was answered. An instance whose link is full or that is short of processor time gets no answer to dozens of probes at once; the first answer after that, 12 ms before the end of their time in the trace, made all of them conclusive.

Now the path of the instance is looked at first, as Lifeguard's local health does. Silence proves nothing if a failure domain had answers and more probes without one while other domains had unanswered ones too. An answered probe counts only if it began while the opening packets of the silent one were sent, unless the silence lasts: then a second silent probe is enough. One control probe goes to another failure domain, so that the loss of most of one domain is still proven by the first probe.

--- a/internal/evidence/confirm.go
+++ b/internal/evidence/confirm.go
@@ -40,7 +40,12 @@
 		needed = leavingConfirmedAfter
 		// Silence after a refusal shows that the machine has stopped.
 		gone := silent && state.probe.doubt == ProbeRefused
-		confirmed = since >= needed && (gone || state.unansweredSince(state.probe.doubtedAt))
+		// The request may have caused an earlier probe without an answer that proved nothing.
+		began := state.probe.doubtedAt
+		if !state.probe.silentSince.IsZero() && state.probe.silentSince.Before(began) {
+			began = state.probe.silentSince
+		}
+		confirmed = since >= needed && (gone || state.unansweredSince(began))
 	}
 	if confirmed {
 		// Unless the end was announced, the first refusal was reported.
--- a/internal/evidence/control.go
+++ b/internal/evidence/control.go
@@ -37,21 +37,34 @@
 }
 
 // lastAnswered returns up to ControlProbes listed upstreams, those that answered last
-// first. It leaves out except, upstreams with a probe under way and suspect ones.
+// first. It leaves out except, upstreams with a probe under way and suspect ones. One of
+// them is in another failure domain than except, if there is any: when most of a domain
+// fails, its own upstreams do not show whether this instance is at fault.
 func (t *Tracker) lastAnswered(except flowcookie.Cookie) []*catalog.Entry {
 	var last []*catalog.Entry
+	var remote *catalog.Entry
+	domain := ""
+	if entry := t.snapshot.Resolve(except); entry != nil {
+		domain = entry.FailureDomain
+	}
 	answered := func(entry *catalog.Entry) time.Time { return t.stateOf(entry.Cookie).answeredAt }
 	for _, service := range t.snapshot.Services() {
 		for _, entry := range service.Entries {
 			if state := t.stateOf(entry.Cookie); entry.Cookie == except || state.probe.pending || state.isSuspect(t.lastControlAt) {
 				continue
 			}
+			if entry.FailureDomain != domain && (remote == nil || answered(entry).After(answered(remote))) {
+				remote = entry
+			}
 			at, _ := slices.BinarySearchFunc(last, entry, func(a, b *catalog.Entry) int { return answered(b).Compare(answered(a)) })
 			if at < ControlProbes {
 				last = slices.Insert(last, at, entry)[:min(len(last)+1, ControlProbes)]
 			}
 		}
 	}
+	if remote != nil && !slices.ContainsFunc(last, func(entry *catalog.Entry) bool { return entry.FailureDomain != domain }) {
+		last[len(last)-1] = remote
+	}
 	return last
 }
 
@@ -77,15 +90,22 @@
 }
 
 // isConclusive reports whether a probe without an answer shows that its upstream has
-// failed. It does when no other probe was answered late since the probe started, and
-// either an upstream answered a probe that started at that time or later, or the
-// snapshot is Ready and the last probe of every other listed upstream failed.
+// failed, and not that the path of this instance is at fault. It does when, since the probe
+// started, no other probe was answered late, the probes from openingSpan before on do not
+// contradict each other, and one
+// of the following holds:
+//   - an upstream answered a probe that started while the opening packets of this one were
+//     sent;
+//   - an upstream answered a later one, and an earlier probe of this upstream had no answer
+//     either;
+//   - the snapshot is Ready and the last probe of every other listed upstream failed.
 func (t *Tracker) isConclusive(result ProbeResult) bool {
-	if t.path.slowAt.After(result.Started) {
+	if t.path.slowAt.After(result.Started) || t.path.isMixed(result.Started.Add(-openingSpan)) {
 		return false
 	}
 	if !t.lastReachedStart.Before(result.Started) {
-		return true
+		silentSince := t.stateOf(result.Upstream.Cookie).probe.silentSince
+		return silentSince.Before(result.Started) || t.path.reachedWithin(result.Started, result.Started.Add(openingSpan))
 	}
 	if !t.snapshot.Ready() {
 		return false
--- a/internal/evidence/path.go
+++ b/internal/evidence/path.go
@@ -17,6 +17,8 @@
 	// pathWindow is the time for which results of probes say something about the path of
 	// this instance. It is longer than a probe without an answer takes.
 	pathWindow = 500 * time.Millisecond
+	// openingSpan is the time in which the opening packets of a probe are sent.
+	openingSpan = 100 * time.Millisecond
 	// maxPathResults is the maximum number of results that are kept.
 	maxPathResults = 512
 )
@@ -62,6 +64,44 @@
 	return answered, unanswered
 }
 
+// reachedWithin reports whether a probe that was answered in time started between two times.
+func (p *path) reachedWithin(from, to time.Time) bool {
+	return slices.ContainsFunc(p.results, func(r pathResult) bool {
+		return r.answered && !r.started.Before(from) && !r.started.After(to)
+	})
+}
+
+// isMixed reports whether the probes that started at or after a time contradict each other: a
+// failure domain had answers in time and more probes without one, and so it is not this domain
+// alone that is in trouble, because probes into another one had no answer either or no domain
+// had as many answers. Upstreams fail one by one, some in each domain, or most of one domain.
+// An instance whose link is full loses the packets of any of them.
+func (p *path) isMixed(since time.Time) bool {
+	type counts struct{ answered, unanswered int }
+	domains := map[string]counts{}
+	for _, r := range p.results {
+		if r.started.Before(since) {
+			continue
+		}
+		c := domains[r.domain]
+		if r.answered {
+			c.answered++
+		} else {
+			c.unanswered++
+		}
+		domains[r.domain] = c
+	}
+	mixed, unanswered, healthy := false, 0, false
+	for _, c := range domains {
+		if c.unanswered > 0 {
+			unanswered++
+		}
+		healthy = healthy || (c.answered > 0 && c.answered >= c.unanswered)
+		mixed = mixed || (c.answered > 0 && c.answered < c.unanswered)
+	}
+	return mixed && (unanswered > 1 || !healthy)
+}
+
 func (t *Tracker) domainOf(cookie flowcookie.Cookie, fallback *catalog.Entry) string {
 	if entry := t.snapshot.Resolve(cookie); entry != nil {
 		return entry.FailureDomain
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -108,6 +108,9 @@
 	doubtedAt time.Time
 	// doubt is the outcome of that probe.
 	doubt ProbeOutcome
+	// silentSince is when the first probe began of those without an answer since the
+	// upstream last answered a packet or a probe; zero when there is none.
+	silentSince time.Time
 	// requestedAt is when a probe was last requested.
 	requestedAt time.Time
 	// outcome is the last recorded outcome, decidedAt its time; an inconclusive first
@@ -165,7 +168,7 @@
 // withdrawFailure discards a failed or late probe because a packet shows that the
 // upstream answers.
 func (s *probeState) withdrawFailure() {
-	s.unsettled, s.doubtedAt = false, time.Time{}
+	s.unsettled, s.doubtedAt, s.silentSince = false, time.Time{}, time.Time{}
 	if s.failed() {
 		s.outcome = ProbeNotMade
 	}
@@ -271,7 +274,10 @@
 	}
 	t.recordPath(now, result)
 	if result.Outcome != ProbeSilent {
+		state.probe.silentSince = time.Time{}
 		t.recordProbeAnswer(now, result.Started)
+	} else if state.probe.silentSince.IsZero() {
+		state.probe.silentSince = result.Started
 	}
 	if result.Outcome != ProbeAlive && state.answeredAt.After(result.Started) {
 		// A packet that arrived in the meantime is stronger evidence than the probe.
