Bound the probes that reports and unclear results cause

Each probe without an answer after 30 ms was reported to all peers, which all probed; on slow instances these probes were late as well and reported again.

An instance whose path is in doubt reports no late probes and makes none for others; reports cause at most 20 probes a second and 64 at once; probes without a clear result are repeated after 0.5, 1, 2 and 4 s.

--- a/internal/evidence/path.go
+++ b/internal/evidence/path.go
@@ -19,6 +19,9 @@
 	pathWindow = 500 * time.Millisecond
 	// openingSpan is the time in which the opening packets of a probe are sent.
 	openingSpan = 100 * time.Millisecond
+	// maxUnconfirmedReports is the number of late probes of which none is confirmed by an
+	// answer of another upstream from which this instance reports none to its peers.
+	maxUnconfirmedReports = 3
 	// maxPathResults is the maximum number of results that are kept.
 	maxPathResults = 512
 )
@@ -102,6 +105,26 @@
 	return mixed && (unanswered > 1 || !healthy)
 }
 
+// pathDoubted reports whether the recent probes say that the path of this instance, and not the
+// upstreams, is at fault. Such an instance must not make others probe, or probe for others.
+func (t *Tracker) pathDoubted(now time.Time) bool {
+	since := now.Add(-pathWindow)
+	if t.path.slowAt.After(since) || t.path.isMixed(since) {
+		return true
+	}
+	unconfirmed := 0
+	for _, probe := range t.unconfirmedProbes {
+		if t.stateOf(probe.Upstream.Cookie).probe.requestedAt.After(since) {
+			unconfirmed++
+		}
+	}
+	if unconfirmed >= maxUnconfirmedReports {
+		return true
+	}
+	answered, unanswered := t.path.count(since)
+	return answered == 0 && unanswered >= maxUnconfirmedReports
+}
+
 func (t *Tracker) domainOf(cookie flowcookie.Cookie, fallback *catalog.Entry) string {
 	if entry := t.snapshot.Resolve(cookie); entry != nil {
 		return entry.FailureDomain
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -26,6 +26,12 @@
 	// another instance's report that its probe failed or is late; a report takes a
 	// millisecond to arrive.
 	reportContradicted = 20 * time.Millisecond
+	// reportedPerSecond and reportedAtOnce are the rate and the burst of probes that the
+	// reports of other instances cause. The burst covers a failure domain of the users'
+	// deployments of 60 instances. All peers probe for one report, and so unbounded reports of
+	// slow instances would load the fleet and make further ones slow.
+	reportedPerSecond = 20
+	reportedAtOnce    = 64
 	// LateProbeAfter is the time without an answer after which a running probe is late:
 	// the owner of the tracker measures it and calls HandleLateProbe. New flows then avoid
 	// the upstream, and other instances are told as HandleLateProbe says. It is ten times
@@ -86,12 +92,16 @@
 // HandleSilenceReport handles another instance's report that its probe of an upstream
 // failed or is late: this instance probes the upstream itself. id and born identify the
 // incarnation; born is its start in Unix milliseconds. The report is ignored when the
-// upstream is unknown or has answered here within reportContradicted.
+// upstream is unknown or has answered here within reportContradicted, when the path of this
+// instance is in doubt, and beyond reportedPerSecond.
 func (t *Tracker) HandleSilenceReport(now time.Time, id string, born int64) {
 	cookie := flowcookie.Of(id, born)
 	if t.snapshot == nil || t.snapshot.Resolve(cookie) == nil || now.Sub(t.stateOf(cookie).answeredAt) < reportContradicted {
 		return
 	}
+	if !t.probeDue(now, cookie) || t.pathDoubted(now) || !t.reported.AllowN(now, 1) {
+		return
+	}
 	t.RequestProbe(now, cookie, TriggerReport)
 }
 
@@ -155,6 +165,8 @@
 		return now.Sub(s.decidedAt) >= s.retryAfter
 	case s.unsettled && !s.doubtedAt.IsZero():
 		return now.Sub(s.requestedAt) >= min(now.Sub(s.doubtedAt)/2, reprobeMax)
+	case s.unsettled && !s.silentSince.IsZero():
+		return now.Sub(s.requestedAt) >= min(now.Sub(s.silentSince)/2, reprobeMax)
 	}
 	return s.unsettled
 }
@@ -177,12 +189,15 @@
 // RequestProbe requests a probe of an upstream, unless one is under way or was
 // requested within probeInterval, or the upstream is unknown or replaced.
 func (t *Tracker) RequestProbe(now time.Time, cookie flowcookie.Cookie, trigger ProbeTrigger) {
-	entry := t.snapshot.Resolve(cookie)
-	state := t.stateOf(cookie)
-	if entry == nil || entry.Replaced || state.probe.pending || now.Sub(state.probe.requestedAt) < probeInterval {
-		return
+	if t.probeDue(now, cookie) {
+		t.probes = append(t.probes, t.newProbe(now, t.snapshot.Resolve(cookie), trigger))
 	}
-	t.probes = append(t.probes, t.newProbe(now, entry, trigger))
+}
+
+// probeDue reports whether RequestProbe requests a probe of an upstream.
+func (t *Tracker) probeDue(now time.Time, cookie flowcookie.Cookie) bool {
+	entry, probe := t.snapshot.Resolve(cookie), &t.stateOf(cookie).probe
+	return entry != nil && !entry.Replaced && !probe.pending && now.Sub(probe.requestedAt) >= probeInterval
 }
 
 // TakeProbes returns the requested probes and removes them from the tracker. The owner
@@ -205,8 +220,9 @@
 // upstream has answered a probe that started since this one was requested. Once one
 // has, the failure domain is probed, unless the upstream was known to have failed or
 // probeNeighbours excludes it. HandleLateProbe reports whether to tell other instances,
-// so that all probe at the same time: when the upstream was not known to have failed,
-// and the probe was caused neither by a report nor as a control. It does nothing when
+// so that all probe at the same time: when the upstream was not known to have failed, the
+// path of this instance is not in doubt, and the probe was caused neither by a report nor as
+// a control. It does nothing when
 // the probe is no longer under way or the upstream has answered since.
 func (t *Tracker) HandleLateProbe(now time.Time, probe Probe) (report bool) {
 	state := t.stateOf(probe.Upstream.Cookie)
@@ -226,7 +242,7 @@
 		// domains.
 		t.unconfirmedProbes = append(t.unconfirmedProbes, probe)
 	}
-	return reportable(probe.Trigger)
+	return reportable(probe.Trigger) && !t.pathDoubted(now)
 }
 
 // RequestRetryProbes requests probes of the upstreams in the store whose last probe failed,
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
@@ -45,6 +47,8 @@
 	// a probe yet; it is cleared when one does.
 	unconfirmedProbes []Probe
 	path              path
+	// reported limits the probes that reports of other instances cause.
+	reported *rate.Limiter
 }
 
 // New returns a tracker without a snapshot. Until SetSnapshot is called, reports and
@@ -52,10 +56,12 @@
 func New() *Tracker {
 	return &Tracker{
 		upstreams: map[flowcookie.Cookie]*upstreamState{}, serviceResponseTimes: map[string]*responseTime{},
-		groupLosses: map[lossGroup]*lossCount{},
+		groupLosses: map[lossGroup]*lossCount{}, reported: newReportedLimit(),
 	}
 }
 
+func newReportedLimit() *rate.Limiter { return rate.NewLimiter(reportedPerSecond, reportedAtOnce) }
+
 // SetSnapshot sets the snapshot and discards the evidence about upstreams that it does
 // not know.
 func (t *Tracker) SetSnapshot(snapshot *catalog.Snapshot) {
