Ask for several answers beside many silent upstreams, and none from a pause

In the trace, 8 resetting instances had 19 or 20 probes without an answer and one that was answered, in another failure domain, which looked like the loss of a domain; and edge-ahmedabad-5 reset flows of 24 upstreams by probes that took 533 ms, because the process was paused and repeated them, with answers from before the pause.

Now one answer is needed for each five probes without one, four at most, and further control probes are made for them; a result that comes later than 300 ms after the begin of its attempt proves nothing, and a repeated attempt counts from its own begin.

TestFewAnswersDoNotProveTheSilenceOfMany and TestSilenceDuringAPauseProvesNothing failed before and pass.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -131,9 +131,10 @@
 func (p *prober) runProbe(ctx context.Context, probe evidence.Probe) {
 	late := time.AfterFunc(evidence.LateProbeAfter, func() { p.notifyUnanswered(probe) })
 	defer late.Stop()
-	result := evidence.ProbeResult{Upstream: probe.Upstream, Trigger: probe.Trigger, Started: time.Now()}
+	result := evidence.ProbeResult{Upstream: probe.Upstream, Trigger: probe.Trigger}
 	for range maxProbeAttempts {
 		began := time.Now()
+		result.Started = began
 		result.Outcome, result.Err = p.connectOnce(ctx, probe)
 		if result.Outcome != evidence.ProbeSilent || time.Since(began) < probeTimeout+probeGrace+probeLateness {
 			break
--- a/internal/evidence/control.go
+++ b/internal/evidence/control.go
@@ -29,18 +29,22 @@
 		return
 	}
 	t.lastControlAt = now
-	for _, entry := range t.lastAnswered(except) {
+	t.requestControlProbes(now, except, ControlProbes, 0)
+}
+
+// requestControlProbes requests control probes that begin after a delay.
+func (t *Tracker) requestControlProbes(now time.Time, except flowcookie.Cookie, count int, delay time.Duration) {
+	for _, entry := range t.lastAnswered(except, count) {
 		state := t.stateOf(entry.Cookie)
 		state.probe.pending, state.probe.requestedAt = true, now
-		t.probes = append(t.probes, Probe{Upstream: entry, Trigger: TriggerControl})
+		t.probes = append(t.probes, Probe{Upstream: entry, Trigger: TriggerControl, Delay: delay})
 	}
 }
 
-// lastAnswered returns up to ControlProbes listed upstreams, those that answered last
-// first. It leaves out except, upstreams with a probe under way and suspect ones. One of
+// lastAnswered returns up to count listed upstreams, those that answered last first. It leaves out except, upstreams with a probe under way and suspect ones. One of
 // them is in another failure domain than except, if there is any: when most of a domain
 // fails, its own upstreams do not show whether this instance is at fault.
-func (t *Tracker) lastAnswered(except flowcookie.Cookie) []*catalog.Entry {
+func (t *Tracker) lastAnswered(except flowcookie.Cookie, count int) []*catalog.Entry {
 	var last []*catalog.Entry
 	var remote *catalog.Entry
 	domain := ""
@@ -57,8 +61,8 @@
 				remote = entry
 			}
 			at, _ := slices.BinarySearchFunc(last, entry, func(a, b *catalog.Entry) int { return answered(b).Compare(answered(a)) })
-			if at < ControlProbes {
-				last = slices.Insert(last, at, entry)[:min(len(last)+1, ControlProbes)]
+			if at < count {
+				last = slices.Insert(last, at, entry)[:min(len(last)+1, count)]
 			}
 		}
 	}
@@ -82,6 +86,9 @@
 	t.lastReachedStart = started
 	unconfirmed := t.unconfirmedProbes
 	t.unconfirmedProbes = nil
+	if len(unconfirmed) >= unansweredPerAnswer {
+		t.requestControlProbes(now, flowcookie.None, maxAnswersNeeded, controlInterval)
+	}
 	for _, probe := range unconfirmed {
 		if state := t.stateOf(probe.Upstream.Cookie); state.probe.unsettled && !state.probe.requestedAt.After(started) {
 			t.probeNeighbours(now, probe.Upstream.Cookie, probe.Trigger)
@@ -92,8 +99,8 @@
 // isConclusive reports whether a probe without an answer shows that its upstream has
 // failed, and not that the path of this instance is at fault. It does when, since the probe
 // started, no other probe was answered late, the probes from openingSpan before on do not
-// contradict each other, and one
-// of the following holds:
+// contradict each other, enough of them were answered, and one of the first two holds, or else
+// the third one:
 //   - an upstream answered a probe that started while the opening packets of this one were
 //     sent;
 //   - an upstream answered a later one, and an earlier probe of this upstream had no answer
@@ -104,6 +111,9 @@
 		return false
 	}
 	if !t.lastReachedStart.Before(result.Started) {
+		if !t.path.answersFor(result.Started.Add(-openingSpan)) {
+			return false
+		}
 		silentSince := t.stateOf(result.Upstream.Cookie).probe.silentSince
 		return silentSince.Before(result.Started) || t.path.reachedWithin(result.Started, result.Started.Add(openingSpan))
 	}
--- a/internal/evidence/path.go
+++ b/internal/evidence/path.go
@@ -19,6 +19,12 @@
 	pathWindow = 500 * time.Millisecond
 	// openingSpan is the time in which the opening packets of a probe are sent.
 	openingSpan = 100 * time.Millisecond
+	// unansweredPerAnswer and maxAnswersNeeded are the numbers of answersFor.
+	unansweredPerAnswer = 5
+	maxAnswersNeeded    = 4
+	// maxProbeTime is the time from the begin of a probe without an answer to its result after
+	// which this instance was paused meanwhile: the attempt takes 220 ms.
+	maxProbeTime = 300 * time.Millisecond
 	// maxUnconfirmedReports is the number of late probes of which none is confirmed by an
 	// answer of another upstream from which this instance reports none to its peers.
 	maxUnconfirmedReports = 3
@@ -40,7 +46,7 @@
 	// answers and the repeated silence of upstreams that are known to have failed.
 	results []pathResult
 	// slowAt is when the path was last seen to be slow: a probe was answered after more
-	// than LateProbeAfter.
+	// than LateProbeAfter, or had no answer after more than maxProbeTime.
 	slowAt time.Time
 }
 
@@ -74,6 +80,14 @@
 	})
 }
 
+// answersFor reports whether enough of the probes that started at or after a time were answered
+// in time: one for each unansweredPerAnswer without an answer, and maxAnswersNeeded at most. A
+// single packet may get through a link that loses nearly all.
+func (p *path) answersFor(since time.Time) bool {
+	answered, unanswered := p.count(since)
+	return answered >= min(1+unanswered/unansweredPerAnswer, maxAnswersNeeded)
+}
+
 // isMixed reports whether the probes that started at or after a time contradict each other: a
 // failure domain had answers in time and more probes without one, and so it is not this domain
 // alone that is in trouble, because probes into another one had no answer either or no domain
@@ -135,7 +149,7 @@
 // recordPath records what the result of a probe says about the path of this instance.
 func (t *Tracker) recordPath(now time.Time, result ProbeResult) {
 	answered := result.Outcome != ProbeSilent
-	if answered && now.Sub(result.Started) > LateProbeAfter {
+	if took := now.Sub(result.Started); took > maxProbeTime || (answered && took > LateProbeAfter) {
 		t.path.slowAt = now
 		return
 	}
--- a/internal/forward/observer_test.go
+++ b/internal/forward/observer_test.go
@@ -180,3 +180,35 @@
 	}
 	require.LessOrEqual(t, probes, 150*7, "in 10 s")
 }
+
+// Guards against resets by an instance that reaches one upstream of another failure domain while
+// its probes of 19 upstreams have no answer.
+func TestFewAnswersDoNotProveTheSilenceOfMany(t *testing.T) {
+	f := newFixture(t, inDomains(60, "a", "b", "c")...)
+	f.send(4001, f.catalogCookie("i-1"), 1, 1, 0)
+	f.advance(time.Second)
+	began := f.now
+	f.advance(35 * time.Millisecond)
+	f.result(2, evidence.ProbeAlive, f.now)
+	f.advance(185 * time.Millisecond)
+	for n := 58; n >= 1; n -= 3 {
+		effect := f.result(n, evidence.ProbeSilent, began)
+		if n == 1 {
+			require.Empty(t, effect.Resets)
+		}
+	}
+}
+
+// Guards against resets by an instance that was paused during its probes, which it repeated: the
+// results say nothing about the time of the pause.
+func TestSilenceDuringAPauseProvesNothing(t *testing.T) {
+	f := newFixture(t, inDomains(6, "a", "b", "c")...)
+	f.send(4001, f.catalogCookie("i-1"), 1, 1, 0)
+	f.advance(time.Second)
+	require.Empty(t, f.result(1, evidence.ProbeSilent, f.now.Add(-220*time.Millisecond)).Resets)
+	f.advance(time.Second)
+	began := f.now
+	f.result(2, evidence.ProbeAlive, f.now)
+	f.advance(533 * time.Millisecond)
+	require.Empty(t, f.result(1, evidence.ProbeSilent, began).Resets)
+}
