--- a/internal/evidence/copy.go
+++ b/internal/evidence/copy.go
@@ -11,6 +11,7 @@
 	copied.upstreams, copied.groupLosses, copied.serviceResponseTimes = copyValues(t.upstreams), copyValues(t.groupLosses), copyValues(t.serviceResponseTimes)
 	copied.upstreamRequests, copied.lostRequests = slices.Clone(t.upstreamRequests), slices.Clone(t.lostRequests)
 	copied.probes, copied.unconfirmedProbes = slices.Clone(t.probes), slices.Clone(t.unconfirmedProbes)
+	copied.questions = slices.Clone(t.questions)
 	return &copied
 }
 
--- a/internal/evidence/grounds.go
+++ b/internal/evidence/grounds.go
@@ -23,6 +23,9 @@
 	Probed  time.Duration
 	// Doubted is the time since the first failed probe that nothing has contradicted.
 	Doubted time.Duration
+	// Contradicted is the time since the last answer that a peer reported to contradict the
+	// silence of the upstream.
+	Contradicted time.Duration
 	// Pending is true while a probe is under way.
 	Pending bool
 }
@@ -35,10 +38,11 @@
 		}
 		return now.Sub(at)
 	}
-	g := Grounds{Draining: entry.Draining, Missing: age(entry.RemovedAt), Answered: Never, Probed: Never, Doubted: Never}
+	g := Grounds{Draining: entry.Draining, Missing: age(entry.RemovedAt), Answered: Never, Probed: Never, Doubted: Never, Contradicted: Never}
 	if state := t.upstreams[entry.Cookie]; state != nil {
 		g.Answered, g.Outcome, g.Probed = age(state.answeredAt), state.probe.outcome, age(state.probe.decidedAt)
 		g.Doubted, g.Pending = age(state.probe.doubtedAt), state.probe.pending
+		g.Contradicted = age(state.peersAnsweredAt)
 	}
 	return g
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -115,6 +115,8 @@
 	// has disproved a failure.
 	outcome   ProbeOutcome
 	decidedAt time.Time
+	// aliveSince is the start of the last probe whose connection was accepted.
+	aliveSince time.Time
 	// conclusiveAt is the time of the last conclusive failure.
 	conclusiveAt time.Time
 	// retryAfter is the backoff before a failed probe is repeated.
@@ -285,7 +287,7 @@
 	first := !state.probe.failed()
 	report := first && reportable(result.Trigger)
 	if result.Outcome == ProbeAlive {
-		state.probe.doubtedAt = time.Time{}
+		state.probe.doubtedAt, state.probe.aliveSince = time.Time{}, result.Started
 	}
 	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
--- a/internal/evidence/silence.go
+++ b/internal/evidence/silence.go
@@ -87,7 +87,9 @@
 	// unansweredAt is when a request was last found unanswered: the caller repeated it, or
 	// its timeout ended.
 	unansweredAt time.Time
-	probe        probeState
+	// peersAnsweredAt is the time of the last answer of the upstream that a peer has reported.
+	peersAnsweredAt time.Time
+	probe           probeState
 	// responseTime is the smoothed response time. The upstream counts as slow until
 	// slowUntil.
 	responseTime responseTime
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -46,6 +46,10 @@
 	// upstream has answered a probe yet; it is cleared when one does.
 	lastLateAnswerAt  time.Time
 	unconfirmedProbes []Probe
+
+	// questions holds the recent reports that upstreams are silent, which answers of these
+	// upstreams contradict, oldest first.
+	questions []question
 }
 
 // New returns a tracker without a snapshot. Until SetSnapshot is called, reports and
