--- a/internal/evidence/copy.go
+++ b/internal/evidence/copy.go
@@ -13,6 +13,7 @@
 	copied.probes, copied.unconfirmedProbes = slices.Clone(t.probes), slices.Clone(t.unconfirmedProbes)
 	copied.reported = newReportedLimit()
 	copied.path.results = slices.Clone(t.path.results)
+	copied.questions = slices.Clone(t.questions)
 	return &copied
 }
 
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -128,6 +128,8 @@
 	// has disproved a failure.
 	outcome   ProbeOutcome
 	decidedAt time.Time
+	// aliveSince is the start of the last probe whose connection was accepted.
+	aliveSince time.Time
 	// conclusiveAt is the time of the last conclusive failure.
 	conclusiveAt time.Time
 	// retryAfter is the backoff before a failed probe is repeated.
@@ -270,6 +272,9 @@
 	// be partitioned or slow, or when the upstream may still hold its flows: the failure is
 	// not confirmed, or it reset the connection.
 	Inconclusive bool
+	// Contradicted is true when the result is inconclusive only because peers have answers of
+	// the upstream.
+	Contradicted bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
 	FirstFailure bool
@@ -308,7 +313,10 @@
 	first := !state.probe.failed()
 	report := first && reportable(result.Trigger)
 	if result.Outcome == ProbeAlive {
-		state.probe.doubtedAt = time.Time{}
+		state.probe.doubtedAt, state.probe.aliveSince = time.Time{}, result.Started
+	}
+	if result.Outcome == ProbeSilent && t.isConclusive(result) && state.contradicts(result) {
+		return t.recordContradicted(now, result)
 	}
 	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -49,6 +49,10 @@
 	path              path
 	// reported limits the probes that reports of other instances cause.
 	reported *rate.Limiter
+
+	// questions holds the recent reports that upstreams are silent, which answers of these
+	// upstreams contradict, oldest first.
+	questions []question
 }
 
 // New returns a tracker without a snapshot. Until SetSnapshot is called, reports and
