Let no failed probe reset flows that may have been opened after it

Callers saw open flows reset by an instance that their packets reached for the first time, although the upstream served: it had refused this instance's probes, had started again under its id and had accepted the flows through other instances. For 1 s a failed probe reset every flow with the upstream's cookie, and a later probe all flow records, also those of flows that arrived while it ran.

A failure now ends a flow only if its probe began after the flow's first packet here. A flow without that proof goes on, and its packet requests a probe that doesn't wait for the 500 ms between two probes, once for each failure; the result resets the flow or lets it go on. This holds for both cookie formats. Without knowledge of the flow, a first packet is still reset in the 50 ms after a failure: an upstream that starts, accepts a flow and has it moved within that time is not told apart. The address of an ended upstream gets packets until the probe's result, as it did before from 1 s after the failure on; a probe that finds another upstream there still ends all flows at once.

--- a/internal/evidence/confirm.go
+++ b/internal/evidence/confirm.go
@@ -19,6 +19,9 @@
 	// leavingNotice is the least time between the store's confirmation that an upstream
 	// drains and the closing of its port.
 	leavingNotice = 2 * time.Second
+	// restartMin is the least time in which an upstream that has ended starts again, accepts a
+	// flow through another instance, and the flow moves to this one.
+	restartMin = 50 * time.Millisecond
 )
 
 // confirmFailure records that an upstream refused a probe or, while others answered, left it
@@ -60,6 +63,16 @@
 	return false, since == 0 && first && !announced && !silent && reportable(result.Trigger)
 }
 
+// endsFlow reports whether a proven failure shows that the upstream does not hold a flow whose
+// first packet arrived at first: the probe began later, or the packet is the first one and
+// restartMin has not passed since the failure.
+func (s *probeState) endsFlow(now, first time.Time) bool {
+	if s.outcome == ProbeOther || !first.After(s.conclusiveBegan) {
+		return true
+	}
+	return !first.Before(now) && now.Sub(s.conclusiveAt) < restartMin
+}
+
 // unansweredSince reports whether a request was found unanswered at a time or, as the reason
 // for a probe that began then, within AnswerWindow before. Answers withdraw all doubts.
 func (s *upstreamState) unansweredSince(at time.Time) bool {
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -18,9 +18,9 @@
 	// aliveFor is how long a successful probe keeps the flows of an upstream that the
 	// store no longer lists.
 	aliveFor = 2 * time.Second
-	// FailureProvenFor is how long a conclusive failure lets flows be reset without
-	// another probe: a quarter of the time after which the users expect an upstream
-	// that was partitioned to be within reach again.
+	// FailureProvenFor is how long a conclusive failure lets flows that are no later than it
+	// (Tracker.FlowStanding) be reset without another probe: a quarter of the time after
+	// which the users expect an upstream that was partitioned to be within reach again.
 	FailureProvenFor = time.Second
 	// reportContradicted is the time within which an answer of the upstream outweighs
 	// another instance's report that its probe failed or is late; a report takes a
@@ -115,8 +115,9 @@
 	// has disproved a failure.
 	outcome   ProbeOutcome
 	decidedAt time.Time
-	// conclusiveAt is the time of the last conclusive failure.
-	conclusiveAt time.Time
+	// conclusiveAt is the time of the last conclusive failure, conclusiveBegan the start of
+	// its probe.
+	conclusiveAt, conclusiveBegan time.Time
 	// retryAfter is the backoff before a failed probe is repeated.
 	retryAfter time.Duration
 }
@@ -306,7 +307,7 @@
 	if !state.probe.failed() {
 		return ProbeEffect{}
 	}
-	state.probe.conclusiveAt = now
+	state.probe.conclusiveAt, state.probe.conclusiveBegan = now, result.Started
 	state.trial = true
 	if first {
 		t.probeNeighbours(now, result.Upstream.Cookie, result.Trigger)
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -93,13 +93,34 @@
 // succeeded. After an inconclusive or cancelled probe, they end when the store has
 // confirmed in a check that began after GoneAt that the entry is still missing.
 func (t *Tracker) Standing(now time.Time, entry *catalog.Entry) Standing {
+	if !entry.Replaced && t.stateOf(entry.Cookie).probe.failureProven(now) {
+		return Failed
+	}
+	return t.standingUnproven(now, entry)
+}
+
+// FlowStanding is Standing for a flow whose first packet arrived at first, which is now for
+// that packet. A failed probe proves nothing about a flow that may have been opened since,
+// by another instance and after a restart of the upstream: such a flow goes on until the
+// result of a later probe, which is requested.
+func (t *Tracker) FlowStanding(now time.Time, entry *catalog.Entry, first time.Time) Standing {
+	probe := &t.stateOf(entry.Cookie).probe
+	if entry.Replaced || !probe.failureProven(now) || probe.endsFlow(now, first) {
+		return t.Standing(now, entry)
+	}
+	if !probe.pending && !probe.requestedAt.After(probe.conclusiveAt) {
+		// The first probe after a failure does not wait for probeInterval.
+		probe.requestedAt = time.Time{}
+	}
+	return t.standingUnproven(now, entry)
+}
+
+// standingUnproven is Standing without the proof of a failed probe.
+func (t *Tracker) standingUnproven(now time.Time, entry *catalog.Entry) Standing {
 	if entry.Replaced {
 		return Ended
 	}
 	state := t.stateOf(entry.Cookie)
-	if state.probe.failureProven(now) {
-		return Failed
-	}
 	if state.probe.failed() {
 		// A network partition may have ended since the failure. The probe's outcome
 		// resets the flow or lets it continue.
@@ -145,6 +166,13 @@
 	return t.stateOf(cookie).probe.conclusiveAt
 }
 
+// ProbeFailed reports whether the last probe of an upstream failed and no packet has shown since
+// then that it answers.
+func (t *Tracker) ProbeFailed(cookie flowcookie.Cookie) bool {
+	state := t.upstreams[cookie]
+	return state != nil && state.probe.failed()
+}
+
 // IsSuspect reports whether new flows avoid an upstream because it appears to be silent.
 func (t *Tracker) IsSuspect(now time.Time, cookie flowcookie.Cookie) bool {
 	return t.stateOf(cookie).isSuspect(now)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -61,8 +61,13 @@
 	peerRank PeerRank
 	// flows holds the flow records. A record is removed when its flow ends, is reset or
 	// is idle for flowIdle.
-	flows    flowTable
-	unplaced unplacedFlows
+	flows flowTable
+	// unplaced holds the flows whose packets can go nowhere as far as this instance knows,
+	// under the cookies of the packets.
+	unplaced arrivals
+	// doubtful holds the flows with packets since the last probe of their upstream has failed,
+	// under its Cookie.
+	doubtful arrivals
 	// loads holds what this instance sends to each upstream, by its cookie. SetSnapshot
 	// removes the entries of upstreams that the snapshot does not know and that have no flow
 	// records.
@@ -133,7 +138,7 @@
 		Tracker: evidence.New(), cfg: cfg, flows: newFlowTable(cfg.MaxFlows),
 		loads: map[flowcookie.Cookie]*upstreamLoad{}, lastOpen: map[netip.Addr]*flowRecord{},
 		load: load.NewView(cfg.Seed), speed: newSpeedState(), routeUses: map[routeKey]*overload.Activity{},
-		hedging: newHedging(), demand: newDemand(), unplaced: unplacedFlows{},
+		hedging: newHedging(), demand: newDemand(), unplaced: arrivals{}, doubtful: arrivals{},
 	}
 	if cfg.OverloadControl {
 		e.inFlight = inflight.NewView(cfg.Seed)
@@ -194,6 +199,7 @@
 		e.releaseLoad(record)
 	}
 	e.unplaced.expire(now)
+	e.doubtful.expire(now)
 	for address, record := range e.lastOpen {
 		if now.Sub(record.lastSeen) > retryWindow {
 			delete(e.lastOpen, address)
@@ -240,7 +246,7 @@
 	entry, reason := e.resolve(now, p)
 	if recorded := e.otherRecorded(record, entry); recorded != nil {
 		switch {
-		case !p.Reset && record.continuedBy(p) && e.Standing(now, recorded) == evidence.Running:
+		case !p.Reset && record.continuedBy(p) && e.standingOf(now, p.Flow, recorded) == evidence.Running:
 			entry, reason = recorded, ReasonFlowRecord
 		case p.Reset && entry != nil:
 			// It rejects the answer of another upstream than the recorded one.
@@ -251,15 +257,16 @@
 	if entry == nil {
 		return e.decideUnplaced(p, ReasonUnknownCookie, e.cookieUnknown(now, p))
 	}
-	e.unplaced.remove(p)
+	e.unplaced.remove(arrivalKey{p.Flow, p.Cookie})
 	p.Cookie = entry.Cookie
-	standing := e.Standing(now, entry)
+	standing := e.standingOf(now, p.Flow, entry)
 	if standing == evidence.Failed && e.answeredSinceFailure(p) {
 		e.RecordAnswer(now, p.Cookie)
 		standing = e.Standing(now, entry)
 	}
 	if standing != evidence.Running && !p.Reset {
 		grounds := e.Grounds(now, entry)
+		e.doubtful.remove(arrivalKey{p.Flow, p.Cookie})
 		decision := e.resetFlow(p, resetReasons[standing], entry)
 		decision.Grounds = &grounds
 		return decision
@@ -285,12 +292,23 @@
 		return nil, ReasonUnknownCookie
 	}
 	latest := e.snapshot.ResolveID(p.Flow.Service, p.Cookie)
-	if latest == nil || e.Standing(now, latest) != evidence.Running {
+	if latest == nil || e.standingOf(now, p.Flow, latest) != evidence.Running {
 		return nil, ReasonUnknownCookie
 	}
 	return latest, ReasonEarlierIncarnation
 }
 
+// standingOf returns the standing of an upstream for a flow. A failed probe that may be older
+// than the flow does not count.
+func (e *Engine) standingOf(now time.Time, flow Flow, entry *catalog.Entry) evidence.Standing {
+	key := arrivalKey{flow, entry.Cookie}
+	if !e.ProbeFailed(entry.Cookie) {
+		e.doubtful.remove(key)
+		return e.Standing(now, entry)
+	}
+	return e.FlowStanding(now, entry, e.doubtful.record(now, key))
+}
+
 // movedFrom returns the upstream to which the earlier packets of an answered flow went, unless
 // target is a later incarnation of it.
 func (e *Engine) movedFrom(record *flowRecord, target flowcookie.Cookie) flowcookie.Cookie {
@@ -379,7 +397,7 @@
 		effect.Grounds = e.Grounds(now, current)
 	}
 	if effect.Failed {
-		effect.Resets = e.removeFlowsOf(result.Upstream.Cookie)
+		effect.Resets = e.removeFlowsOf(result.Upstream.Cookie, result.Started)
 	}
 	return effect
 }
--- a/internal/forward/flows.go
+++ b/internal/forward/flows.go
@@ -341,14 +341,16 @@
 	}
 }
 
-// removeFlowsOf removes the records of the established flows of an upstream and returns a
-// packet of each flow, sorted by caller.
-func (e *Engine) removeFlowsOf(cookie flowcookie.Cookie) []Packet {
+// removeFlowsOf removes the records of the established flows of an upstream whose probe, begun
+// at the given time, has failed, and returns a packet of each flow, sorted by caller. Doubtful
+// flows that arrived since then stay.
+func (e *Engine) removeFlowsOf(cookie flowcookie.Cookie, began time.Time) []Packet {
 	var packets []Packet
 	for flow, record := range e.flows.records {
-		if !record.answered || record.targets[0] != cookie {
+		if !record.answered || record.targets[0] != cookie || e.doubtful.beganAfter(arrivalKey{flow, cookie}, began) {
 			continue
 		}
+		e.doubtful.remove(arrivalKey{flow, cookie})
 		packets = append(packets, Packet{Flow: flow, Ack: record.ack, Cookie: cookie})
 		delete(e.flows.records, flow)
 		e.releaseLoad(record)
--- a/internal/forward/packet.go
+++ b/internal/forward/packet.go
@@ -88,8 +88,8 @@
 	// ReasonUpstreamGone: another upstream has taken the place of the flow's upstream,
 	// or its entry was removed and no probe shows that it still runs.
 	ReasonUpstreamGone
-	// ReasonUpstreamFailed: a conclusive probe of the flow's upstream failed within
-	// failureProvenFor, or another upstream answers at its address.
+	// ReasonUpstreamFailed: a conclusive probe of the flow's upstream that is no older than the
+	// flow failed within evidence.FailureProvenFor, or another upstream answers at its address.
 	ReasonUpstreamFailed
 	// ReasonUnknownCookie: the cookie identifies no known upstream.
 	ReasonUnknownCookie
--- a/internal/forward/unplaced.go
+++ b/internal/forward/unplaced.go
@@ -7,50 +7,54 @@
 	"github.com/chivemast/chivemast/internal/flowcookie"
 )
 
-// maxUnplaced is the maximum number of unplaced flows that are remembered, about 0.5 MB.
+// maxUnplaced is the maximum length of arrivals, about 0.5 MB.
 const maxUnplaced = 4096
 
-// unplacedFlow is a flow whose packets can go nowhere as far as this instance knows.
-type unplacedFlow struct {
+// arrivalKey identifies a flow and the upstream that it needs.
+type arrivalKey struct {
 	flow   Flow
 	cookie flowcookie.Cookie
 }
 
-// unplacedFlows stores the unplaced flows. An entry is removed when the flow is placed or
-// reset, or has had no packet for flowIdle.
-type unplacedFlows map[unplacedFlow]unplacedTimes
+// arrivals stores when packets of flows arrived about which this instance cannot decide yet. An
+// entry is removed when the flow is placed or reset, or has had no packet for flowIdle.
+type arrivals map[arrivalKey]arrivalTimes
 
-// unplacedTimes are the arrivals of the first and the last packet that could not be placed.
-type unplacedTimes struct{ first, last time.Time }
+// arrivalTimes are the arrivals of the first and the last such packet.
+type arrivalTimes struct{ first, last time.Time }
 
 // record records a packet and returns the arrival of the first one of its flow; now for a
 // flow that is not remembered because there are too many.
-func (u unplacedFlows) record(now time.Time, p *Packet) time.Time {
-	key := unplacedFlow{p.Flow, p.Cookie}
-	times, known := u[key]
+func (a arrivals) record(now time.Time, key arrivalKey) time.Time {
+	times, known := a[key]
 	if !known {
-		if len(u) >= maxUnplaced {
+		if len(a) >= maxUnplaced {
 			return now
 		}
 		times.first = now
 	}
 	times.last = now
-	u[key] = times
+	a[key] = times
 	return times.first
 }
 
-// remove removes the flow of a packet.
-func (u unplacedFlows) remove(p *Packet) {
-	if len(u) > 0 {
-		delete(u, unplacedFlow{p.Flow, p.Cookie})
+func (a arrivals) remove(key arrivalKey) {
+	if len(a) > 0 {
+		delete(a, key)
 	}
 }
 
+// beganAfter reports whether the first packet of a remembered flow arrived after a time.
+func (a arrivals) beganAfter(key arrivalKey, at time.Time) bool {
+	times, known := a[key]
+	return known && times.first.After(at)
+}
+
 // expire removes the flows without a packet for flowIdle.
-func (u unplacedFlows) expire(now time.Time) {
-	for key, times := range u {
+func (a arrivals) expire(now time.Time) {
+	for key, times := range a {
 		if now.Sub(times.last) >= flowIdle {
-			delete(u, key)
+			delete(a, key)
 		}
 	}
 }
@@ -62,14 +66,14 @@
 	if !absent || p.Reset {
 		return Decision{Action: Wait, Reason: reason}
 	}
-	e.unplaced.remove(p)
+	e.unplaced.remove(arrivalKey{p.Flow, p.Cookie})
 	return e.resetFlow(p, reason, nil)
 }
 
 // absent reports whether the store has confirmed the kinds since the first packet arrived of
 // a flow that this instance cannot place, so that what the flow needs does not exist.
 func (e *Engine) absent(now time.Time, p *Packet, kinds ...catalog.Kind) bool {
-	since := e.unplaced.record(now, p)
+	since := e.unplaced.record(now, arrivalKey{p.Flow, p.Cookie})
 	for _, kind := range kinds {
 		if !e.snapshot.CheckedSince(kind, since) || (kind == catalog.KindUpstreams && !e.snapshot.Complete(now)) {
 			return false
