Reset flows without a route or an upstream only after an own check

Callers saw open flows reset as route_removed and unknown_cookie by an instance that the messages of the others reached more than a second late, although the route or the upstream was known elsewhere. A peer's confirmation counted from its arrival, less 1 s for the call and the message, so that a late one seemed to be newer than the flow.

Only a check of the store by the instance itself counts for resets now, from the start of its call; confirmations of peers go on to show that the state is fresh. A flow that waits requests a check for each kind that it needs (upstreams, configuration): 0 to 0.3 s later, at least 2 s after the instance's last one, not while the store has not been available for long enough, and not told to the peers unless this instance watches the kind or makes the regular checks. If the store fails, the request makes one call in 2 s and doesn't look for the state of others. The same holds for upstream_gone.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,9 +25,8 @@
 	// break before the state is complete: entries that expired are back within
 	// missingGrace, and instances find them with the next check, at most 3 s later.
 	completeDelay = 3*time.Second + missingGrace
-	// checkDelay bounds the time from the start of a check in the store to the arrival of
-	// its result, also from the peer that made the check: the call ends within 0.6 s, the
-	// rest is for the message.
+	// checkDelay bounds the time from the start of a check by this instance to its
+	// confirmation: the call ends within 0.6 s.
 	checkDelay = time.Second
 	// evacuationColdTime is how long the upstreams of a failure domain count as
 	// cold after its evacuation has ended, whatever their entries say, unless the cold
@@ -149,6 +148,8 @@
 	// confirmed is the time at which the store itself last confirmed the kind; zero
 	// while only replicas have answered.
 	confirmed time.Time
+	// checked is the start of the last check by this instance; zero without one.
+	checked time.Time
 	// unavailable is set from a failed call to the store until the next
 	// confirmation.
 	unavailable bool
@@ -213,6 +214,7 @@
 		c.recordChange(Change{Event: "changes_found_by_check", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("current=%d", e.Current)})
 	case Confirmed:
 		c.recordConfirmation(now, e.Kind, e.Revision)
+		c.recordCheck(now, e)
 	case Unavailable:
 		c.recordFailedCall(e.Kind, e.Err)
 	case EraChanged:
@@ -356,6 +358,17 @@
 	}
 }
 
+// recordCheck records the start of a check by this instance.
+func (c *Catalog) recordCheck(now time.Time, e Confirmed) {
+	began := e.Began
+	if began.IsZero() {
+		began = now.Add(-checkDelay)
+	}
+	if status := &c.status[e.Kind]; !e.ByPeer && began.After(status.checked) {
+		status.checked = began
+	}
+}
+
 // recordFailedCall records that a call for a kind to the store has failed.
 func (c *Catalog) recordFailedCall(kind Kind, err error) {
 	status := &c.status[kind]
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -203,6 +203,11 @@
 type Confirmed struct {
 	Kind     Kind
 	Revision uint64
+	// ByPeer is set when a peer made the check. How long its message took is not known.
+	ByPeer bool
+	// Began is the start of a check by this instance; zero when only its end is known, which
+	// is at most checkDelay later.
+	Began time.Time
 }
 
 // Unavailable reports that a call to the store for a kind failed.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -21,6 +21,9 @@
 	// Confirmed stores, by kind, the time at which the store itself last confirmed it;
 	// zero when it has not.
 	Confirmed [kindCount]time.Time
+	// Checked stores, by kind, the start of the last check of the store by this instance; zero
+	// without one.
+	Checked [kindCount]time.Time
 	// Heard stores, by kind, the time of the last answer of the store or a replica, to this
 	// instance or a peer; zero when there was none. It shows that the store is within
 	// reach, not how old the state is.
@@ -171,10 +174,11 @@
 	return !s.AvailableSince.IsZero() && now.Sub(s.AvailableSince) >= completeDelay
 }
 
-// CheckedSince tells whether the store itself has confirmed the state of a kind in a check
-// that began after the given time: all that was written before is known.
+// CheckedSince tells whether the store itself has confirmed the state of a kind in a check by
+// this instance that began after the given time: all that was written before is known. Checks
+// by peers don't count, because their messages may arrive late.
 func (s *Snapshot) CheckedSince(kind Kind, at time.Time) bool {
-	return s.Confirmed[kind].Sub(at) > checkDelay
+	return s.Checked[kind].After(at)
 }
 
 // Snapshot returns a snapshot of the state, or nil and false when nothing has
@@ -196,7 +200,8 @@
 	c.dirty, c.confirmationsChanged = false, false
 	for kind := range c.status {
 		status := &c.status[kind]
-		s.Confirmed[kind], s.Revisions[kind], s.Eras[kind], s.Heard[kind] = status.confirmed, status.revision, status.era, status.heard
+		s.Confirmed[kind], s.Checked[kind], s.Heard[kind] = status.confirmed, status.checked, status.heard
+		s.Revisions[kind], s.Eras[kind] = status.revision, status.era
 	}
 	s.AvailableSince = time.Time{}
 	if status := c.status[KindUpstreams]; !status.confirmed.IsZero() && !status.unavailable && !status.fetched {
--- a/internal/catalogsync/check_test.go
+++ b/internal/catalogsync/check_test.go
@@ -142,3 +142,32 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against checks, or failing calls of a store that is down, for each flow that waits for
+// one, and against such checks in the place of those that peers make and tell of.
+func TestRequestedChecksAreBounded(t *testing.T) {
+	store, peers := &fakeStore{revision: 5}, &fakePeers{}
+	run(t, store, peers, func(syncer *kindSyncer, received func() []Event) {
+		requests := &Syncer{kinds: []*kindSyncer{syncer}}
+		request := func() {
+			for range 10 {
+				for range 100 {
+					time.Sleep(10 * time.Millisecond)
+					requests.RequestCheck(0)
+				}
+				syncer.peerUpdates <- Update{Kind: syncer.kind, Base: 5, Revision: 5, Current: true}
+			}
+		}
+		time.Sleep(time.Second)
+		request()
+		require.InDelta(t, int(10*time.Second/checkInterval), store.checkCount(), 1)
+		require.Zero(t, count[catalog.Unavailable](received()))
+		require.Len(t, peers.sent, 1, "only the list at the start")
+
+		store.set(func(s *fakeStore) { s.down = true })
+		_, before := store.counts()
+		request()
+		_, after := store.counts()
+		require.LessOrEqual(t, after-before, int(10*time.Second/checkInterval)+1)
+	})
+}
--- a/internal/catalogsync/flows_test.go
+++ b/internal/catalogsync/flows_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,6 +81,13 @@
 	s.store.setConfig(s.config)
 }
 
+// requestChecks passes the checks of the store that an engine wants to the instance's syncer.
+func (instance *simInstance) requestChecks(engine *forward.Engine) {
+	for _, kind := range engine.TakeChecks() {
+		instance.syncer.RequestCheck(kind)
+	}
+}
+
 // sendAll sends each instance a packet of a flow to each upstream to which another one may
 // have opened a flow, under the latest configuration.
 func (s *flowSimulation) sendAll() {
@@ -109,6 +117,7 @@
 			for _, probe := range engine.TakeProbes() {
 				engine.HandleProbeResult(time.Now(), evidence.ProbeResult{Upstream: probe.Upstream, Outcome: evidence.ProbeAlive, Trigger: probe.Trigger, Started: time.Now()})
 			}
+			instance.requestChecks(engine)
 		}
 	}
 }
@@ -156,3 +165,78 @@
 		})
 	}
 }
+
+// Guards against flows without a route or an upstream that wait for long, and against checks of
+// the store by each instance for each of them.
+func TestUnplacedFlowsAreResetAfterFewChecks(t *testing.T) {
+	late := map[string]time.Duration{"edge-3": 1500 * time.Millisecond}
+	for name, tc := range map[string]struct {
+		every  int
+		late   map[string]time.Duration
+		checks int
+	}{
+		"rare flows":    {1000, nil, 60},
+		"many flows":    {20, nil, (5*2 + 3) * (int(20*time.Second/checkInterval) + 1)}, // Of 5 instances that check two kinds, and the regular ones.
+		"late messages": {20, late, (5*2 + 3) * (int(20*time.Second/checkInterval) + 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			waits, checks := unplacedFlowWaits(t, tc.every, tc.late)
+			slices.Sort(waits)
+			t.Logf("reset after %s in the median, at most %s; %d checks in 20 s", waits[len(waits)/2], waits[len(waits)-1], checks)
+			require.LessOrEqual(t, waits[len(waits)-1], checkInterval+requestSpread+100*time.Millisecond)
+			require.LessOrEqual(t, checks, tc.checks)
+		})
+	}
+}
+
+// unplacedFlowWaits returns the times from the first packets of unplaced flows to their resets,
+// and the number of checks of the store in the 20 s in which flows of a removed route and with
+// an unknown cookie arrive at random times at all instances, at each one on average after
+// every times 10 ms.
+func unplacedFlowWaits(t *testing.T, every int, late map[string]time.Duration) (waits []time.Duration, checks int) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &flowSimulation{simulation: newSimulation(ctx, 1, false), engines: map[*simInstance]*forward.Engine{}, route: netip.MustParseAddrPort("198.18.0.1:443")}
+		s.fleet.late = late
+		s.configure(true)
+		for n := range 5 {
+			s.fleet.start(ctx, n, false)
+		}
+		time.Sleep(10 * time.Second)
+		s.configure(false)
+		time.Sleep(changeBound)
+		s.store.takeChecks()
+		first := map[*simInstance]map[forward.Flow]time.Time{}
+		for began, n := time.Now(), 0; time.Since(began) < 20*time.Second; time.Sleep(10 * time.Millisecond) {
+			for _, instance := range s.fleet.instances {
+				engine := s.engineOf(instance)
+				if first[instance] == nil {
+					first[instance] = map[forward.Flow]time.Time{}
+				}
+				if n++; s.rng.IntN(every) == 0 && time.Since(began) < 17*time.Second {
+					service := s.route
+					if n%2 == 0 {
+						service = netip.MustParseAddrPort("198.18.0.2:443")
+					}
+					flow := forward.Flow{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 16), byte(n >> 8)}), uint16(1024+n%256)), Service: service}
+					first[instance][flow] = time.Now()
+				}
+				for flow, at := range first[instance] {
+					if engine.Decide(time.Now(), &forward.Packet{Flow: flow, Cookie: 12345, Seq: 1, Ack: 1}).Action == forward.Reset {
+						waits = append(waits, time.Since(at))
+						delete(first[instance], flow)
+					}
+				}
+				instance.requestChecks(engine)
+			}
+		}
+		for _, flows := range first {
+			require.Empty(t, flows, "not reset")
+		}
+		checks = s.store.takeChecks()
+		cancel()
+		time.Sleep(changeBound)
+		synctest.Wait()
+	})
+	return waits, checks
+}
--- a/internal/catalogsync/peers.go
+++ b/internal/catalogsync/peers.go
@@ -108,7 +108,7 @@
 	case update.Era > s.position.Era:
 		s.noticeEra(update.Era)
 	case update.Era == s.position.Era && update.Base <= s.position.Revision:
-		s.apply(ctx, update)
+		s.apply(ctx, update, time.Time{})
 		s.ownCheck = s.ownCheck && !update.Current
 		if s.listed && update.Current {
 			s.endFetching()
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -73,7 +73,7 @@
 	return &kindSyncer{
 		kind: kind, store: store, peers: peers, events: events, now: time.Now,
 		spread:      time.Duration(rand.Int64N(int64(checkSpread))),
-		peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), storeFailed: make(chan struct{}),
+		peerUpdates: make(chan Update, peerUpdateQueue), peerStates: make(chan PeerState), checkRequests: make(chan struct{}, 1), storeFailed: make(chan struct{}),
 	}
 }
 
@@ -106,8 +106,18 @@
 	}
 }
 
+// RequestCheck requests a check of a kind in the store by this instance, because flows wait for
+// it. The check begins within requestSpread, but at least checkInterval after the last one of this
+// instance. It never blocks and may be called from any goroutine.
+func (s *Syncer) RequestCheck(kind catalog.Kind) {
+	select {
+	case s.kinds[kind].checkRequests <- struct{}{}:
+	default: // One is requested already.
+	}
+}
+
 // kindSyncer keeps one kind up to date. The goroutine of run owns its state;
-// only peerUpdates and seeking are used by others.
+// only peerUpdates, checkRequests and seeking are used by others.
 type kindSyncer struct {
 	kind   catalog.Kind
 	store  Store
@@ -117,6 +127,8 @@
 	// instances.
 	peerUpdates chan Update
 	peerStates  chan PeerState
+	// checkRequests holds a request of RequestCheck until run takes it.
+	checkRequests chan struct{}
 	// storeFailed is closed after the first failed call.
 	storeFailed chan struct{}
 	now         func() time.Time
@@ -145,6 +157,10 @@
 	// made that check.
 	confirmed time.Time
 	ownCheck  bool
+	// checkRequested is set from a request of RequestCheck until the check, which is due at
+	// requestedCheck. checkBegan is the start of this instance's last check.
+	checkRequested             bool
+	requestedCheck, checkBegan time.Time
 	// firstCheck is the time of the first check after a list, if nothing confirms the kind
 	// before.
 	firstCheck time.Time
@@ -174,7 +190,7 @@
 		case s.untilSettled(1) == 0:
 			err = s.list(ctx)
 		case s.untilCheck() == 0:
-			if s.failures > 0 {
+			if s.failures > 0 && s.untilRegularCheck() == 0 {
 				s.startFetching(ctx)
 			}
 			if err = s.check(ctx); err == nil && s.failures == 0 {
@@ -213,6 +229,9 @@
 		return nil
 	case <-timer.C:
 		return nil
+	case <-s.checkRequests:
+		s.takeCheckRequest()
+		return nil
 	case update := <-s.peerUpdates:
 		if update.Era == s.position.Era && update.Base > s.position.Revision {
 			if err := s.watch(ctx, 0, true, false); err != nil || s.position.Revision >= update.Revision {
@@ -227,18 +246,21 @@
 
 // apply emits the events of an update and its position, confirmed or only known, unless
 // the update is older than the state, and moves the state to that position. An older
-// update of the store itself confirms the state: nothing that it lacks had been confirmed.
-func (s *kindSyncer) apply(ctx context.Context, update Update) {
+// update of the store itself confirms the state: nothing that it lacks had been confirmed. began
+// is when this instance called the store, zero for an update from a peer.
+func (s *kindSyncer) apply(ctx context.Context, update Update, began time.Time) {
+	confirmed := catalog.Confirmed{Kind: s.kind, ByPeer: began.IsZero(), Began: began}
 	if update.Position().Compare(s.position) < 0 {
 		if update.Current && update.Era == s.position.Era {
-			s.confirmed = s.now()
-			s.emit(ctx, catalog.Confirmed{Kind: s.kind, Revision: s.position.Revision}, 0)
+			s.confirmed, confirmed.Revision = s.now(), s.position.Revision
+			s.emit(ctx, confirmed, 0)
 		}
 		return
 	}
 	var reached catalog.Event = catalog.Known{Kind: s.kind, Revision: update.Revision}
 	if update.Current {
-		s.confirmed, reached = s.now(), catalog.Confirmed{Kind: s.kind, Revision: update.Revision}
+		confirmed.Revision = update.Revision
+		s.confirmed, reached = s.now(), confirmed
 	}
 	if update.Era != s.position.Era {
 		s.startEra(ctx, update.Position(), append(slices.Clip(update.Events), reached), 0)
--- a/internal/catalogsync/watch.go
+++ b/internal/catalogsync/watch.go
@@ -19,6 +19,7 @@
 		err    error
 		ends   *catalog.EarlierEvacuationEnds
 	}
+	began := s.now()
 	results := make(chan result, 1)
 	asked, stale := s.position, s.failures%2 == 0 && !s.fresh && s.settleAt.IsZero()
 	first := !s.historyRead
@@ -38,7 +39,7 @@
 			if s.historyRead = true; r.ends != nil {
 				s.emit(ctx, *r.ends, 0)
 			}
-			return s.applyList(ctx, r.update, asked)
+			return s.applyList(ctx, r.update, asked, began)
 		case state := <-s.peerStates:
 			s.applyPeerState(ctx, state)
 		case update := <-s.peerUpdates:
@@ -47,9 +48,9 @@
 	}
 }
 
-// applyList applies a list that was requested at the position asked, and sends its position
+// applyList applies a list that was requested at the position asked and the time began, and sends its position
 // to the peers. It fails with *OutdatedError.
-func (s *kindSyncer) applyList(ctx context.Context, list Update, asked catalog.Position) error {
+func (s *kindSyncer) applyList(ctx context.Context, list Update, asked catalog.Position, began time.Time) error {
 	if list.Position().Compare(asked) < 0 || list.Era < s.position.Era {
 		return s.ignoreAnswer(ctx, list)
 	}
@@ -63,7 +64,7 @@
 		s.settleAt = time.Time{}
 		s.emit(ctx, catalog.EraSettled{Kind: s.kind, Era: list.Era}, 0)
 	}
-	s.apply(ctx, list)
+	s.apply(ctx, list, began)
 	s.ownCheck = list.Current || s.ownCheck
 	s.peers.SendUpdate(Update{Kind: s.kind, Era: s.position.Era, Base: s.position.Revision, Revision: s.position.Revision, Current: list.Current})
 	return nil
@@ -79,16 +80,19 @@
 // watch waits for changes in the store, or with stale set in a replica, at most the time
 // wait, applies them and, if send is set, sends them to the peers. It also applies the
 // updates from peers that arrive meanwhile, so that a silent connection to the store does
-// not delay this instance. It ends early when another era is noticed. A replica that does
-// not have the position makes a check in the store due. It fails with the error of the
-// watch, or with *OutdatedError.
+// not delay this instance. It ends early when another era is noticed or a check is requested.
+// A replica that does not have the position makes a check in the store due. It fails with the
+// error of the watch, or with *OutdatedError.
 func (s *kindSyncer) watch(ctx context.Context, wait time.Duration, stale, send bool) error {
 	type result struct {
 		update Update
 		err    error
 	}
 	results := make(chan result, 1)
-	revision := s.position.Revision
+	revision, began := s.position.Revision, s.now()
+	if !stale {
+		s.recordCheckBegan(began)
+	}
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -105,18 +109,22 @@
 			if r.err != nil {
 				return r.err
 			}
-			return s.applyWatch(ctx, r.update, send)
+			return s.applyWatch(ctx, r.update, send, began)
 		case update := <-s.peerUpdates:
 			s.applyPeerUpdate(ctx, update)
+		case <-s.checkRequests:
+			if s.takeCheckRequest() && wait > 0 {
+				return nil
+			}
 		}
 	}
 	return nil
 }
 
-// applyWatch applies the answer to a watch and, if send is set, sends it to the peers.
+// applyWatch applies the answer to a watch that began at the given time and, if send is set, sends it to the peers.
 // The changes of another era are not applied, because the state lacks earlier ones. It
 // fails with *OutdatedError.
-func (s *kindSyncer) applyWatch(ctx context.Context, update Update, send bool) error {
+func (s *kindSyncer) applyWatch(ctx context.Context, update Update, send bool, began time.Time) error {
 	switch {
 	case update.Era < s.position.Era:
 		return s.ignoreAnswer(ctx, update)
@@ -130,13 +138,13 @@
 	}
 	if update.Revision < s.position.Revision {
 		// A peer's newer update has arrived first.
-		s.apply(ctx, update)
+		s.apply(ctx, update, began)
 		return nil
 	}
 	if update.Current && len(update.Events) > 0 {
 		s.emit(ctx, catalog.FoundByCheck{Kind: s.kind, Revision: s.position.Revision, Current: update.Revision}, 0)
 	}
-	s.apply(ctx, update)
+	s.apply(ctx, update, began)
 	if !send || (!update.Current && len(update.Events) == 0 && s.untilCheck() == 0) {
 		// A check is due, and its result goes to the peers.
 		return nil
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -53,6 +53,7 @@
 	instance.traffic.sendSilent, instance.traffic.sendLost, instance.traffic.peerRank = instance.relay.ReportSilent, instance.relay.ReportLost, instance.relay.PeerRank
 	instance.traffic.sendLoad = instance.relay.ReportLoad
 	instance.syncer = catalogsync.New(store, instance.relay, instance.events)
+	instance.traffic.requestCheck = instance.syncer.RequestCheck
 	return nil
 }
 
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -86,6 +86,8 @@
 	// instance's.
 	loads    chan loadReport
 	sendLoad func(load.Reports, inflight.Report)
+	// requestCheck requests a check of a kind in the store.
+	requestCheck func(catalog.Kind)
 	// failureDomain is that of this instance.
 	failureDomain string
 	// unsentSilent holds the silent upstreams that sendReports sends to peers next.
@@ -194,6 +196,7 @@
 		loop.lastArrival.Store(now.UnixNano())
 		loop.handlePacket(now, buffer[:prefix+n], now)
 		loop.requestProbes()
+		loop.requestChecks()
 	}
 }
 
@@ -232,6 +235,13 @@
 	}
 }
 
+// requestChecks passes the checks of the store that the engine wants to the syncer.
+func (loop *trafficLoop) requestChecks() {
+	for _, kind := range loop.engine.TakeChecks() {
+		loop.requestCheck(kind)
+	}
+}
+
 // lastPacket returns when the last packet arrived.
 func (loop *trafficLoop) lastPacket() time.Time { return time.Unix(0, loop.lastArrival.Load()) }
 
@@ -270,6 +280,7 @@
 		loop.reportAvoided()
 	}
 	loop.requestProbes()
+	loop.requestChecks()
 }
 
 // retryHeldPackets handles the held packets again. It drops the superseded ones.
--- a/internal/evidence/copy.go
+++ b/internal/evidence/copy.go
@@ -10,7 +10,7 @@
 	copied := *t
 	copied.upstreams, copied.groupLosses, copied.serviceResponseTimes = copyValues(t.upstreams), copyValues(t.groupLosses), copyValues(t.serviceResponseTimes)
 	copied.upstreamRequests, copied.lostRequests = slices.Clone(t.upstreamRequests), slices.Clone(t.lostRequests)
-	copied.probes, copied.unconfirmedProbes = slices.Clone(t.probes), slices.Clone(t.unconfirmedProbes)
+	copied.probes, copied.unconfirmedProbes, copied.checks = slices.Clone(t.probes), slices.Clone(t.unconfirmedProbes), slices.Clone(t.checks)
 	return &copied
 }
 
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -5,6 +5,7 @@
 package evidence
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -37,6 +38,8 @@
 
 	// probes holds the requested probes until TakeProbes.
 	probes []Probe
+	// checks holds the requested checks of the store until TakeChecks.
+	checks []catalog.Kind
 	// lastReachedStart is the latest start time of a probe that was answered within
 	// LateProbeAfter; a refusal counts as an answer. lastControlAt is when control
 	// probes were last requested.
@@ -130,11 +133,38 @@
 		return Running
 	}
 	t.RequestProbe(now, entry.Cookie, TriggerRemoved)
-	missing := t.snapshot.Complete(now) && t.snapshot.CheckedSince(catalog.KindUpstreams, entry.GoneAt)
-	if missing && !state.probe.alive(now) && !state.probe.pending {
-		return Ended
+	if state.probe.alive(now) || state.probe.pending || !entry.Gone(now) || !t.CheckedSince(now, entry.GoneAt, catalog.KindUpstreams) {
+		return Running
+	}
+	return Ended
+}
+
+// CheckedSince reports whether this instance has checked the kinds in the store since a time
+// and, if the upstreams are among them, the store has been available for long enough. It
+// requests the checks that are missing.
+func (t *Tracker) CheckedSince(now, at time.Time, kinds ...catalog.Kind) bool {
+	if slices.Contains(kinds, catalog.KindUpstreams) && !t.snapshot.Complete(now) {
+		return false
 	}
-	return Running
+	checked := true
+	for _, kind := range kinds {
+		if t.snapshot.CheckedSince(kind, at) {
+			continue
+		}
+		checked = false
+		if !slices.Contains(t.checks, kind) {
+			t.checks = append(t.checks, kind)
+		}
+	}
+	return checked
+}
+
+// TakeChecks returns the kinds that this instance is to check in the store, and removes them
+// from the tracker.
+func (t *Tracker) TakeChecks() []catalog.Kind {
+	checks := t.checks
+	t.checks = nil
+	return checks
 }
 
 // ProbeRemoved requests a probe of an upstream that the store no longer lists and that
--- a/internal/forward/unplaced.go
+++ b/internal/forward/unplaced.go
@@ -70,16 +70,10 @@
 	return e.resetFlow(p, reason, nil)
 }
 
-// absent reports whether the store has confirmed the kinds since the first packet arrived of
-// a flow that this instance cannot place, so that what the flow needs does not exist.
+// absent reports whether this instance has checked the kinds in the store since the first packet
+// arrived of a flow that it cannot place, so that what the flow needs does not exist.
 func (e *Engine) absent(now time.Time, p *Packet, kinds ...catalog.Kind) bool {
-	since := e.unplaced.record(now, arrivalKey{p.Flow, p.Cookie})
-	for _, kind := range kinds {
-		if !e.snapshot.CheckedSince(kind, since) || (kind == catalog.KindUpstreams && !e.snapshot.Complete(now)) {
-			return false
-		}
-	}
-	return true
+	return e.CheckedSince(now, e.unplaced.record(now, arrivalKey{p.Flow, p.Cookie}), kinds...)
 }
 
 // cookieUnknown reports whether the cookie of a packet that resolve does not know belongs to
