--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -59,6 +59,7 @@
 	instance.traffic.sendLoad = instance.relay.ReportLoad
 	instance.traffic.contradict, instance.traffic.passOn = instance.relay.Contradict, instance.relay.PassOn
 	instance.syncer = catalogsync.New(store, instance.relay, instance.events)
+	instance.traffic.requestCheck = instance.syncer.RequestCheck
 	return nil
 }
 
--- a/internal/evidence/tracker.go
+++ b/internal/evidence/tracker.go
@@ -5,6 +5,7 @@
 package evidence
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -39,6 +40,8 @@
 
 	// probes holds the requested probes until TakeProbes.
 	probes []Probe
+	// checks holds the requested checks of the store until TakeChecks.
+	checks []catalog.Kind
 	// lastReachedStart is the latest start time of a probe that was answered within
 	// LateProbeAfter; a refusal counts as an answer. lastControlAt is when control
 	// probes were last requested.
@@ -102,13 +105,34 @@
 // succeeded. After an inconclusive or cancelled probe, they end when the store has
 // confirmed in a check that began after GoneAt that the entry is still missing.
 func (t *Tracker) Standing(now time.Time, entry *catalog.Entry) Standing {
+	if !entry.Replaced && t.stateOf(entry.Cookie).probe.failureProven(now) {
+		return Failed
+	}
+	return t.standingUnproven(now, entry)
+}
+
+// FlowStanding is Standing for a flow whose first packet arrived at first, which is now for
+// that packet. A failed probe proves nothing about a flow that may have been opened since,
+// by another instance and after a restart of the upstream: such a flow goes on until the
+// result of a later probe, which is requested.
+func (t *Tracker) FlowStanding(now time.Time, entry *catalog.Entry, first time.Time) Standing {
+	probe := &t.stateOf(entry.Cookie).probe
+	if entry.Replaced || !probe.failureProven(now) || probe.endsFlow(now, first) {
+		return t.Standing(now, entry)
+	}
+	if !probe.pending && !probe.requestedAt.After(probe.conclusiveAt) {
+		// The first probe after a failure does not wait for probeInterval.
+		probe.requestedAt = time.Time{}
+	}
+	return t.standingUnproven(now, entry)
+}
+
+// standingUnproven is Standing without the proof of a failed probe.
+func (t *Tracker) standingUnproven(now time.Time, entry *catalog.Entry) Standing {
 	if entry.Replaced {
 		return Ended
 	}
 	state := t.stateOf(entry.Cookie)
-	if state.probe.failureProven(now) {
-		return Failed
-	}
 	if state.probe.failed() {
 		// A network partition may have ended since the failure. The probe's outcome
 		// resets the flow or lets it continue.
@@ -118,11 +142,38 @@
 		return Running
 	}
 	t.RequestProbe(now, entry.Cookie, TriggerRemoved)
-	missing := t.snapshot.Complete(now) && t.snapshot.CheckedSince(catalog.KindUpstreams, entry.GoneAt)
-	if missing && !state.probe.alive(now) && !state.probe.pending {
-		return Ended
+	if state.probe.alive(now) || state.probe.pending || !entry.Gone(now) || !t.CheckedSince(now, entry.GoneAt, catalog.KindUpstreams) {
+		return Running
 	}
-	return Running
+	return Ended
+}
+
+// CheckedSince reports whether this instance has checked the kinds in the store since a time
+// and, if the upstreams are among them, the store has been available for long enough. It
+// requests the checks that are missing.
+func (t *Tracker) CheckedSince(now, at time.Time, kinds ...catalog.Kind) bool {
+	if slices.Contains(kinds, catalog.KindUpstreams) && !t.snapshot.Complete(now) {
+		return false
+	}
+	checked := true
+	for _, kind := range kinds {
+		if t.snapshot.CheckedSince(kind, at) {
+			continue
+		}
+		checked = false
+		if !slices.Contains(t.checks, kind) {
+			t.checks = append(t.checks, kind)
+		}
+	}
+	return checked
+}
+
+// TakeChecks returns the kinds that this instance is to check in the store, and removes them
+// from the tracker.
+func (t *Tracker) TakeChecks() []catalog.Kind {
+	checks := t.checks
+	t.checks = nil
+	return checks
 }
 
 // ProbeRemoved requests a probe of an upstream that the store no longer lists and that
@@ -154,6 +205,13 @@
 	return t.stateOf(cookie).probe.conclusiveAt
 }
 
+// ProbeFailed reports whether the last probe of an upstream failed and no packet has shown since
+// then that it answers.
+func (t *Tracker) ProbeFailed(cookie flowcookie.Cookie) bool {
+	state := t.upstreams[cookie]
+	return state != nil && state.probe.failed()
+}
+
 // IsSuspect reports whether new flows avoid an upstream because it appears to be silent.
 func (t *Tracker) IsSuspect(now time.Time, cookie flowcookie.Cookie) bool {
 	return t.stateOf(cookie).isSuspect(now)
