Bound the transfers of state between instances

A request for state had 500 ms for the whole transfer. On a link of 10 Mbit/s no such transfer ends in that time, and FetchState began another one every 100 ms and after each failure, to all members that reported a position.

An instance sends at most two states of more than 64 KB at a time, refuses others with status 503 and Chivemast-Busy before it encodes them, and ends a transfer that its receiver does not read. The send buffer of connections from other instances is limited, because what is in the buffer counts as sent.

Before: TestStateOnSlowLinkIsFetchedOnce, TestFailedTransfersOfStateUseBoundedShareOfLink and TestInstanceSendsFewLargeStatesAtOnce fail. After: go test -race ./internal/relay ./internal/edge passes, with the unchanged TestStateSurvivesRestartsWithoutStore and TestLastHolderIsFoundInLargeFleet.

--- a/internal/catalogsync/store.go
+++ b/internal/catalogsync/store.go
@@ -85,4 +85,6 @@
 	Age time.Duration
 	// Source is the name of the instance.
 	Source string
+	// Took is the time from the request to the end of the transfer.
+	Took time.Duration
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -60,6 +60,8 @@
 type httpServer struct {
 	listener net.Listener
 	handler  http.Handler
+	// connContext is the ConnContext of the http.Server, or nil.
+	connContext func(context.Context, net.Conn) context.Context
 }
 
 // New creates an instance and opens its sockets. It returns a *listen.Error, joined
@@ -106,9 +108,14 @@
 	operations.HandleFunc("/status", instance.serveStatus)
 	operations.HandleFunc("/explain", instance.serveExplain)
 	for _, server := range []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{{instance.settings.ReadinessAddress, readiness}, {instance.settings.MetricsAddress, operations}, {instance.settings.PeerAddress, instance.relay.Handler()}} {
+		address     netip.AddrPort
+		handler     http.Handler
+		connContext func(context.Context, net.Conn) context.Context
+	}{
+		{instance.settings.ReadinessAddress, readiness, nil},
+		{instance.settings.MetricsAddress, operations, nil},
+		{instance.settings.PeerAddress, instance.relay.Handler(), relay.LimitSendBuffer},
+	} {
 		listener, err := net.Listen("tcp4", server.address.String())
 		if err != nil {
 			for _, open := range instance.servers {
@@ -116,7 +123,7 @@
 			}
 			return &listen.Error{Network: "tcp", Address: server.address, Err: err}
 		}
-		instance.servers = append(instance.servers, httpServer{listener: listener, handler: server.handler})
+		instance.servers = append(instance.servers, httpServer{listener: listener, handler: server.handler, connContext: server.connContext})
 	}
 	return nil
 }
@@ -147,7 +154,7 @@
 }
 
 func serveHTTP(ctx context.Context, s httpServer) error {
-	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: s.handler, ConnContext: s.connContext, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -114,7 +114,7 @@
 // serve runs the HTTP handler of a relay until the test ends.
 func serve(t *testing.T, r *Relay) {
 	t.Helper()
-	server := &http.Server{Handler: r.Handler(), Addr: r.cfg.Self.Address.String(), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: r.Handler(), Addr: r.cfg.Self.Address.String(), ConnContext: LimitSendBuffer, ReadHeaderTimeout: time.Second}
 	listener, err := net.Listen("tcp4", server.Addr)
 	require.NoError(t, err)
 	served := make(chan error, 1)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -59,6 +59,8 @@
 }
 
 func (r *Relay) sendFlows(ctx context.Context, peer Member, flows []forward.HandoverFlow) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
 	address, sealed := peer.Address, r.auth.Seal(r.receiverOf(peer).session, encodeFlows(flows))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+flowsPath, bytes.NewReader(sealed))
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -112,6 +113,10 @@
 	// wrongSessionAnswers limits the answers to messages for other sessions to
 	// wrongSessionAnswersPerSecond.
 	wrongSessionAnswers *rate.Limiter
+	// largeStates holds an element for each large state that is being sent, stateBytes the
+	// size of the state of each kind that was sent last.
+	largeStates chan struct{}
+	stateBytes  [3]atomic.Int64
 
 	mu         sync.Mutex
 	membership *membership
@@ -132,7 +137,7 @@
 	return &Relay{
 		cfg: cfg, conn: conn, membership: newMembership(cfg.Self), sourcesChanged: make(chan struct{}), wake: make(chan struct{}, 1),
 		auth: peerauth.NewAuthenticator(cfg.Keys), wrongSessionAnswers: rate.NewLimiter(wrongSessionAnswersPerSecond, wrongSessionAnswersPerSecond),
-		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, largeStates: make(chan struct{}, maxLargeStates),
 	}, nil
 }
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
@@ -18,17 +17,23 @@
 )
 
 const (
-	// requestTimeout bounds an HTTP request to another instance.
+	// requestTimeout bounds the time to the header of a response with state, and a whole
+	// handover of flow records.
 	requestTimeout = 500 * time.Millisecond
-	// maxStateRequests is the number of instances that are asked for the state of a kind
-	// at the same time, because one of them may be about to end.
-	maxStateRequests = 2
+	// maxLargeStates bounds the states of more than smallStateBytes bytes that an instance
+	// sends at the same time. More transfers would slow each other down until none ends
+	// within its time limit.
+	maxLargeStates  = 2
+	smallStateBytes = 64 << 10
+	// statePieceBytes is the size of the pieces in which a state is sent; each one has the
+	// stall limit.
+	statePieceBytes = 16 << 10
+	// sendBufferBytes is the size of the send buffer of a connection from another instance.
+	// What is in the buffer counts as sent.
+	sendBufferBytes = 64 << 10
 	// maxMembersWithState bounds the members that are sent with a state; they take about
 	// 25 KB.
 	maxMembersWithState = 256
-	// slowRequestAfter is the time without an answer after which FetchState asks another
-	// instance as well.
-	slowRequestAfter = 100 * time.Millisecond
 	// statePath is the URL path of requests for an instance's state, followed by
 	// the kind. The response is a relayv1.State.
 	statePath = "/v2/state/"
@@ -44,6 +49,9 @@
 	// the nonce, the path and, in a response, the body; both in hexadecimal.
 	nonceHeader = "Chivemast-Nonce"
 	macHeader   = "Chivemast-Sum"
+	// busyHeader is set in a response with status 503 of an instance that holds state but
+	// sends maxLargeStates of them.
+	busyHeader = "Chivemast-Busy"
 )
 
 // jsonState is the JSON response to a request for an instance's state.
@@ -52,77 +60,14 @@
 	AgeMS  int64       `json:"age_ms"`
 }
 
-var errStateEmpty = errors.New("state response contains no update")
+var (
+	errStateEmpty = errors.New("state response contains no update")
+	errBusy       = errors.New("this instance sends its state to others")
+)
 
 // ErrNoPeer reports that no instance is known that a request may be sent to.
 var ErrNoPeer = errors.New("no instance is known that the request may be sent to")
 
-// FetchState implements catalogsync.Peers: it requests the state of a kind from members
-// that reported a later position, and returns the first state that arrives. It waits for
-// such a member, and asks another one after a failure or slowRequestAfter, until ctx
-// ends; then it fails with the error of ctx, joined with that of the last request.
-func (r *Relay) FetchState(ctx context.Context, kind catalog.Kind, newerThan catalog.Position) (catalogsync.PeerState, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type result struct {
-		source string
-		state  catalogsync.PeerState
-		err    error
-	}
-	results := make(chan result)
-	// running stores the start of each request that has no result yet.
-	running := map[string]time.Time{}
-	var last error
-	for {
-		sources, changed := r.stateSources(kind, newerThan)
-		for _, source := range nextSources(time.Now(), sources, running) {
-			running[source.Name] = time.Now()
-			go func() {
-				state, err := r.requestState(ctx, source, kind)
-				select {
-				case results <- result{source.Name, state, err}:
-				case <-ctx.Done():
-				}
-			}()
-		}
-		retry := time.NewTimer(slowRequestAfter)
-		select {
-		case <-ctx.Done():
-			retry.Stop()
-			return catalogsync.PeerState{}, fmt.Errorf("fetch the state of %s from another instance: %w", kind, errors.Join(ctx.Err(), last))
-		case answer := <-results:
-			delete(running, answer.source)
-			if answer.err == nil && answer.state.Update.Position().Compare(newerThan) > 0 {
-				retry.Stop()
-				return answer.state, nil
-			}
-			last = answer.err
-			r.forgetPosition(answer.source, kind)
-		case <-changed:
-		case <-retry.C:
-		}
-		retry.Stop()
-	}
-}
-
-// nextSources returns the sources that are to be asked now: those without a running
-// request, as long as fewer than maxStateRequests run since less than slowRequestAfter.
-func nextSources(now time.Time, sources []Member, running map[string]time.Time) []Member {
-	free := maxStateRequests
-	for _, began := range running {
-		if now.Sub(began) < slowRequestAfter {
-			free--
-		}
-	}
-	var next []Member
-	for _, source := range sources {
-		if _, asked := running[source.Name]; !asked && len(next) < free {
-			next = append(next, source)
-		}
-	}
-	return next
-}
-
 // forgetPosition removes the reported position of a member that did not provide its
 // state, until the member reports again.
 func (r *Relay) forgetPosition(name string, kind catalog.Kind) {
@@ -139,26 +84,6 @@
 	return r.membership.stateSources(kind, newerThan), r.sourcesChanged
 }
 
-// requestState requests the state of a kind from a member. The time that the request
-// took counts as a part of the state's age.
-func (r *Relay) requestState(ctx context.Context, source Member, kind catalog.Kind) (catalogsync.PeerState, error) {
-	began := time.Now()
-	path, decode := statePath, decodeState
-	if r.receiverOf(source).format == formatJSON {
-		path, decode = jsonStatePath, decodeJSONState
-	}
-	body, err := r.getState(ctx, source.Address, path+kind.String())
-	if err != nil {
-		return catalogsync.PeerState{}, err
-	}
-	update, age, members, err := decode(body)
-	if err != nil {
-		return catalogsync.PeerState{}, err
-	}
-	r.recordMentions(time.Now(), members)
-	return catalogsync.PeerState{Update: update, Age: age + time.Since(began), Source: source.Name}, nil
-}
-
 func decodeJSONState(body []byte) (catalogsync.Update, time.Duration, []mention, error) {
 	var state jsonState
 	if err := json.Unmarshal(body, &state); err != nil {
@@ -185,37 +110,6 @@
 	return r.membership.freshest(now, maxMembersWithState)
 }
 
-// getState returns the authentic body of a response with a state.
-func (r *Relay) getState(ctx context.Context, address netip.AddrPort, path string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
-	if err != nil {
-		return nil, err
-	}
-	nonce := make([]byte, nonceSize)
-	_, _ = rand.Read(nonce) // rand.Read never fails.
-	request.Header.Set(nonceHeader, hex.EncodeToString(nonce))
-	request.Header.Set(macHeader, hex.EncodeToString(r.auth.Sign(nonce, []byte(path))))
-	response, err := r.client.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }() // The body has been read; an error has no effect.
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("instance at %s: status %d", address, response.StatusCode)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
-	if err != nil {
-		return nil, err
-	}
-	if !r.auth.Verify(macOf(response.Header), nonce, []byte(path), body) {
-		err := &peerauth.Error{Reason: peerauth.Forged}
-		r.cfg.Observer.Rejected(address, err)
-		return nil, err
-	}
-	r.cfg.Observer.Received(KindState, len(body))
-	return body, nil
-}
-
 // Handler returns the HTTP handler for the requests of other instances: for this
 // instance's state, and for the handover of flow records. It must be served over
 // TCP at Config.Self.Address.
@@ -254,15 +148,82 @@
 		http.Error(w, "no confirmed state of this kind yet", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := encode(update, age)
-	if err != nil {
+	body, release, err := r.prepareState(kind, func() ([]byte, error) { return encode(update, age) })
+	switch {
+	case errors.Is(err, errBusy):
+		w.Header().Set(busyHeader, "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	defer release()
 	w.Header().Set("Content-Type", mediaType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set(macHeader, hex.EncodeToString(r.auth.Sign(nonce, path, body)))
-	r.cfg.Observer.Sent(KindState, len(body))
-	_, _ = w.Write(body) // The requesting instance notices a failed write itself.
+	r.cfg.Observer.Sent(KindState, sendState(w, body))
+}
+
+// prepareState returns an encoded state, and a function that must be called when it has been
+// sent. It fails with errBusy if the state is large and maxLargeStates are being sent, and
+// with the error of encode.
+func (r *Relay) prepareState(kind catalog.Kind, encode func() ([]byte, error)) (body []byte, release func(), err error) {
+	release = func() {}
+	acquire := func() bool {
+		select {
+		case r.largeStates <- struct{}{}:
+			release = func() { <-r.largeStates }
+			return true
+		default:
+			return false
+		}
+	}
+	// The size of the last state decides before the work of encoding this one.
+	large := r.stateBytes[kind].Load() > smallStateBytes
+	if large && !acquire() {
+		return nil, nil, errBusy
+	}
+	if body, err = encode(); err != nil {
+		release()
+		return nil, nil, err
+	}
+	r.stateBytes[kind].Store(int64(len(body)))
+	if !large && len(body) > smallStateBytes && !acquire() {
+		return nil, nil, errBusy
+	}
+	return body, release, nil
+}
+
+// sendState writes a state within stateLimits and returns the number of bytes written. The
+// requesting instance reports a failed transfer.
+func sendState(w http.ResponseWriter, body []byte) (sent int) {
+	control, end := http.NewResponseController(w), time.Now().Add(stateLimits.Total)
+	for len(body) > 0 {
+		deadline := time.Now().Add(stateLimits.Stall)
+		if deadline.After(end) {
+			deadline = end
+		}
+		_ = control.SetWriteDeadline(deadline) // Without support, the requesting instance ends the transfer.
+		n, err := w.Write(body[:min(len(body), statePieceBytes)])
+		if sent += n; err != nil {
+			return sent
+		}
+		body = body[n:]
+	}
+	_ = control.Flush()                       // The requesting instance notices a failed write itself.
+	_ = control.SetWriteDeadline(time.Time{}) // As above.
+	return sent
+}
+
+// LimitSendBuffer limits the send buffer of a connection, so that the time in which a state is
+// written is about the time in which it is sent. It is for http.Server.ConnContext of the
+// server of Handler.
+func LimitSendBuffer(ctx context.Context, conn net.Conn) context.Context {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBufferBytes) // The system then chooses the size.
+	}
+	return ctx
 }
 
 // macOf returns the authentication code of a request or a response, or nil when
--- a/internal/relay/state_transfer_test.go
+++ b/internal/relay/state_transfer_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
@@ -149,11 +150,18 @@
 // Guards against an instance that sends its state to many others at the same time, so that
 // its link is full and no transfer ends.
 func TestInstanceSendsFewLargeStatesAtOnce(t *testing.T) {
+	// More than the default buffers of a connection take, and less.
+	for _, more := range []int{6 << 20, 0} {
+		t.Run(fmt.Sprint(more), func(t *testing.T) { testLargeStatesAtOnce(t, more) })
+	}
+}
+
+func testLargeStatesAtOnce(t *testing.T, more int) {
 	source, _ := startRelay(t, "a-1", "a")
 	source.cfg.State = func(kind catalog.Kind) (catalogsync.Update, time.Duration, bool) {
 		update, age, known := largeState(kind)
 		list := update.Events[0].(catalog.EvacuationsListed)
-		list.Domains = append(list.Domains, strings.Repeat("x", 6<<20)) // more than the buffers of a connection take
+		list.Domains = append(list.Domains, strings.Repeat("x", more))
 		update.Events[0] = list
 		return update, age, known
 	}
@@ -186,3 +194,48 @@
 	require.Equal(t, 2, sending)
 	require.Equal(t, 4, refused)
 }
+
+// pacedWriter delays each write, as a slow link does.
+type pacedWriter struct {
+	http.ResponseWriter
+	pause time.Duration
+}
+
+func (w pacedWriter) Write(p []byte) (int, error) {
+	time.Sleep(w.pause)
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap is for http.ResponseController.
+func (w pacedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Guards against instances that start together without a store and that a single holder of
+// a large state turns away without an end.
+func TestAllInstancesGetLargeStateOfOneHolder(t *testing.T) {
+	holder, _ := startRelay(t, "a-1", "a")
+	holder.cfg.State = largeState
+	handler := holder.Handler()
+	server := &http.Server{
+		// A state has about 46 pieces.
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			handler.ServeHTTP(pacedWriter{w, 10 * time.Millisecond}, request)
+		}),
+		ConnContext: LimitSendBuffer, ReadHeaderTimeout: time.Second,
+	}
+	listener, err := net.Listen("tcp4", holder.cfg.Self.Address.String())
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	t.Cleanup(func() { require.NoError(t, server.Close()); require.ErrorIs(t, <-served, http.ErrServerClosed) })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for n := range 6 {
+		starting, _ := startRelay(t, fmt.Sprintf("a-starting-%d", n), "a", holder.cfg.Self.Address)
+		group.Go(func() error {
+			_, err := starting.FetchState(ctx, catalog.KindEvacuations, catalog.Position{})
+			return err
+		})
+	}
+	require.NoError(t, group.Wait())
+}
