Leave links to the store's responses and to other traffic

An instance now begins no transfer of a kind while a response of the store about it arrives; a failed call ends the wait at once. After a transfer it pauses for three times the time that the transfer took, so that transfers take at most a quarter of the time. A transfer that runs when a response of the store begins to arrive goes on.

--- a/internal/catalogsync/peer_state_test.go
+++ b/internal/catalogsync/peer_state_test.go
@@ -129,3 +129,42 @@
 		require.Equal(t, fetches, peers.fetchCount())
 	})
 }
+
+// Guards against transfers from other instances beside a list that arrives slowly: they
+// share its link, so that none of them ends.
+func TestStateIsNotFetchedWhileListArrives(t *testing.T) {
+	store, peers := &fakeStore{revision: 5, slowLists: 4 * time.Second}, &fakePeers{state: evacuationState(5)}
+	run(t, store, peers, func(_ *kindSyncer, received func() []Event) {
+		time.Sleep(3900 * time.Millisecond)
+		require.Zero(t, peers.fetchCount())
+		time.Sleep(200 * time.Millisecond)
+		require.EqualValues(t, 5, lastRevision(received()))
+		require.Zero(t, peers.fetchCount())
+	})
+}
+
+// Guards against an instance that waits for a list that has broken off, and does not fetch
+// the state of another instance.
+func TestStateIsFetchedWhenListBreaksOff(t *testing.T) {
+	store, peers := &fakeStore{down: true, slowLists: time.Second}, &fakePeers{state: evacuationState(40)}
+	run(t, store, peers, func(_ *kindSyncer, received func() []Event) {
+		time.Sleep(time.Second + 2*responsePoll)
+		require.Len(t, fetched(received()), 1)
+	})
+}
+
+// Guards against an instance that fetches each new state of others although one transfer
+// takes seconds, so that its link stays full.
+func TestSlowTransfersLeaveLinkToOthers(t *testing.T) {
+	const took, span = 2 * time.Second, 60 * time.Second
+	store, peers := &fakeStore{down: true}, &fakePeers{took: took}
+	run(t, store, peers, func(_ *kindSyncer, received func() []Event) {
+		for n := range int(span / (100 * time.Millisecond)) {
+			peers.setState(evacuationState(uint64(40 + n)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		transfers := len(fetched(received()))
+		require.Greater(t, transfers, 2)
+		require.LessOrEqual(t, time.Duration(transfers-1)*took*(1+peerStatePause), span)
+	})
+}
--- a/internal/catalogsync/peers.go
+++ b/internal/catalogsync/peers.go
@@ -33,12 +33,15 @@
 		s.seeking.Store(false)
 		s.stopFetching()
 		s.stopFetching = nil
+		s.responseAt.Store(nil)
 	}
 }
 
 // fetchPeerStates passes a state of another instance that is later than newest to run,
 // and each later one, until ctx ends. It starts after delay, or sooner with a signal on
-// start.
+// start, and begins no transfer while a response of the store arrives, which would share
+// the link with it. After a transfer it pauses for peerStateInterval, or longer so that
+// transfers take at most 1/(1+peerStatePause) of the time.
 func (s *kindSyncer) fetchPeerStates(ctx context.Context, newest catalog.Position, delay time.Duration, start <-chan struct{}) {
 	wait := time.NewTimer(delay)
 	defer wait.Stop()
@@ -48,7 +51,7 @@
 	case <-start:
 	case <-wait.C:
 	}
-	for {
+	for s.awaitResponse(ctx) {
 		state, err := s.peers.FetchState(ctx, s.kind, newest)
 		if err != nil {
 			// The context has ended: the store has answered, or the instance stops.
@@ -60,7 +63,7 @@
 		case <-ctx.Done():
 			return
 		}
-		wait.Reset(peerStateInterval)
+		wait.Reset(max(peerStateInterval, peerStatePause*state.Took))
 		select {
 		case <-wait.C:
 		case <-ctx.Done():
@@ -69,6 +72,30 @@
 	}
 }
 
+// awaitResponse waits while a response of the store arrives: its last part is less than
+// responseGap old and its call has not failed. It returns false if ctx has ended.
+func (s *kindSyncer) awaitResponse(ctx context.Context) bool {
+	for {
+		last := s.responseAt.Load()
+		if last == nil || s.now().Sub(*last) >= responseGap {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(responsePoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+}
+
+// recordResponse records that a part of a response of the store has arrived.
+func (s *kindSyncer) recordResponse() {
+	now := s.now()
+	s.responseAt.Store(&now)
+}
+
 // applyPeerState applies the state of another instance unless a later one is known, or the
 // store answers this instance.
 func (s *kindSyncer) applyPeerState(ctx context.Context, state PeerState) {
--- a/internal/catalogsync/sync.go
+++ b/internal/catalogsync/sync.go
@@ -34,6 +34,14 @@
 	// peerStateInterval is the time after which an instance that the store does not
 	// answer looks for a newer state of another instance.
 	peerStateInterval = time.Second
+	// peerStatePause is the pause after the transfer of another instance's state in units
+	// of the time that it took.
+	peerStatePause = 3
+	// responseGap is the time without a further part from which a response of the store
+	// does not count as arriving, responsePoll the time between two looks at it. The store's
+	// calls fail after a shorter time without progress.
+	responseGap  = time.Second
+	responsePoll = 20 * time.Millisecond
 	// settleDelay is the time from the first answer of another era after which a list
 	// counts as complete: what operators and upstreams wrote since the copy has been
 	// written again, and the entries of upstreams that ended have expired after three
@@ -107,7 +115,7 @@
 }
 
 // kindSyncer keeps one kind up to date. The goroutine of run owns its state;
-// only peerUpdates and seeking are used by others.
+// only peerUpdates, seeking and responseAt are used by others.
 type kindSyncer struct {
 	kind   catalog.Kind
 	store  Store
@@ -140,6 +148,9 @@
 	// it runs although the kind is listed.
 	stopFetching context.CancelFunc
 	seeking      atomic.Bool
+	// responseAt is the time at which the last part of a response of the store arrived;
+	// nil after a failed call and after the end of fetchPeerStates.
+	responseAt atomic.Pointer[time.Time]
 	// confirmed is the time at which the store itself last confirmed the revision, to
 	// this instance or to a peer; zero before that. ownCheck is set while this instance
 	// made that check.
--- a/internal/catalogsync/sync_test.go
+++ b/internal/catalogsync/sync_test.go
@@ -12,17 +12,19 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 // fakeStore is a Store with one kind. A store that is down fails calls, one that is
-// silent does not answer watches, one with silentLists does not answer lists, and one with lostHistory fails them with
-// ErrHistoryGone. Its replicas are at replicaRevision unless that is 0. It records in lists
+// silent does not answer watches, one with silentLists does not answer lists, one with slowLists sends the answer to a list
+// for that time, and one with lostHistory fails watches with ErrHistoryGone. Its replicas are at replicaRevision unless that is 0. It records in lists
 // the argument stale of each List call, and counts the watches of the store itself in checks.
 type fakeStore struct {
 	mu          sync.Mutex
 	down        bool
 	silent      bool
 	silentLists bool
+	slowLists   time.Duration
 	lostHistory bool
 	era         uint64
 	revision    uint64
@@ -53,6 +55,11 @@
 		s.mu.Lock()
 		return Update{}, ctx.Err()
 	}
+	s.mu.Unlock()
+	for end := time.Now().Add(s.slowLists); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		transfer.ReportProgress(ctx)
+	}
+	s.mu.Lock()
 	if s.down {
 		return Update{}, errDown
 	}
@@ -114,12 +121,13 @@
 }
 
 // fakePeers implements Peers: watcher makes the instance a watcher, state is the
-// state that other instances provide, and sent records the sent updates.
+// state that other instances provide within the time took, and sent records the sent updates.
 type fakePeers struct {
 	mu      sync.Mutex
 	watcher bool
 	sent    []Update
 	state   *Update
+	took    time.Duration
 	fetches int
 }
 
@@ -139,12 +147,13 @@
 	for {
 		m.mu.Lock()
 		m.fetches++
-		state := m.state
+		state, took := m.state, m.took
 		m.mu.Unlock()
+		time.Sleep(took)
 		if state != nil && state.Position().Compare(newerThan) > 0 {
 			update := *state
 			update.Kind = kind
-			return PeerState{Update: update, Age: 3 * time.Second, Source: "edge-a-1"}, nil
+			return PeerState{Update: update, Age: 3 * time.Second, Source: "edge-a-1", Took: took}, nil
 		}
 		select {
 		case <-time.After(10 * time.Millisecond):
--- a/internal/catalogsync/watch.go
+++ b/internal/catalogsync/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 // list reads the whole kind. After an even number of failures, 0 included, a replica
@@ -24,7 +25,8 @@
 	first := !s.historyRead
 	go func() {
 		var r result
-		if r.update, r.err = s.store.List(ctx, s.kind, stale); r.err == nil && first && s.kind == catalog.KindEvacuations {
+		r.update, r.err = s.store.List(transfer.WithProgress(ctx, s.recordResponse), s.kind, stale)
+		if r.err == nil && first && s.kind == catalog.KindEvacuations {
 			r.ends = s.readEvacuationEnds(ctx, r.update, stale)
 		}
 		results <- r
@@ -33,6 +35,7 @@
 		select {
 		case r := <-results:
 			if r.err != nil {
+				s.responseAt.Store(nil)
 				return r.err
 			}
 			if s.historyRead = true; r.ends != nil {
@@ -92,7 +95,7 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		update, err := s.store.Watch(call, s.kind, revision, wait, stale)
+		update, err := s.store.Watch(transfer.WithProgress(call, s.recordResponse), s.kind, revision, wait, stale)
 		results <- result{update, err}
 	}()
 	for s.listed {
@@ -103,6 +106,7 @@
 				return s.check(ctx)
 			}
 			if r.err != nil {
+				s.responseAt.Store(nil)
 				return r.err
 			}
 			return s.applyWatch(ctx, r.update, send)
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -77,6 +77,13 @@
 	return context.WithValue(ctx, progressKey{}, progress)
 }
 
+// ReportProgress calls the function of WithProgress, if ctx has one.
+func ReportProgress(ctx context.Context) {
+	if progress, ok := ctx.Value(progressKey{}).(func()); ok {
+		progress()
+	}
+}
+
 // Do makes a call and reads up to maxBytes+1 bytes of the body, so that a longer body shows.
 // It fails with *Error.
 func Do(client *http.Client, request *http.Request, limits Limits, maxBytes int) (*Response, error) {
@@ -98,9 +105,10 @@
 		return nil, failed(0, err)
 	}
 	defer func() { _ = response.Body.Close() }() // The body has been read; an error here has no effect.
-	progress, _ := ctx.Value(progressKey{}).(func())
-	if progress == nil || response.StatusCode != http.StatusOK {
-		progress = func() {}
+	progress := func() {
+		if response.StatusCode == http.StatusOK {
+			ReportProgress(ctx)
+		}
 	}
 	progress()
 	stall, total := limit(LimitStall, limits.Stall), limit(LimitTotal, limits.Total)
