Log and count failed transfers of state and calls to the store

Each failed request for state is logged as state_fetch_failed with its kind, source, reason, error, duration and the bytes that had arrived, within the rate limit of lines about flows; chivemast_state_fetch_failures and chivemast_state_fetch_lost_bytes count them. store_call_failed and chivemast_store_call_failures do the same for calls to the store. Requests that FetchState ends itself are not reported.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -56,6 +56,9 @@
 		case <-due:
 			due = nil
 		case event := <-instance.events:
+			if failed, ok := event.Event.(catalog.Unavailable); ok {
+				instance.logFailedCall(failed)
+			}
 			unlogged = append(unlogged, c.Apply(time.Now().Add(-event.Age), event.Event)...)
 		case <-reload:
 			instance.reloadSettings(load)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	"github.com/chivemast/chivemast/internal/overload"
 	"github.com/chivemast/chivemast/internal/peerauth"
 	"github.com/chivemast/chivemast/internal/relay"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 const scope = "github.com/chivemast/chivemast/internal/edge"
@@ -69,6 +70,25 @@
 	return labels
 }()
 
+// Indexes into storeFailureLabels: why calls to the store failed. The labels from
+// storeFailureLimit on are those of transfer.Limit.
+const (
+	// storeFailureOther is for calls that were refused or failed before their response.
+	storeFailureOther = iota
+	storeFailureInterrupted
+	storeFailureLimit
+)
+
+var storeFailureLabels = append([]string{"other", "interrupted"}, transfer.LimitLabels...)
+
+// kindLabels holds the label of each catalog.Kind.
+var kindLabels = func() (labels []string) {
+	for _, kind := range catalog.Kinds() {
+		labels = append(labels, kind.String())
+	}
+	return labels
+}()
+
 // Indexes into upstreamLabels: states of the entry of a flow's upstream.
 const (
 	upstreamUnknown = iota
@@ -109,6 +129,13 @@
 	hedges    *counters.Family
 	avoided   *counters.Family
 	resets    *counters.Family
+	// fetchFailures counts failed requests for the state of other instances, and
+	// lostFetchBytes the bytes that had arrived for them.
+	fetchFailures  *counters.Family
+	lostFetchBytes atomic.Int64
+	// storeFailures counts failed calls to the store.
+	storeFailures *counters.Family
+
 	moved     atomic.Int64
 	lost      atomic.Int64
 	failing   atomic.Int64
@@ -157,10 +184,12 @@
 		bytes:     counters.NewTwoAttributeFamily("direction", relayLabels, "kind", relay.MessageKindLabels),
 		refused:   counters.NewFamily("reason", refusalLabels),
 
-		admissions: counters.NewTwoAttributeFamily("priority", priorityLabels, "result", overload.OutcomeLabels),
-		hedges:     counters.NewFamily("result", hedge.CounterLabels),
-		avoided:    counters.NewFamily("reason", forward.AvoidReasonLabels),
-		resets:     counters.NewTwoAttributeFamily("reason", forward.ReasonLabels[:], "upstream", upstreamLabels),
+		admissions:    counters.NewTwoAttributeFamily("priority", priorityLabels, "result", overload.OutcomeLabels),
+		hedges:        counters.NewFamily("result", hedge.CounterLabels),
+		avoided:       counters.NewFamily("reason", forward.AvoidReasonLabels),
+		fetchFailures: counters.NewFamily("reason", relay.FetchFailureLabels),
+		storeFailures: counters.NewTwoAttributeFamily("kind", kindLabels, "reason", storeFailureLabels),
+		resets:        counters.NewTwoAttributeFamily("reason", forward.ReasonLabels[:], "upstream", upstreamLabels),
 	}
 	return m, m.register(m.provider.Meter(scope))
 }
@@ -190,6 +219,8 @@
 	counter("chivemast_probes", "Connection attempts to upstreams that seemed silent.", m.probes)
 	counter("chivemast_relay_messages", "Messages between instances.", m.messages)
 	counter("chivemast_relay_refused", "Messages of instances that were not accepted.", m.refused)
+	counter("chivemast_state_fetch_failures", "Requests for the state of another instance that failed, by reason.", m.fetchFailures)
+	counter("chivemast_store_call_failures", "Failed calls to the store by kind and reason.", m.storeFailures)
 	counter("chivemast_relay_bytes", "Bytes of messages between instances.", m.bytes)
 	total := func(name, description string, value *atomic.Int64) {
 		_, err := meter.Int64ObservableCounter(name, metric.WithDescription(description),
@@ -200,6 +231,7 @@
 		errs = append(errs, err)
 	}
 	total("chivemast_snapshots", "Views handed to the goroutine that forwards packets.", &m.snapshots)
+	total("chivemast_state_fetch_lost_bytes", "Bytes of states that arrived in transfers that failed.", &m.lostFetchBytes)
 	total("chivemast_flows_moved", "Established flows whose packets began to go to another upstream.", &m.moved)
 	total("chivemast_lost_requests", "Requests that an upstream left without an answer.", &m.lost)
 	total("chivemast_upstreams_failing", "Times that an upstream was found to fail a part of its requests.", &m.failing)
@@ -298,6 +330,12 @@
 	}
 }
 
+// countFailedFetch counts a failed request for the state of another instance.
+func (m *Metrics) countFailedFetch(err *relay.FetchError) {
+	m.fetchFailures.Add(int(err.Failure), 1)
+	m.lostFetchBytes.Add(int64(err.Received))
+}
+
 // countRefusedMessage counts a message that was not accepted, by the reason in err.
 func (m *Metrics) countRefusedMessage(err error) {
 	reason := relayOther
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -12,6 +12,7 @@
 	"github.com/chivemast/chivemast/internal/listen"
 	"github.com/chivemast/chivemast/internal/peerauth"
 	"github.com/chivemast/chivemast/internal/relay"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 // listenRelay opens the relay and creates the syncer, which receives the updates
@@ -149,6 +150,48 @@
 	})
 }
 
+// StateFetchFailed implements relay.Observer.
+func (o relayObserver) StateFetchFailed(failed relay.FailedFetch) {
+	o.instance.metrics.countFailedFetch(failed.Err)
+	level := logrus.WarnLevel
+	switch failed.Err.Failure {
+	case relay.FetchBusy, relay.FetchNoState, relay.FetchUnreachable:
+		// Instances that start together cause these.
+		level = logrus.InfoLevel
+	}
+	o.instance.log.Flow(level, "state_fetch_failed", func() logrus.Fields {
+		return logrus.Fields{
+			"kind": failed.Kind.String(), "source": failed.Source, "reason": failed.Err.Failure.String(), "error": failed.Err.Err,
+			"took_ms": failed.Took.Milliseconds(), "received": failed.Err.Received,
+		}
+	})
+}
+
+// logFailedCall counts and logs a failed call to the store. store_lost is logged for the first
+// one only.
+func (instance *Instance) logFailedCall(failed catalog.Unavailable) {
+	reason, received := storeFailure(failed.Err)
+	instance.metrics.storeFailures.Add(int(failed.Kind)*len(storeFailureLabels)+reason, 1)
+	instance.log.Flow(logrus.InfoLevel, "store_call_failed", func() logrus.Fields {
+		return logrus.Fields{"kind": failed.Kind.String(), "reason": storeFailureLabels[reason], "error": failed.Err, "received": received}
+	})
+}
+
+// storeFailure returns the index into storeFailureLabels for a failed call to the store, and
+// the bytes of the response that had arrived.
+func storeFailure(err error) (reason, received int) {
+	reason = storeFailureOther
+	var incomplete *transfer.Error
+	if errors.As(err, &incomplete) && incomplete.Received > 0 {
+		reason, received = storeFailureInterrupted, incomplete.Received
+	}
+	var timeout *transfer.TimeoutError
+	if errors.As(err, &timeout) {
+		reason = storeFailureLimit + int(timeout.Limit)
+	}
+	return reason, received
+}
+
 // MemberChanged implements relay.Observer.
 func (o relayObserver) MemberChanged(member relay.Member, found bool) {
 	event := "member_lost"
--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -88,6 +88,16 @@
 // Unwrap returns the cause.
 func (e *FetchError) Unwrap() error { return e.Err }
 
+// FailedFetch is a request for state that failed.
+type FailedFetch struct {
+	Kind catalog.Kind
+	// Source is the name of the member.
+	Source string
+	// Took is the time from the request to the failure.
+	Took time.Duration
+	Err  *FetchError
+}
+
 var (
 	errStateOutdated = errors.New("the state is not later than the own one")
 	errStateTooLarge = fmt.Errorf("the state has more than %d bytes", maxStateBytes)
@@ -113,7 +123,7 @@
 	source string
 	began  time.Time
 	state  catalogsync.PeerState
-	err    error
+	err    *FetchError
 }
 
 // FetchState implements catalogsync.Peers: it requests the state of a kind from members
@@ -149,6 +159,7 @@
 				return result.state, nil
 			}
 			last = result.err
+			r.cfg.Observer.StateFetchFailed(FailedFetch{kind, result.source, time.Since(result.began), result.err})
 			if f.recordFailure(time.Now(), result) {
 				r.forgetPosition(result.source, kind)
 			}
@@ -180,11 +191,16 @@
 				send(responses, fetchResult{source: source.Name, began: began})
 			}
 		})
-		state, err := r.requestState(progress, source, kind)
-		if err == nil && state.Update.Position().Compare(newerThan) <= 0 {
-			err = &FetchError{Failure: FetchOutdated, Err: errStateOutdated}
+		result := fetchResult{source: source.Name, began: began}
+		var err error
+		result.state, err = r.requestState(progress, source, kind)
+		if err != nil && !errors.As(err, &result.err) {
+			result.err = &FetchError{Failure: FetchRefused, Err: err}
+		}
+		if err == nil && result.state.Update.Position().Compare(newerThan) <= 0 {
+			result.err = &FetchError{Failure: FetchOutdated, Err: errStateOutdated}
 		}
-		send(results, fetchResult{source.Name, began, state, err})
+		send(results, result)
 	}()
 }
 
@@ -260,9 +276,7 @@
 // overload, and returns whether the source has to report a position again before it is asked
 // again.
 func (f *stateFetch) recordFailure(now time.Time, result fetchResult) (forget bool) {
-	var failed *FetchError
-	errors.As(result.err, &failed)
-	switch failed.Failure {
+	switch result.err.Failure {
 	case FetchBusy:
 		f.busy[result.source] = true
 		return false
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -32,6 +32,7 @@
 	loads        map[string]*LoadReport
 	past         Past
 	rejected     int
+	fetches      []FailedFetch
 	reasons      map[peerauth.Reason]int
 }
 
@@ -55,6 +56,12 @@
 	r.found[m.Name] = found
 }
 
+func (r *recorder) StateFetchFailed(failed FailedFetch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fetches = append(r.fetches, failed)
+}
+
 // unusedAddress returns an unused port of a random loopback address. On 127.0.0.1, tests
 // of other packages could take the port before it is opened, or while an instance
 // restarts.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,7 +53,7 @@
 	// destination of a message that could not be encoded or sent. It is the own
 	// address for an update that could not be encoded, and zero when the source
 	// of a request cannot be parsed. An authentic response that cannot be decoded
-	// is not reported; FetchState treats it as a failed request.
+	// is reported by StateFetchFailed.
 	Rejected(remote netip.AddrPort, err error)
 	// MemberChanged reports a member of any failure domain whose first message
 	// arrived (found is true), or that was removed because no instance heard it for
@@ -61,6 +61,9 @@
 	// known name is not reported. MemberChanged must not call the Relay, which
 	// holds its lock during the call.
 	MemberChanged(member Member, found bool)
+	// StateFetchFailed reports a request for state that failed. Requests that FetchState
+	// ended itself are not reported.
+	StateFetchFailed(failed FailedFetch)
 }
 
 // Config holds the settings and callbacks of a Relay. All callbacks and the
--- a/internal/relay/state_transfer_test.go
+++ b/internal/relay/state_transfer_test.go
@@ -195,6 +195,29 @@
 	require.Equal(t, 4, refused)
 }
 
+// Guards against transfers that fail without a trace, so that nobody can tell a slow link from
+// a silent source.
+func TestFailedTransferIsReportedWithItsBytes(t *testing.T) {
+	link := &slowLink{pieces: 5, sent: 2}
+	starting := startSlowSources(t, 1, link)
+	record := starting.cfg.Observer.(*recorder)
+	ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+	defer cancel()
+	_, err := starting.FetchState(ctx, catalog.KindEvacuations, catalog.Position{})
+	var failed *FetchError
+	require.ErrorAs(t, err, &failed)
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	require.Len(t, record.fetches, 1)
+	report := record.fetches[0]
+	require.Equal(t, failed, report.Err)
+	require.Equal(t, FetchStalled, report.Err.Failure)
+	require.Equal(t, catalog.KindEvacuations, report.Kind)
+	require.Equal(t, "a-0", report.Source)
+	require.GreaterOrEqual(t, report.Took, stateLimits.Stall)
+	link.change(func() { require.Equal(t, link.bytes, report.Err.Received) })
+}
+
 // pacedWriter delays each write, as a slow link does.
 type pacedWriter struct {
 	http.ResponseWriter
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -34,6 +34,9 @@
 	LimitTotal
 )
 
+// LimitLabels has the label of each Limit, as it is exceeded.
+var LimitLabels = []string{"no_response", "stalled", "too_slow"}
+
 // TimeoutError reports that a call exceeded a limit. It wraps
 // context.DeadlineExceeded.
 type TimeoutError struct {
