Apply states of other instances during calls to the store

A state that another instance had sent waited until the running watch or check ended.

The watch now applies such states, as it does updates from peers.

Before: TestPeerStateIsAppliedDuringCall fails.

--- a/internal/catalogsync/peer_state_test.go
+++ b/internal/catalogsync/peer_state_test.go
@@ -130,6 +130,23 @@
 	})
 }
 
+// Guards against the state of another instance that waits for the end of a call to the
+// store, which may take seconds while its response arrives.
+func TestPeerStateIsAppliedDuringCall(t *testing.T) {
+	store, peers := &fakeStore{revision: 5}, &fakePeers{watcher: true}
+	run(t, store, peers, func(_ *kindSyncer, received func() []Event) {
+		time.Sleep(4 * time.Second)
+		store.set(func(s *fakeStore) { s.down = true })
+		time.Sleep(changeBound)
+		store.set(func(s *fakeStore) { s.down, s.silent = false, true })
+		time.Sleep(changeBound)
+		require.Empty(t, fetched(received()))
+		peers.setState(evacuationState(40))
+		time.Sleep(2 * peerStateInterval)
+		require.Len(t, fetched(received()), 1)
+	})
+}
+
 // Guards against transfers from other instances beside a list that arrives slowly: they
 // share its link, so that none of them ends.
 func TestStateIsNotFetchedWhileListArrives(t *testing.T) {
--- a/internal/catalogsync/watch.go
+++ b/internal/catalogsync/watch.go
@@ -81,7 +81,7 @@
 
 // watch waits for changes in the store, or with stale set in a replica, at most the time
 // wait, applies them and, if send is set, sends them to the peers. It also applies the
-// updates from peers that arrive meanwhile, so that a silent connection to the store does
+// updates from peers and the states of other instances that arrive meanwhile, so that a silent connection to the store does
 // not delay this instance. It ends early when another era is noticed. A replica that does
 // not have the position makes a check in the store due. It fails with the error of the
 // watch, or with *OutdatedError.
@@ -110,6 +110,8 @@
 				return r.err
 			}
 			return s.applyWatch(ctx, r.update, send)
+		case state := <-s.peerStates:
+			s.applyPeerState(ctx, state)
 		case update := <-s.peerUpdates:
 			s.applyPeerUpdate(ctx, update)
 		}
