--- a/internal/catalogsync/watch.go
+++ b/internal/catalogsync/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 // list reads the whole kind. After an even number of failures, 0 included, a replica
@@ -25,7 +26,8 @@
 	first := !s.historyRead
 	go func() {
 		var r result
-		if r.update, r.err = s.store.List(ctx, s.kind, stale); r.err == nil && first && s.kind == catalog.KindEvacuations {
+		r.update, r.err = s.store.List(transfer.WithProgress(ctx, s.recordResponse), s.kind, stale)
+		if r.err == nil && first && s.kind == catalog.KindEvacuations {
 			r.ends = s.readEvacuationEnds(ctx, r.update, stale)
 		}
 		results <- r
@@ -34,6 +36,7 @@
 		select {
 		case r := <-results:
 			if r.err != nil {
+				s.responseAt.Store(nil)
 				return r.err
 			}
 			if s.historyRead = true; r.ends != nil {
@@ -79,10 +82,10 @@
 
 // watch waits for changes in the store, or with stale set in a replica, at most the time
 // wait, applies them and, if send is set, sends them to the peers. It also applies the
-// updates from peers that arrive meanwhile, so that a silent connection to the store does
-// not delay this instance. It ends early when another era is noticed or a check is requested.
-// A replica that does not have the position makes a check in the store due. It fails with the
-// error of the watch, or with *OutdatedError.
+// updates from peers and the states of other instances that arrive meanwhile, so that a silent
+// connection to the store does not delay this instance. It ends early when another era is
+// noticed or a check is requested. A replica that does not have the position makes a check in
+// the store due. It fails with the error of the watch, or with *OutdatedError.
 func (s *kindSyncer) watch(ctx context.Context, wait time.Duration, stale, send bool) error {
 	type result struct {
 		update Update
@@ -96,7 +99,7 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		update, err := s.store.Watch(call, s.kind, revision, wait, stale)
+		update, err := s.store.Watch(transfer.WithProgress(call, s.recordResponse), s.kind, revision, wait, stale)
 		results <- result{update, err}
 	}()
 	for s.listed {
@@ -107,9 +110,12 @@
 				return s.check(ctx)
 			}
 			if r.err != nil {
+				s.responseAt.Store(nil)
 				return r.err
 			}
 			return s.applyWatch(ctx, r.update, send, began)
+		case state := <-s.peerStates:
+			s.applyPeerState(ctx, state)
 		case update := <-s.peerUpdates:
 			s.applyPeerUpdate(ctx, update)
 		case <-s.checkRequests:
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -34,6 +34,7 @@
 	loads        map[string]*LoadReport
 	past         Past
 	rejected     int
+	fetches      []FailedFetch
 	reasons      map[peerauth.Reason]int
 }
 
@@ -57,6 +58,12 @@
 	r.found[m.Name] = found
 }
 
+func (r *recorder) StateFetchFailed(failed FailedFetch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fetches = append(r.fetches, failed)
+}
+
 // unusedAddress returns an unused port of a random loopback address. On 127.0.0.1, tests
 // of other packages could take the port before it is opened, or while an instance
 // restarts.
@@ -121,7 +128,7 @@
 // serve runs the HTTP handler of a relay until the test ends.
 func serve(t *testing.T, r *Relay) {
 	t.Helper()
-	server := &http.Server{Handler: r.Handler(), Addr: r.cfg.Self.Address.String(), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: r.Handler(), Addr: r.cfg.Self.Address.String(), ConnContext: LimitSendBuffer, ReadHeaderTimeout: time.Second}
 	listener, err := net.Listen("tcp4", server.Addr)
 	require.NoError(t, err)
 	served := make(chan error, 1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,7 +53,7 @@
 	// destination of a message that could not be encoded or sent. It is the own
 	// address for an update that could not be encoded, and zero when the source
 	// of a request cannot be parsed. An authentic response that cannot be decoded
-	// is not reported; FetchState treats it as a failed request.
+	// is reported by StateFetchFailed.
 	Rejected(remote netip.AddrPort, err error)
 	// MemberChanged reports a member of any failure domain whose first message
 	// arrived (found is true), or that was removed because no instance heard it for
@@ -60,6 +61,9 @@
 	// known name is not reported. MemberChanged must not call the Relay, which
 	// holds its lock during the call.
 	MemberChanged(member Member, found bool)
+	// StateFetchFailed reports a request for state that failed. Requests that FetchState
+	// ended itself are not reported.
+	StateFetchFailed(failed FailedFetch)
 }
 
 // Config holds the settings and callbacks of a Relay. All callbacks and the
@@ -118,6 +122,10 @@
 	// wrongSessionAnswers limits the answers to messages for other sessions to
 	// wrongSessionAnswersPerSecond.
 	wrongSessionAnswers *rate.Limiter
+	// largeStates holds an element for each large state that is being sent, stateBytes the
+	// size of the state of each kind that was sent last.
+	largeStates chan struct{}
+	stateBytes  [3]atomic.Int64
 
 	mu         sync.Mutex
 	membership *membership
@@ -138,7 +146,7 @@
 	return &Relay{
 		cfg: cfg, conn: conn, membership: newMembership(cfg.Self), sourcesChanged: make(chan struct{}), wake: make(chan struct{}, 1),
 		auth: peerauth.NewAuthenticator(cfg.Keys), wrongSessionAnswers: rate.NewLimiter(wrongSessionAnswersPerSecond, wrongSessionAnswersPerSecond),
-		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, largeStates: make(chan struct{}, maxLargeStates),
 	}, nil
 }
 
