--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -238,7 +238,7 @@
 	total("chivemast_snapshots", "Views handed to the goroutine that forwards packets.", &m.snapshots)
 	total("chivemast_state_fetch_lost_bytes", "Bytes of states that arrived in transfers that failed.", &m.lostFetchBytes)
 	total("chivemast_flows_moved", "Established flows whose packets began to go to another upstream.", &m.moved)
-	total("chivemast_contradicted_verdicts", "Probes without an answer that reset no flows because peers had answers of the upstream.", &m.contradicted)
+	total("chivemast_contradicted_verdicts", "Probes without an answer that count for nothing because peers had answers of the upstream.", &m.contradicted)
 	total("chivemast_lost_requests", "Requests that an upstream left without an answer.", &m.lost)
 	total("chivemast_upstreams_failing", "Times that an upstream was found to fail a part of its requests.", &m.failing)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -273,8 +273,8 @@
 	// be partitioned or slow, or when the upstream may still hold its flows: the failure is
 	// not confirmed, or it reset the connection.
 	Inconclusive bool
-	// Contradicted is true when the result is inconclusive only because peers have answers of
-	// the upstream.
+	// Contradicted is true when the result is inconclusive because peers have answers of the
+	// upstream.
 	Contradicted bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -26,7 +26,7 @@
 }
 
 // Contradict tells a peer that upstreams answer which it has reported as silent. It does
-// nothing when the peer is unknown or its version reads no such messages. The caller must
+// nothing when the peer is unknown or its version reads only JSON. The caller must
 // pass at most MaxReportedUpstreams.
 func (r *Relay) Contradict(peer string, report uint64, answers []UpstreamAnswer) {
 	r.mu.Lock()
@@ -38,7 +38,8 @@
 }
 
 // PassOn tells all peers which upstreams answer this instance or others although it has
-// reported them as silent. Versions that read no such messages are left out. The caller must pass at most MaxReportedUpstreams.
+// reported them as silent. Versions that read only JSON are left out. The caller must pass
+// at most MaxReportedUpstreams.
 func (r *Relay) PassOn(report uint64, answers []UpstreamAnswer) {
 	m := &message{From: r.cfg.Self, Answering: Answering{Report: report, Answers: answers, PassedOn: true}}
 	var encoded encodedMessage
