Let instances contradict the silence of an upstream that answers them

A probe without an answer for 220 ms counted as the end of the upstream as soon as any other upstream answered, for the instance that suspected it and for all that probed because of its report.

The reporter tells its peers what it learns. A silent probe that began before such an answer resets nothing; new flows avoid the upstream and the probe is repeated at once, then each second. Refusals and other ids are not contradicted. New: chivemast_contradicted_verdicts_total, log fields contradicted and contradicted_ms.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -83,7 +83,8 @@
 		}),
 	}
 	instance.traffic.prober = newProber(codec, instance.traffic.wake)
-	instance.traffic.reportLimit = rate.NewLimiter(reportsPerSecond, reportsAtOnce)
+	instance.traffic.reportLimit, instance.traffic.contradictionLimit = rate.NewLimiter(reportsPerSecond, reportsAtOnce), rate.NewLimiter(reportsPerSecond, reportsAtOnce)
+	instance.traffic.contradictions = make(chan contradictionReport, reportQueue)
 	instance.traffic.reports, instance.traffic.loads = make(chan peerReport, reportQueue), make(chan loadReport, loadReportQueue)
 	instance.traffic.imports, instance.traffic.exports = make(chan []forward.HandoverFlow, importQueue), make(chan chan<- []forward.HandoverFlow, 1)
 	instance.traffic.questions = make(chan question, 1)
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -112,7 +112,7 @@
 		fields := logrus.Fields{
 			"upstream": result.Upstream.ID, "verdict": result.Outcome.String(), "sign": result.Trigger.String(), "upstream_revision": result.Upstream.Revision,
 			"took_ms": now.Sub(result.Started).Milliseconds(), "flows_reset": len(effect.Resets),
-			"inconclusive": effect.Inconclusive,
+			"inconclusive": effect.Inconclusive, "contradicted": effect.Contradicted,
 		}
 		if result.Outcome != evidence.ProbeAlive {
 			addGrounds(fields, effect.Grounds)
@@ -140,6 +140,7 @@
 	fields["draining"], fields["probe_pending"], fields["last_verdict"] = g.Draining, g.Pending, g.Outcome.String()
 	for name, age := range map[string]time.Duration{
 		"missing_ms": g.Missing, "answered_ms": g.Answered, "probed_ms": g.Probed, "doubted_ms": g.Doubted,
+		"contradicted_ms": g.Contradicted,
 	} {
 		if fields[name] = int64(-1); age != evidence.Never {
 			fields[name] = age.Milliseconds()
--- a/internal/edge/flowlog_test.go
+++ b/internal/edge/flowlog_test.go
@@ -85,13 +85,13 @@
 	entry := &catalog.Entry{Upstream: catalog.Upstream{ID: "i-1"}}
 	grounds := evidence.Grounds{
 		Draining: true, Missing: evidence.Never, Answered: 90 * time.Millisecond, Outcome: evidence.ProbeRefused, Probed: 2 * time.Millisecond,
-		Doubted: 310 * time.Millisecond,
+		Doubted: 310 * time.Millisecond, Contradicted: 87 * time.Millisecond,
 	}
 	decision := forward.Decision{Action: forward.Reset, Reason: forward.ReasonUpstreamFailed, Upstream: entry, Grounds: &grounds}
 	newFlowLog(recorded).logDecision(time.Now(), &forward.Packet{}, decision, &catalog.Snapshot{})
 	require.Subset(t, recorded.lines[0], logrus.Fields{
 		"reason": "upstream_silent", "draining": true, "missing_ms": int64(-1), "answered_ms": int64(90), "last_verdict": "refused", "probed_ms": int64(2),
-		"doubted_ms": int64(310), "available_ms": int64(-1),
+		"doubted_ms": int64(310), "contradicted_ms": int64(87), "available_ms": int64(-1),
 	})
 	metrics, err := NewMetrics()
 	require.NoError(t, err)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -42,9 +42,12 @@
 	// dropSuperseded is for opening packets that were held, or waited while the process was
 	// paused, until their caller has probably sent a copy.
 	dropSuperseded
+	// dropContradiction is for upstreams in contradictions of silence reports that found the
+	// queue full or exceeded the rate limit.
+	dropContradiction
 )
 
-var dropLabels = []string{"malformed", "socket", "probe_limit", "load_report_queue", "superseded"}
+var dropLabels = []string{"malformed", "socket", "probe_limit", "load_report_queue", "superseded", "contradiction_limit"}
 
 // Indexes into relayLabels: directions of messages between instances.
 const (
@@ -110,13 +113,15 @@
 	avoided   *counters.Family
 	resets    *counters.Family
 	moved     atomic.Int64
-	lost      atomic.Int64
-	failing   atomic.Int64
-	flows     atomic.Int64
-	upstreams atomic.Int64
-	snapshots atomic.Int64
-	version   atomic.Int64
-	era       atomic.Int64
+	// contradicted counts the probes without an answer that peers contradicted.
+	contradicted atomic.Int64
+	lost         atomic.Int64
+	failing      atomic.Int64
+	flows        atomic.Int64
+	upstreams    atomic.Int64
+	snapshots    atomic.Int64
+	version      atomic.Int64
+	era          atomic.Int64
 	// confirmed is when the store last confirmed each catalog.Kind, in Unix
 	// milliseconds; 0 before the first confirmation.
 	confirmed [3]atomic.Int64
@@ -201,6 +206,7 @@
 	}
 	total("chivemast_snapshots", "Views handed to the goroutine that forwards packets.", &m.snapshots)
 	total("chivemast_flows_moved", "Established flows whose packets began to go to another upstream.", &m.moved)
+	total("chivemast_contradicted_verdicts", "Probes without an answer that count for nothing because peers had answers of the upstream.", &m.contradicted)
 	total("chivemast_lost_requests", "Requests that an upstream left without an answer.", &m.lost)
 	total("chivemast_upstreams_failing", "Times that an upstream was found to fail a part of its requests.", &m.failing)
 	gauge("chivemast_flows_remembered", "Flows remembered for the choice of upstreams.", m.flows.Load)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -25,7 +25,12 @@
 		OnUpdate: func(update catalogsync.Update) {
 			instance.syncer.QueueUpdate(update)
 		},
-		OnSilentUpstream: func(u relay.UpstreamIncarnation) { instance.traffic.queuePeerReport(peerReport{upstream: u}) },
+		OnSilentUpstream: func(from relay.Member, report uint64, u relay.UpstreamIncarnation) {
+			instance.traffic.queuePeerReport(peerReport{upstream: u, from: from.Name, number: report})
+		},
+		OnAnswering: func(from relay.Member, answering relay.Answering) {
+			instance.traffic.queueContradiction(contradictionReport{from.Name, answering, time.Now()})
+		},
 		OnLostRequest: func(u relay.UpstreamIncarnation) {
 			instance.traffic.queuePeerReport(peerReport{upstream: u, lost: true})
 		},
@@ -52,6 +57,7 @@
 	}
 	instance.traffic.sendSilent, instance.traffic.sendLost, instance.traffic.peerRank = instance.relay.ReportSilent, instance.relay.ReportLost, instance.relay.PeerRank
 	instance.traffic.sendLoad = instance.relay.ReportLoad
+	instance.traffic.contradict, instance.traffic.passOn = instance.relay.Contradict, instance.relay.PassOn
 	instance.syncer = catalogsync.New(store, instance.relay, instance.events)
 	return nil
 }
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -43,12 +43,16 @@
 type peerReport struct {
 	upstream relay.UpstreamIncarnation
 	lost     bool
+	// from is the name of the peer, number that of its report of silent upstreams; 0 from
+	// versions without numbers.
+	from   string
+	number uint64
 }
 
 // processQueues processes what waits for the traffic goroutine: results of probes,
 // unanswered probes, reports from peers, imports and exports of flows, and questions.
 func (loop *trafficLoop) processQueues(now time.Time) {
-	defer loop.sendSilentReports()
+	defer loop.sendSilentReports(now)
 	for {
 		select {
 		case result := <-loop.prober.results:
@@ -57,6 +61,8 @@
 			loop.applyUnansweredProbe(now, probe)
 		case report := <-loop.reports:
 			loop.applyPeerReport(now, report)
+		case received := <-loop.contradictions:
+			loop.applyContradictions(received)
 		case flows := <-loop.imports:
 			loop.engine.ImportFlows(now, flows)
 		case received := <-loop.loads:
@@ -77,6 +83,9 @@
 	effect := loop.engine.HandleProbeResult(now, result)
 	loop.log.logProbe(now, result, effect)
 	loop.metrics.countProbe(result.Outcome, now.Sub(result.Started))
+	if effect.Contradicted {
+		loop.metrics.contradicted.Add(1)
+	}
 	if effect.Report {
 		loop.queueSilentReport(now, result.Upstream)
 	}
@@ -112,6 +121,9 @@
 		loop.engine.HandleLossReport(now, received.upstream.ID, received.upstream.Born)
 		return
 	}
+	if received.number != 0 {
+		loop.engine.HandleQuestion(now, received.from, received.number, received.upstream.ID, received.upstream.Born)
+	}
 	loop.engine.HandleSilenceReport(now, received.upstream.ID, received.upstream.Born)
 }
 
@@ -156,9 +168,13 @@
 }
 
 // sendSilentReports sends the queued silent upstreams to peers.
-func (loop *trafficLoop) sendSilentReports() {
+func (loop *trafficLoop) sendSilentReports(now time.Time) {
 	if len(loop.unsentSilent) > 0 {
-		loop.sendSilent(loop.unsentSilent)
+		loop.silentReports++
+		for _, u := range loop.unsentSilent {
+			loop.engine.RecordSilenceReport(now, loop.silentReports, u.ID, u.Born)
+		}
+		loop.sendSilent(loop.silentReports, loop.unsentSilent)
 		loop.unsentSilent = loop.unsentSilent[:0]
 	}
 }
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -79,19 +79,29 @@
 	prober *prober
 	// reports queues the reports from peers.
 	reports chan peerReport
+	// contradictions queues the answers by which peers contradict reports of silent upstreams.
+	contradictions chan contradictionReport
 	// sendSilent and sendLost report upstreams to peers: that they do not answer probes, or
 	// that they left a request unanswered.
-	sendSilent, sendLost func([]relay.UpstreamIncarnation)
+	sendSilent func(report uint64, upstreams []relay.UpstreamIncarnation)
+	sendLost   func([]relay.UpstreamIncarnation)
+	// contradict tells a peer that upstreams answer which it reported as silent; passOn tells
+	// all peers that upstreams answer which this instance reported.
+	contradict func(peer string, report uint64, answers []relay.UpstreamAnswer)
+	passOn     func(report uint64, answers []relay.UpstreamAnswer)
 	// loads queues the reports of other instances on response times; sendLoad sends this
 	// instance's.
 	loads    chan loadReport
 	sendLoad func(load.Reports, inflight.Report)
 	// failureDomain is that of this instance.
 	failureDomain string
-	// unsentSilent holds the silent upstreams that sendReports sends to peers next.
-	unsentSilent []relay.UpstreamIncarnation
-	// reportLimit limits the rate of upstreams reported to peers.
-	reportLimit *rate.Limiter
+	// unsentSilent holds the silent upstreams that sendSilentReports sends to peers next,
+	// silentReports the number of reports sent.
+	unsentSilent  []relay.UpstreamIncarnation
+	silentReports uint64
+	// reportLimit limits the rate of upstreams reported to peers, contradictionLimit that of
+	// upstreams in contradictions.
+	reportLimit, contradictionLimit *rate.Limiter
 	// imports queues the flows of peers that shut down.
 	imports chan []forward.HandoverFlow
 	// exports queues requests for the flows that this instance remembers.
@@ -247,6 +257,7 @@
 		loop.engine.SetLimits(*limits)
 	}
 	loop.processQueues(now)
+	loop.sendContradictions(now)
 	if len(loop.held) > 0 && now.Sub(loop.held[0].arrived) > holdTime {
 		loop.retryHeldPackets(now)
 	}
--- a/internal/evidence/contradiction.go
+++ b/internal/evidence/contradiction.go
@@ -17,6 +17,9 @@
 	// maxQuestions is the maximum number of questions kept; further ones are ignored. That
 	// many upstreams are reported by five instances at once within their rate.
 	maxQuestions = 256
+	// contradictionMargin is the least time from the start of a probe to an answer that
+	// contradicts its silence: messages take less to arrive.
+	contradictionMargin = 5 * time.Millisecond
 )
 
 // Contradiction says that an instance has had an answer from an upstream whose silence another
@@ -139,3 +142,29 @@
 		state.peersAnsweredAt = latest(state.peersAnsweredAt, receivedAt.Add(-max(c.Age, 0)))
 	}
 }
+
+// contradicts reports whether a peer has had an answer since a probe began that was silent. New
+// flows then avoid the upstream, and its open flows go on while each further probe is
+// contradicted as well. If only the path from this instance to the upstream has failed, they
+// wait for their callers' time limits, or until the rotation moves them to another instance.
+func (s *upstreamState) contradicts(result ProbeResult) bool {
+	return s.peersAnsweredAt.Sub(result.Started) > contradictionMargin
+}
+
+// recordContradicted records a silent probe that peers contradict. It is repeated at once,
+// because the upstream may have ended since its last answer, and if the last one was contradicted
+// as well, as a probe that settled nothing. An upstream already known to have failed stays so.
+func (t *Tracker) recordContradicted(now time.Time, result ProbeResult) ProbeEffect {
+	state := t.stateOf(result.Upstream.Cookie)
+	repeated := now.Sub(state.contradictedAt) < reprobeMax
+	state.contradictedAt = now
+	if state.probe.failed() {
+		state.probe.recordOutcome(now, result.Outcome)
+		return ProbeEffect{Inconclusive: true, Contradicted: true}
+	}
+	state.probe.unsettled = true
+	if entry := t.snapshot.Resolve(result.Upstream.Cookie); entry != nil && !entry.Replaced && !repeated {
+		t.probes = append(t.probes, t.newProbe(now, entry, TriggerProbeFailed))
+	}
+	return ProbeEffect{Inconclusive: true, Contradicted: true}
+}
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -253,6 +253,9 @@
 	// be partitioned or slow, or when the upstream may still hold its flows: the failure is
 	// not confirmed, or it reset the connection.
 	Inconclusive bool
+	// Contradicted is true when the result is inconclusive because peers have answers of the
+	// upstream.
+	Contradicted bool
 	// FirstFailure is true when the upstream was not already recorded as failed.
 	// Inconclusive failures and failures that a packet has disproved do not count.
 	FirstFailure bool
@@ -289,6 +292,9 @@
 	if result.Outcome == ProbeAlive {
 		state.probe.doubtedAt, state.probe.aliveSince = time.Time{}, result.Started
 	}
+	if result.Outcome == ProbeSilent && t.isConclusive(result) && state.contradicts(result) {
+		return t.recordContradicted(now, result)
+	}
 	if result.Outcome == ProbeSilent && !t.isConclusive(result) {
 		// An upstream already known to have failed stays so, and its probes back off.
 		state.probe.unsettled = first
--- a/internal/evidence/silence.go
+++ b/internal/evidence/silence.go
@@ -89,7 +89,9 @@
 	unansweredAt time.Time
 	// peersAnsweredAt is the time of the last answer of the upstream that a peer has reported.
 	peersAnsweredAt time.Time
-	probe           probeState
+	// contradictedAt is when such an answer last contradicted a probe without an answer.
+	contradictedAt time.Time
+	probe          probeState
 	// responseTime is the smoothed response time. The upstream counts as slow until
 	// slowUntil.
 	responseTime responseTime
--- a/internal/loadsim/crash_test.go
+++ b/internal/loadsim/crash_test.go
@@ -37,7 +37,7 @@
 	runPattern(t, crashSpan, crashDomain, func(t *testing.T, sim *simulation) {
 		requireServed(t, sim, crashSpan)
 		last := sim.lastLost()
-		t.Logf("%d packets to silent upstreams, the last %s after the crash", len(sim.lost), last)
+		t.Logf("%d packets to silent upstreams, the last %s after the crash, %d contradictions", len(sim.lost), last, sim.contradictions)
 		require.LessOrEqual(t, last, maxDetection)
 	})
 }
--- a/internal/loadsim/instance_test.go
+++ b/internal/loadsim/instance_test.go
@@ -79,6 +79,7 @@
 // runProbes makes the probes that the engine wants and passes their results to it.
 func (i *instance) runProbes() {
 	sim := i.sim
+	sim.sendContradictions(i)
 	for _, p := range i.engine.TakeProbes() {
 		if sim.withoutProbes {
 			continue
@@ -143,10 +144,14 @@
 // reportSilent reports an upstream that does not answer probes to the peers of an
 // instance.
 func (sim *simulation) reportSilent(from *instance, u *upstream) {
+	sim.silenceReports++
+	report := sim.silenceReports
+	from.engine.RecordSilenceReport(sim.now, report, u.ID, u.Born)
 	for _, peer := range sim.instances {
 		if !sim.withoutReports && peer != from && peer.domain == from.domain {
 			sim.after(time.Millisecond, func() {
 				if peer.alive {
+					peer.engine.HandleQuestion(sim.now, from.name, report, u.ID, u.Born)
 					peer.engine.HandleSilenceReport(sim.now, u.ID, u.Born)
 					peer.runProbes()
 				}
@@ -155,6 +160,28 @@
 	}
 }
 
+// sendContradictions sends the contradictions of silence reports that are due from an instance:
+// to the reporter, and those of its own reports to all of its peers.
+func (sim *simulation) sendContradictions(from *instance) {
+	for _, c := range from.engine.TakeContradictions(sim.now) {
+		to := c.Reporter
+		if c.Reporter = ""; to == "" {
+			c.Reporter = from.name
+		}
+		for _, peer := range sim.instances {
+			if !sim.withoutReports && peer != from && peer.domain == from.domain && (to == "" || to == peer.name) {
+				sim.contradictions++
+				sim.after(time.Millisecond, func() {
+					if peer.alive {
+						peer.engine.HandleContradiction(sim.now, c)
+						sim.sendContradictions(peer)
+					}
+				})
+			}
+		}
+	}
+}
+
 // loadReportInterval and loadPeers are the interval of reports on response times and the
 // number of peers that receive one; one instance of each other domain does as well.
 const (
--- a/internal/loadsim/simulation_test.go
+++ b/internal/loadsim/simulation_test.go
@@ -91,6 +91,10 @@
 	// withoutReports makes instances send no reports of silent upstreams and lost
 	// requests to their peers.
 	withoutReports bool
+	// silenceReports numbers the reports of silent upstreams, contradictions counts the messages
+	// that contradict them.
+	silenceReports uint64
+	contradictions int
 	// withoutLoadReports makes instances send no reports on response times.
 	withoutLoadReports bool
 	// overloadControl sets forward.Config.OverloadControl; withoutInFlightReports makes
--- a/internal/relay/binary.go
+++ b/internal/relay/binary.go
@@ -105,6 +105,7 @@
 			FailureDomain: names.index(ended.FailureDomain), AgoMs: uint64(max(ended.Ago.Milliseconds(), 0)),
 		})
 	}
+	w.Answering = encodeAnswering(m.Answering)
 	if m.Update != nil {
 		w.Update = names.update(*m.Update)
 	}
@@ -157,6 +158,7 @@
 			FailureDomain: names.name(ended.FailureDomain), Ago: time.Duration(min(ended.AgoMs, math.MaxInt32)) * time.Millisecond,
 		})
 	}
+	m.Answering = decodeAnswering(w.Answering)
 	if w.Update != nil {
 		update, err := names.update(w.Update)
 		if err != nil {
@@ -274,6 +276,32 @@
 	return incarnations
 }
 
+// encodeAnswering returns nil for a message without answers or the number of a report.
+func encodeAnswering(a Answering) *relayv1.Answering {
+	if a.Report == 0 && len(a.Answers) == 0 {
+		return nil
+	}
+	w := &relayv1.Answering{Report: a.Report, PassedOn: a.PassedOn}
+	for _, answer := range a.Answers {
+		w.Answers = append(w.Answers, &relayv1.Answer{
+			Upstream: &relayv1.Incarnation{Id: answer.Upstream.ID, Born: answer.Upstream.Born},
+			AgeMs:    uint32(min(max(answer.Age.Milliseconds(), 0), math.MaxUint32)),
+		})
+	}
+	return w
+}
+
+func decodeAnswering(w *relayv1.Answering) Answering {
+	a := Answering{Report: w.GetReport(), PassedOn: w.GetPassedOn()}
+	for _, answer := range w.GetAnswers() {
+		a.Answers = append(a.Answers, UpstreamAnswer{
+			Upstream: UpstreamIncarnation{ID: answer.GetUpstream().GetId(), Born: answer.GetUpstream().GetBorn()},
+			Age:      milliseconds(uint64(answer.GetAgeMs())),
+		})
+	}
+	return a
+}
+
 func (t *nameTable) member(m mention) *relayv1.Member {
 	w := &relayv1.Member{Name: m.Name, FailureDomain: t.index(m.FailureDomain), Address: appendAddress(m.Address)}
 	if m.HeardMS != nil {
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -82,7 +82,7 @@
 	m := &message{From: member(1, "a"), format: formatBinary, Past: Past{
 		Replaced: []UpstreamIncarnation{{ID: "i-3", Born: 9}}, EndedEvacuations: []catalog.EndedEvacuation{{FailureDomain: "b", Ago: 1500 * time.Millisecond}},
 		Missing: []catalog.MissingUpstream{{Upstream: exampleUpstream(2), Ago: 4 * time.Second}},
-	}, Loads: &LoadReport{
+	}, Answering: exampleAnswering(), Loads: &LoadReport{
 		Services: []load.Report{{Service: "s", Answers: 12.3, MeanMS: 45.6}},
 		Remote: []load.RemoteReport{
 			{Domain: "b", Service: "s", MeanMS: 30.5, Age: 120 * time.Millisecond}, {Domain: "c", Age: time.Second},
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -25,6 +25,8 @@
 	mu           sync.Mutex
 	updates      []catalogsync.Update
 	silent       []UpstreamIncarnation
+	reports      []uint64
+	answering    []Answering
 	lost         []UpstreamIncarnation
 	flows        []forward.HandoverFlow
 	shuttingDown bool
@@ -73,9 +75,14 @@
 	r := &recorder{found: map[string]bool{}, loads: map[string]*LoadReport{}, reasons: map[peerauth.Reason]int{}}
 	relay, err := Listen(Config{
 		Self: Member{Name: name, FailureDomain: domain, Address: address}, Seeds: seeds,
-		OnUpdate:         func(u catalogsync.Update) { r.mu.Lock(); r.updates = append(r.updates, u); r.mu.Unlock() },
-		OnSilentUpstream: func(s UpstreamIncarnation) { r.mu.Lock(); r.silent = append(r.silent, s); r.mu.Unlock() },
-		OnLostRequest:    func(s UpstreamIncarnation) { r.mu.Lock(); r.lost = append(r.lost, s); r.mu.Unlock() },
+		OnUpdate: func(u catalogsync.Update) { r.mu.Lock(); r.updates = append(r.updates, u); r.mu.Unlock() },
+		OnSilentUpstream: func(_ Member, report uint64, s UpstreamIncarnation) {
+			r.mu.Lock()
+			r.silent, r.reports = append(r.silent, s), append(r.reports, report)
+			r.mu.Unlock()
+		},
+		OnAnswering:   func(_ Member, a Answering) { r.mu.Lock(); r.answering = append(r.answering, a); r.mu.Unlock() },
+		OnLostRequest: func(s UpstreamIncarnation) { r.mu.Lock(); r.lost = append(r.lost, s); r.mu.Unlock() },
 		State: func(kind catalog.Kind) (catalogsync.Update, time.Duration, bool) {
 			return catalogsync.Update{Kind: kind, Era: 2, Revision: 9, Events: []catalog.Event{catalog.EvacuationsListed{Domains: []string{"x"}, Revision: 9}}},
 				2 * time.Second, kind == catalog.KindEvacuations
--- a/internal/relay/json.go
+++ b/internal/relay/json.go
@@ -9,7 +9,8 @@
 )
 
 // jsonMessage is the JSON form of a message. Versions without the binary format read
-// and send nothing else, and ignore Announcement, Revisions and Eras.
+// and send nothing else, and ignore Announcement, Revisions and Eras. It has no
+// Answering, which only versions with the binary format use.
 type jsonMessage struct {
 	From         Member                `json:"from"`
 	Hello        bool                  `json:"hello,omitempty"`
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/chivemast/chivemast/internal/catalog"
 	"github.com/chivemast/chivemast/internal/catalogsync"
@@ -16,7 +17,7 @@
 const MaxDatagram = 1400
 
 // MaxReportedUpstreams is the largest number of upstreams that the caller may pass
-// to ReportSilent or ReportLost. That many fit into a message of MaxDatagram bytes
+// to ReportSilent, ReportLost, Contradict or PassOn. That many fit into a message of MaxDatagram bytes
 // even with the longest names; the receivers may reject a longer report.
 const MaxReportedUpstreams = 12
 
@@ -48,6 +49,8 @@
 	KindLoss
 	// KindLoad: response times.
 	KindLoad
+	// KindAnswering: upstreams that answer although another instance found them silent.
+	KindAnswering
 	// KindState: the whole state of a kind of data.
 	KindState
 	// KindFlows: flow records of an instance that shuts down.
@@ -56,7 +59,7 @@
 
 // MessageKindLabels holds the label of each kind, indexed by MessageKind.
 var MessageKindLabels = []string{
-	"unreadable", "hello", "members", "announcement", "update", "confirmation", "silence", "loss", "load", "state", "flows",
+	"unreadable", "hello", "members", "announcement", "update", "confirmation", "silence", "loss", "load", "answering", "state", "flows",
 }
 
 func (k MessageKind) String() string { return MessageKindLabels[k] }
@@ -74,6 +77,8 @@
 		return KindLoss
 	case m.Loads != nil:
 		return KindLoad
+	case len(m.Answering.Answers) > 0:
+		return KindAnswering
 	case m.Hello:
 		return KindHello
 	case len(m.Members) > 0:
@@ -102,6 +107,24 @@
 	Address netip.AddrPort `json:"address"`
 }
 
+// Answering lists upstreams that answer instances although another one found them silent.
+type Answering struct {
+	// Report is the number that the instance which found them silent gave to its report; 0
+	// from versions without numbers.
+	Report  uint64
+	Answers []UpstreamAnswer
+	// PassedOn is false in the reply to a report, and true when the reporter itself tells its
+	// peers.
+	PassedOn bool
+}
+
+// UpstreamAnswer is the answer of an upstream to an instance.
+type UpstreamAnswer struct {
+	Upstream UpstreamIncarnation
+	// Age is the time from the answer to the sending of the message, in whole milliseconds.
+	Age time.Duration
+}
+
 // Past is what the store no longer shows, for an instance that has started since.
 type Past struct {
 	// Replaced lists earlier incarnations of upstreams that have started again under
@@ -134,6 +157,9 @@
 	// Silent lists upstreams that did not answer the sender's probes or that
 	// the probes found gone.
 	Silent []UpstreamIncarnation
+	// Answering contradicts reports of silent upstreams, or has the number of the report in
+	// Silent.
+	Answering Answering
 	// Lost lists upstreams that left a request of the sender's callers without
 	// an answer; an upstream is listed once for each such request.
 	Lost []UpstreamIncarnation
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,9 +75,15 @@
 	// OnUpdate is called with each update from a peer.
 	OnUpdate func(catalogsync.Update)
 	// OnSilentUpstream is called with each upstream that did not answer a peer's
-	// probes or that the probes found gone, OnLostRequest with each upstream that
-	// left a request of a peer's caller without an answer.
-	OnSilentUpstream, OnLostRequest func(UpstreamIncarnation)
+	// probes or that the probes found gone, and the number of the report, 0 from versions
+	// without numbers. OnLostRequest is called with each upstream that left a request of a
+	// peer's caller without an answer.
+	OnSilentUpstream func(from Member, report uint64, upstream UpstreamIncarnation)
+	OnLostRequest    func(UpstreamIncarnation)
+	// OnAnswering is called with the answers by which a peer contradicts a report of
+	// silent upstreams, of this instance or its own, on the goroutine that receives
+	// datagrams.
+	OnAnswering func(from Member, answering Answering)
 	// OnPast is called with what a member of any failure domain knows about the past, on
 	// the goroutine that receives datagrams.
 	OnPast func(Past)
@@ -240,7 +246,10 @@
 		r.cfg.OnUpdate(*m.Update)
 	}
 	for _, upstream := range m.Silent {
-		r.cfg.OnSilentUpstream(upstream)
+		r.cfg.OnSilentUpstream(m.From, m.Answering.Report, upstream)
+	}
+	if len(m.Answering.Answers) > 0 {
+		r.cfg.OnAnswering(m.From, m.Answering)
 	}
 	for _, upstream := range m.Lost {
 		r.cfg.OnLostRequest(upstream)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -202,7 +202,7 @@
 		largeEvent.Domains = append(largeEvent.Domains, fmt.Sprintf("domain-%d", i))
 	}
 	first.SendUpdate(catalogsync.Update{Kind: catalog.KindEvacuations, Base: 3, Revision: 5, Events: []catalog.Event{largeEvent}})
-	first.ReportSilent([]UpstreamIncarnation{{ID: "i-1", Born: 7}})
+	first.ReportSilent(7, []UpstreamIncarnation{{ID: "i-1", Born: 7}})
 	first.ReportLost([]UpstreamIncarnation{{ID: "i-2", Born: 8}})
 	_, err := first.conn.WriteToUDPAddrPort([]byte("not a message"), seed.cfg.Self.Address)
 	require.NoError(t, err)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -19,10 +19,35 @@
 }
 
 // ReportSilent sends the incarnations of upstreams that did not answer probes, or
-// that the probes found gone, to all peers. The caller must pass at most
-// MaxReportedUpstreams.
-func (r *Relay) ReportSilent(upstreams []UpstreamIncarnation) {
-	r.sendToPeers(&message{From: r.cfg.Self, Silent: upstreams})
+// that the probes found gone, to all peers, with a number other than 0 that their
+// contradictions repeat. The caller must pass at most MaxReportedUpstreams.
+func (r *Relay) ReportSilent(report uint64, upstreams []UpstreamIncarnation) {
+	r.sendToPeers(&message{From: r.cfg.Self, Silent: upstreams, Answering: Answering{Report: report}})
+}
+
+// Contradict tells a peer that upstreams answer which it has reported as silent. It does
+// nothing when the peer is unknown or its version reads only JSON. The caller must
+// pass at most MaxReportedUpstreams.
+func (r *Relay) Contradict(peer string, report uint64, answers []UpstreamAnswer) {
+	r.mu.Lock()
+	state, known := r.membership.byName[peer]
+	r.mu.Unlock()
+	if known && state.format == formatBinary {
+		r.sendMessage(r.receiverOf(state.member), &message{From: r.cfg.Self, Answering: Answering{Report: report, Answers: answers}})
+	}
+}
+
+// PassOn tells all peers which upstreams answer this instance or others although it has
+// reported them as silent. Versions that read only JSON are left out. The caller must pass
+// at most MaxReportedUpstreams.
+func (r *Relay) PassOn(report uint64, answers []UpstreamAnswer) {
+	m := &message{From: r.cfg.Self, Answering: Answering{Report: report, Answers: answers, PassedOn: true}}
+	var encoded encodedMessage
+	for _, peer := range r.Peers() {
+		if to := r.receiverOf(peer); to.format == formatBinary {
+			r.sendEncoded(to, m, &encoded)
+		}
+	}
 }
 
 // ReportLost sends the incarnations of upstreams that left requests without an
