--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -108,3 +109,28 @@
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, reports, 4)
 }
+
+// Guards against a large chunk that counts as silence until the whole of it has arrived: the
+// reader of chunks fills the buffer that it is given.
+func TestPartsOfLargeChunkAreProgress(t *testing.T) {
+	const size, pieces = 600_000, 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size)
+		for range pieces {
+			time.Sleep(30 * time.Millisecond)
+			_, _ = conn.Write(make([]byte, size/pieces))
+		}
+		_, _ = fmt.Fprint(conn, "\r\n0\r\n\r\n")
+	}))
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+	require.NoError(t, err)
+	response, err := Do(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, request, limits, 1<<20)
+	require.NoError(t, err)
+	require.Len(t, response.Body, size)
+}
