Limit reads of the object API by the progress of the answer

A read now has the time limit until the header of the answer, then for each pause in it, and 8 s for the whole answer; a watch counts bytes of a message as life. Writes are unchanged, and keep the deadline that the platform is told.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -18,12 +18,17 @@
 	"github.com/chivemast/chivemast/gen/chivemast/v1/chivemastv1connect"
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/position"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 // MaxMessageBytes is the largest accepted answer of the platform, in bytes. It holds 300
 // services with tables of at most 16 KB each and leaves room for growth.
 const MaxMessageBytes = 16 << 20
 
+// bodyTimeout bounds the time in which the answer to a read arrives after its header. With the
+// default CallTimeout, it ends when the decision logic counts the read as failed.
+const bodyTimeout = 8 * time.Second
+
 // Client is a client of the platform's object API. All revisions that it returns, also
 // those of objects, and that it is passed are positions: they include the era. The synchronous methods may be
 // called at any time. Actions passed to Enqueue are executed, and events are sent, only
@@ -79,7 +84,7 @@
 		c.limiters[call] = rate.NewLimiter(budget.PerSecond, budget.Burst)
 		c.backoffs[call] = &backoff{base: cfg.BackoffBase, limit: cfg.BackoffMax}
 	}
-	c.api = chivemastv1connect.NewObjectServiceClient(&http.Client{Transport: c.transport}, cfg.URL,
+	c.api = chivemastv1connect.NewObjectServiceClient(&http.Client{Transport: transfer.Transport{Base: c.transport}}, cfg.URL,
 		connect.WithReadMaxBytes(MaxMessageBytes))
 	return c, nil
 }
@@ -100,14 +105,28 @@
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // callOnce makes one call within the budget of its kind and CallTimeout, and records
-// its outcome. It fails with *CallError.
+// its outcome. The answer to a read may take up to bodyTimeout while bytes arrive. It fails
+// with *CallError.
 func (c *Client) callOnce(parent context.Context, kind Call, key string, request func(context.Context) error) error {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(parent, c.cfg.CallTimeout)
 	defer cancel()
-	ctx, sent := traceSent(ctx)
-	err := c.waitForBudget(ctx, kind)
-	if err == nil {
-		err = request(ctx)
+	if err := c.waitForBudget(ctx, kind); err != nil {
+		return c.recordOutcome(parent, kind, key, false, err)
+	}
+	if kind != CallPut {
+		// The context of a read has no deadline, so that none is sent to the platform.
+		limited, end := transfer.WithLimits(parent, transfer.Limits{
+			Header: c.cfg.CallTimeout - time.Since(began), Stall: c.cfg.CallTimeout, Total: bodyTimeout,
+		})
+		defer end()
+		ctx = limited
+	}
+	traced, sent := traceSent(ctx)
+	err := request(traced)
+	var timeout *transfer.TimeoutError
+	if err != nil && errors.As(context.Cause(ctx), &timeout) {
+		err = connect.NewError(connect.CodeDeadlineExceeded, timeout)
 	}
 	return c.recordOutcome(parent, kind, key, sent.Load(), err)
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -38,8 +38,8 @@
 type Config struct {
 	// URL is the base URL of the object API.
 	URL string
-	// CallTimeout is the timeout of one call, including the wait for its budget.
-	// Default 2 s.
+	// CallTimeout is the timeout of one call, including the wait for its budget. A read has
+	// it until the header of the answer, and then for each pause in the answer. Default 2 s.
 	CallTimeout time.Duration
 	// WriteTimeout is the timeout of a write, including retries and reading the
 	// object back after a lost answer. Default 10 s.
@@ -48,7 +48,7 @@
 	// kind: up to BackoffBase after the first failure, and up to twice as much
 	// after every further one, at most BackoffMax. Defaults 50 ms and 2 s.
 	BackoffBase, BackoffMax time.Duration
-	// WatchSilence is the time without a message after which a watch is replaced.
+	// WatchSilence is the time without a byte of a message after which a watch is replaced.
 	// The platform sends a message at least every second, so the default of 3 s
 	// means that three messages are missing.
 	WatchSilence time.Duration
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -138,7 +138,7 @@
 	OutcomeRejected Outcome = "rejected"
 	// OutcomeBudget means that the call was not made because of its budget.
 	OutcomeBudget Outcome = "budget"
-	// OutcomeSilent means that a watch received no message for WatchSilence.
+	// OutcomeSilent means that a watch received nothing for WatchSilence.
 	OutcomeSilent Outcome = "silent"
 	// OutcomeCancelled means that the caller cancelled the call.
 	OutcomeCancelled Outcome = "cancelled"
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -8,6 +8,7 @@
 	pb "github.com/chivemast/chivemast/gen/chivemast/v1"
 	"github.com/chivemast/chivemast/internal/action"
 	"github.com/chivemast/chivemast/internal/position"
+	"github.com/chivemast/chivemast/internal/transfer"
 )
 
 // watchCommand starts a watch, or stops it if start is false.
@@ -17,7 +18,7 @@
 }
 
 // runWatches executes watch commands and keeps at most one watch. A watch that ends
-// or receives no message for WatchSilence is reported as lost and replaced, from the
+// or receives nothing for WatchSilence is reported as lost and replaced, from the
 // last received revision, until it is stopped.
 //
 // The receiver of events may request a new watch when it is told about the loss. If
@@ -93,6 +94,8 @@
 	silenceTimer := time.AfterFunc(c.cfg.WatchSilence, func() { cancel(&SilentWatchError{Silence: c.cfg.WatchSilence}) })
 	defer silenceTimer.Stop()
 	traced, sent := traceSent(ctx)
+	// A large message on a slow link is not silence.
+	traced = transfer.WithProgress(traced, func() { silenceTimer.Reset(c.cfg.WatchSilence) })
 	err := c.receiveWatch(traced, reachedRevision, silenceTimer)
 	if cause := context.Cause(ctx); cause != nil && parent.Err() == nil {
 		err = cause
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -82,7 +82,7 @@
 	// 65,536, range 16 to 1,048,576.
 	MaxRequests int `json:"max_requests" default:"65536" min:"16" max:"1048576"`
 	// PlatformCallTimeoutMS is the time after which an unanswered platform call
-	// fails, in ms. Default 2,000, range 50 to 60,000.
+	// fails, and a read whose answer pauses for that time, in ms. Default 2,000, range 50 to 60,000.
 	PlatformCallTimeoutMS Milliseconds `json:"platform_call_timeout_ms" default:"2000" min:"50" max:"60000"`
 	// PlatformWriteTimeoutMS is the time, in ms, for a write including retries and
 	// reading the object back after a lost answer. Default 10,000, range 100 to 120,000;
@@ -91,7 +91,7 @@
 	// PlatformBackoffMaxMS is the longest backoff before a failed platform call is
 	// repeated, in ms. Default 2,000, range 10 to 60,000.
 	PlatformBackoffMaxMS Milliseconds `json:"platform_backoff_max_ms" default:"2000" min:"10" max:"60000"`
-	// PlatformWatchSilenceMS is the time without a message after which a watch is
+	// PlatformWatchSilenceMS is the time without a byte of a message after which a watch is
 	// replaced, in ms. The platform sends a message at least every 1,000 ms.
 	// Default 3,000, range 1,500 to 60,000.
 	PlatformWatchSilenceMS Milliseconds `json:"platform_watch_silence_ms" default:"3000" min:"1500" max:"60000"`
