Wait before a failed source of state is asked again

A member of an older version reports no positions, so that FetchState asked it again as soon as a request had failed, without a pause.

--- a/internal/catalogsync/watch.go
+++ b/internal/catalogsync/watch.go
@@ -81,8 +81,8 @@
 
 // watch waits for changes in the store, or with stale set in a replica, at most the time
 // wait, applies them and, if send is set, sends them to the peers. It also applies the
-// updates from peers and the states of other instances that arrive meanwhile, so that a silent connection to the store does
-// not delay this instance. It ends early when another era is noticed. A replica that does
+// updates from peers and the states of other instances that arrive meanwhile, so that a
+// silent connection to the store does not delay this instance. It ends early when another era is noticed. A replica that does
 // not have the position makes a check in the store due. It fails with the error of the
 // watch, or with *OutdatedError.
 func (s *kindSyncer) watch(ctx context.Context, wait time.Duration, stale, send bool) error {
--- a/internal/relay/fetch.go
+++ b/internal/relay/fetch.go
@@ -111,13 +111,21 @@
 	cancel  map[string]context.CancelFunc
 	// receiving is the source whose state arrives, or empty.
 	receiving string
-	// busy stores the sources that were busy since the last pause.
-	busy map[string]bool
+	// busy stores the sources that were busy since the last pause, failed the time of the last
+	// failure of the others.
+	busy   map[string]bool
+	failed map[string]time.Time
 	// failures counts the rounds that failed. The next request is sent at resume.
 	failures int
 	resume   time.Time
 }
 
+func newStateFetch() *stateFetch {
+	return &stateFetch{
+		running: map[string]time.Time{}, cancel: map[string]context.CancelFunc{}, busy: map[string]bool{}, failed: map[string]time.Time{},
+	}
+}
+
 // fetchResult is the result of a request that began at the given time.
 type fetchResult struct {
 	source string
@@ -135,13 +143,13 @@
 func (r *Relay) FetchState(ctx context.Context, kind catalog.Kind, newerThan catalog.Position) (catalogsync.PeerState, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := stateFetch{running: map[string]time.Time{}, cancel: map[string]context.CancelFunc{}, busy: map[string]bool{}}
+	f := newStateFetch()
 	responses, results := make(chan fetchResult), make(chan fetchResult)
 	var last error
 	for {
 		sources, changed := r.stateSources(kind, newerThan)
 		for _, source := range f.next(time.Now(), sources) {
-			r.startRequest(ctx, &f, source, kind, newerThan, responses, results)
+			r.startRequest(ctx, f, source, kind, newerThan, responses, results)
 		}
 		retry := time.NewTimer(f.wait(time.Now()))
 		select {
@@ -209,7 +217,10 @@
 	if f.receiving != "" || now.Before(f.resume) {
 		return nil
 	}
-	idle := slices.DeleteFunc(slices.Clone(sources), func(source Member) bool { return f.busy[source.Name] })
+	idle := slices.DeleteFunc(slices.Clone(sources), func(source Member) bool {
+		failed, known := f.failed[source.Name]
+		return f.busy[source.Name] || (known && now.Sub(failed) < slowRequestAfter)
+	})
 	if len(f.busy) > 0 && len(f.running) == 0 && (len(idle) == 0 || len(f.busy) >= maxBusySources) {
 		f.pause(now)
 		return nil
@@ -284,6 +295,7 @@
 	default:
 		f.pause(now)
 	}
+	f.failed[result.source] = now
 	return true
 }
 
