--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,7 @@
 			&cli.IntFlag{Name: "jobs", Usage: "seeds at a time", Value: 4},
 			&cli.IntFlag{Name: "slot", Usage: "first `SLOT` of loopback addresses; commands at the same time need slots of their own"},
 			&cli.DurationFlag{Name: "faults", Usage: "how long faults are injected", Value: 20 * time.Second},
+			&cli.DurationFlag{Name: "recovery", Usage: "time from the last fault until requests are counted (default: the users' bound)", HideDefault: true},
 			&cli.StringFlag{Name: "binary", Usage: "`PATH` of chivemast-edge", Value: "bin/chivemast-edge"},
 			&cli.StringFlag{Name: "logs", Usage: "`FOLDER` for logs", Value: "soak-out"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print every fault"},
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := soak.Config{Seed: seed, Slot: slot, Binary: cmd.String("binary"), Directory: directory, FaultTime: cmd.Duration("faults")}
+	cfg := soak.Config{Seed: seed, Slot: slot, Binary: cmd.String("binary"), Directory: directory, FaultTime: cmd.Duration("faults"), RecoveryTime: cmd.Duration("recovery")}
 	if cmd.Bool("verbose") {
 		start := time.Now()
 		cfg.Log = func(format string, args ...any) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -94,6 +94,7 @@
 	directory string
 	// slot selects the loopback addresses, as in Config.
 	slot int
+	size fleetSize
 	// settings holds the settings of the instances that differ by seed.
 	settings overloadSettings
 	// addresses holds the service addresses that callers use, one for each route except
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,12 +18,9 @@
 	"github.com/chivemast/chivemast/platform/standin"
 )
 
-// Size and times of a run. There are few processes, so that several seeds can run on
-// one machine at a time.
+// Times and number of callers of a run.
 const (
-	instancesPerDomain  = 2
-	upstreamsPerService = 4
-	callersPerDomain    = 6
+	callersPerDomain = 6
 	// warmupTime is how long the fleet runs before the first fault.
 	warmupTime = 2 * time.Second
 	// recoveryTime is the users' bound on the time from the end of the last fault until
@@ -38,6 +35,19 @@
 	minServedShare = 0.995
 )
 
+// fleetSize is the number of processes of a run. There are few, so that several seeds can
+// run on one machine at a time.
+type fleetSize struct{ instancesPerDomain, upstreamsPerService int }
+
+// sizeOf returns the size of the fleet of a seed. Seeds with slow instances have more
+// instances, a third of which may be slow at once, and more upstreams to probe.
+func sizeOf(seed uint64) fleetSize {
+	if isSlowSeed(seed) {
+		return fleetSize{3, 8}
+	}
+	return fleetSize{2, 4}
+}
+
 // services holds the names of the services.
 var services = []string{"s1", "s2"}
 
@@ -66,6 +76,9 @@
 	// FaultTime is how long faults are started. The run continues until the last one
 	// has ended.
 	FaultTime time.Duration
+	// RecoveryTime is the time from the end of the last fault until requests are counted;
+	// 0 for the users' bound. A shorter time is a stricter check.
+	RecoveryTime time.Duration
 	// Log is called for each fault that is injected and for other events of the run;
 	// nil for no log.
 	Log func(format string, args ...any)
@@ -115,10 +128,13 @@
 	if cfg.Log == nil {
 		cfg.Log = func(string, ...any) {}
 	}
+	if cfg.RecoveryTime == 0 {
+		cfg.RecoveryTime = recoveryTime
+	}
 	checker := newChecker()
 	settings := drawOverloadSettings(cfg.Seed)
 	fleet := &fleet{
-		checker: checker, binary: cfg.Binary, directory: cfg.Directory, slot: cfg.Slot, settings: settings,
+		checker: checker, binary: cfg.Binary, directory: cfg.Directory, slot: cfg.Slot, size: sizeOf(cfg.Seed), settings: settings,
 		addresses: slices.Clone(serviceAddresses), store: standin.NewStore(),
 	}
 	fleet.store.SetPageSize(pageSize)
@@ -137,7 +153,7 @@
 	startedAt := time.Now()
 	injector.sleepBetween(ctx, warmupTime, warmupTime+time.Millisecond)
 	count := injector.injectFaults(ctx, cfg.FaultTime)
-	injector.sleepBetween(ctx, recoveryTime, recoveryTime+time.Millisecond)
+	injector.sleepBetween(ctx, cfg.RecoveryTime, cfg.RecoveryTime+time.Millisecond)
 	recoveredAt := time.Now()
 	injector.sleepBetween(ctx, measureTime, measureTime+time.Millisecond)
 	fleet.checkStates(ctx, injector.shared)
@@ -174,7 +190,7 @@
 		return err
 	}
 	fleet.conn = conn
-	for n := range instancesPerDomain * len(domains) {
+	for n := range fleet.size.instancesPerDomain * len(domains) {
 		domain := domains[n%len(domains)]
 		fleet.instances = append(fleet.instances, &instance{name: fmt.Sprintf("edge-%s-%d", domain, n), domain: domain, address: fleet.loopbackAddress(groupInstance, n+1)})
 	}
@@ -187,7 +203,7 @@
 		config.Services = append(config.Services, catalog.Service{Name: service, ColdRate: 10, ColdDuration: 2 * time.Second, HealthPath: "/health"})
 		config.Routes = append(config.Routes, catalog.Route{Name: service, Address: serviceAddresses[n], Split: []catalog.Weight{{Service: service, Weight: 1}}})
 		fleet.checker.allowedServices[serviceAddresses[n]] = map[string]bool{service: true}
-		for u := range upstreamsPerService {
+		for u := range fleet.size.upstreamsPerService {
 			injector.addUpstream("", service, domains[u%len(domains)], netip.AddrPort{})
 		}
 	}
@@ -268,6 +284,8 @@
 	}
 	switch {
 	case injector.seed < firstFlowSeed:
+	case isSlowSeed(injector.seed):
+		kinds = slowFaults
 	case injector.seed%2 == 0:
 		kinds = slices.Concat(flowFaults, kinds[len(faults):])
 	default:
