soak: grow the configuration behind a limited path to the store

Every instance must have the last configuration 5 s after the last change plus the time of one transfer. Slow instances are stopped in turns of up to 0.4 s, as after an overdrawn quota.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,11 @@
 type sharedConfiguration struct {
 	mu     sync.Mutex
 	config catalog.Configuration
+	// unusedRoutes is the number of routes that are written beside those of config. No
+	// caller uses them.
+	unusedRoutes int
+	// changedAt is when the configuration last changed.
+	changedAt time.Time
 }
 
 // domains holds the failure domains of a run.
@@ -236,7 +241,7 @@
 // writeAgain writes what operators and running upstreams have in force to the store.
 func (injector *faultInjector) writeAgain() {
 	injector.shared.mu.Lock()
-	injector.fleet.store.SetConfiguration(injector.shared.config)
+	injector.shared.write(injector.fleet.store)
 	injector.shared.mu.Unlock()
 	injector.checker.mu.Lock()
 	for _, domain := range domains {
@@ -279,7 +284,8 @@
 	} else {
 		config.Routes = append(slices.Clone(config.Routes), extra)
 	}
-	injector.fleet.store.SetConfiguration(*config)
+	injector.shared.changedAt = time.Now()
+	injector.shared.write(injector.fleet.store)
 	injector.checker.mu.Lock()
 	defer injector.checker.mu.Unlock()
 	if present {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -95,6 +95,9 @@
 	// slot selects the loopback addresses, as in Config.
 	slot int
 	size fleetSize
+	// storeRate is the number of bytes a second from the store to each instance; 0 for no
+	// limit.
+	storeRate int
 	// settings holds the settings of the instances that differ by seed.
 	settings overloadSettings
 	// addresses holds the service addresses that callers use, one for each route except
@@ -150,6 +153,7 @@
 		if instance.proxy, err = newProxy(netip.AddrPortFrom(fleet.loopbackAddress(groupProxy, n+1), storePort).String(), address); err != nil {
 			return err
 		}
+		instance.proxy.rate = fleet.storeRate
 		go func() { _ = instance.proxy.run(ctx) }() // Ends with the context.
 	}
 	return nil
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -32,13 +32,22 @@
 // proxyDelay is how long ModeDelay holds back each read of bytes, as with a slow store.
 const proxyDelay = 240 * time.Millisecond
 
+// queueSize is the receive buffer of the connections to the store when the path is limited:
+// the store waits to write what exceeds it.
+const queueSize = 64 << 10
+
 // proxy forwards the TCP connections of one instance to the store.
 type proxy struct {
 	listener net.Listener
 	target   string
+	// rate is the number of bytes a second that pass to the instance, over all connections
+	// together; 0 for no limit. It is set before run.
+	rate int
 
-	mu   sync.Mutex
-	mode Mode
+	mu sync.Mutex
+	// freeAt is when all bytes that were read from the store have passed the limit.
+	freeAt time.Time
+	mode   Mode
 	// modeChanged is closed and replaced at every change of mode.
 	modeChanged chan struct{}
 	// connections holds the open connections, to the instance and to the store.
@@ -109,6 +118,9 @@
 		_ = client.Close()
 		return
 	}
+	if p.rate > 0 {
+		_ = server.(*net.TCPConn).SetReadBuffer(queueSize) // Without it, more waits in the kernel.
+	}
 	p.mu.Lock()
 	p.connections[client], p.connections[server] = true, true
 	if p.mode == ModeReset {
@@ -135,12 +147,31 @@
 		if err != nil || !p.waitToForward(ctx, responses) {
 			return
 		}
+		if responses && p.rate > 0 {
+			time.Sleep(p.passLimit(n, time.Now()))
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
 }
 
+// passLimit returns the time until n bytes that are read at now have passed the limit.
+func (p *proxy) passLimit(n int, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.freeAt.Before(now) {
+		p.freeAt = now
+	}
+	p.freeAt = p.freeAt.Add(transferTime(n, p.rate))
+	return p.freeAt.Sub(now)
+}
+
+// transferTime returns the time that n bytes take at a rate in bytes a second.
+func transferTime(n, rate int) time.Duration {
+	return time.Duration(n) * time.Second / time.Duration(rate)
+}
+
 // waitToForward waits until the mode allows bytes of a direction to be forwarded. It
 // returns false if ctx ends first.
 func (p *proxy) waitToForward(ctx context.Context, responses bool) bool {
--- a/internal/soak/slow_faults.go
+++ b/internal/soak/slow_faults.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/platform/standin"
 )
 
 // firstSlowSeed and lastSlowSeed are the first and the last seed with slowFaults only.
@@ -16,9 +21,25 @@
 	lastSlowSeed  = 6999
 )
 
-// slowPeriod is the time in which a slow instance runs and is stopped once, as the period
-// of a processor quota.
-const slowPeriod = 100 * time.Millisecond
+const (
+	// slowPeriod is the shortest time in which a slow instance runs and is stopped once, as
+	// the period of a processor quota. An instance that has overdrawn its quota is stopped
+	// for up to maxSlowPeriods of them.
+	slowPeriod     = 100 * time.Millisecond
+	maxSlowPeriods = 4
+)
+
+const (
+	// growthStep is the number of routes by which the configuration grows at a time, and
+	// maxUnusedRoutes the largest number: about 0.7 MB.
+	growthStep      = 1400
+	maxUnusedRoutes = 3 * growthStep
+	// unusedRouteSize is the approximate size of an unused route in the store, in bytes.
+	unusedRouteSize = 170
+	// limitedRate is the number of bytes a second from the store to an instance, so that
+	// the largest configuration takes 0.7 s.
+	limitedRate = 1_000_000
+)
 
 // isSlowSeed returns whether the seed has slowFaults.
 func isSlowSeed(seed uint64) bool { return seed >= firstSlowSeed && seed <= lastSlowSeed }
@@ -29,6 +50,7 @@
 var slowFaults = []fault{
 	{"slow_instance", func(ctx context.Context, injector *faultInjector) { injector.slowInstances(ctx) }},
 	{"slow_instance", func(ctx context.Context, injector *faultInjector) { injector.slowInstances(ctx) }},
+	{"grow", func(ctx context.Context, injector *faultInjector) { injector.growConfiguration(ctx) }},
 	{"leave", func(ctx context.Context, injector *faultInjector) { injector.leaveInSteps(ctx) }},
 	{"crash", func(ctx context.Context, injector *faultInjector) { injector.crashUpstream(ctx) }},
 	{"lose", func(ctx context.Context, injector *faultInjector) { injector.losePackets(ctx) }},
@@ -48,24 +70,25 @@
 	defer cancel()
 	var running sync.WaitGroup
 	for _, instance := range slow[:count] {
-		stopped := slowPeriod * time.Duration(80+injector.rng.IntN(16)) / 100
-		injector.log("%s is stopped for %s of every %s, for %s", instance.name, stopped, slowPeriod, span)
+		period := slowPeriod * time.Duration(1+injector.rng.IntN(maxSlowPeriods))
+		stopped := period * time.Duration(80+injector.rng.IntN(16)) / 100
+		injector.log("%s is stopped for %s of every %s, for %s", instance.name, stopped, period, span)
 		rng := rand.New(rand.NewPCG(injector.rng.Uint64(), 1))
-		running.Go(func() { instance.stopInTurns(ctx, stopped, rng) })
+		running.Go(func() { instance.stopInTurns(ctx, stopped, period-stopped, rng) })
 	}
 	running.Wait()
 }
 
-// stopInTurns stops the process for a part of every slowPeriod until ctx ends. A process
-// that may not handle signals yet goes on, since a stop would delay it further.
-func (instance *instance) stopInTurns(ctx context.Context, stopped time.Duration, rng *rand.Rand) {
+// stopInTurns stops the process for a time and lets it run for another one, again and again
+// until ctx ends. A process that may not handle signals yet is not stopped.
+func (instance *instance) stopInTurns(ctx context.Context, stopped, runs time.Duration, rng *rand.Rand) {
 	wait := func(span time.Duration) {
 		select {
 		case <-time.After(span):
 		case <-ctx.Done():
 		}
 	}
-	wait(time.Duration(rng.Int64N(int64(slowPeriod))))
+	wait(time.Duration(rng.Int64N(int64(stopped))))
 	for ctx.Err() == nil {
 		instance.mu.Lock()
 		started := time.Since(instance.startedAt) >= 2*signalHandlerDelay
@@ -75,6 +98,45 @@
 		}
 		wait(stopped)
 		instance.sendSignal(syscall.SIGCONT)
-		wait(slowPeriod - stopped)
+		wait(runs)
+	}
+}
+
+// growConfiguration makes the configuration grow by growthStep routes one to three times,
+// and changes its version only when it has maxUnusedRoutes. Meanwhile two upstreams start
+// and two leave.
+func (injector *faultInjector) growConfiguration(ctx context.Context) {
+	var leaving sync.WaitGroup
+	defer leaving.Wait()
+	for n := range 2 {
+		replacement := *injector
+		replacement.rng = rand.New(rand.NewPCG(injector.rng.Uint64(), 2))
+		replacement.lastNumber += n
+		leaving.Go(func() { replacement.leaveInSteps(ctx) })
+	}
+	for range 1 + injector.rng.IntN(3) {
+		shared := injector.shared
+		shared.mu.Lock()
+		shared.unusedRoutes = min(shared.unusedRoutes+growthStep, maxUnusedRoutes)
+		shared.config.Version++
+		shared.changedAt = time.Now()
+		shared.write(injector.fleet.store)
+		injector.log("configuration has %d unused routes", shared.unusedRoutes)
+		shared.mu.Unlock()
+		if !injector.sleepBetween(ctx, 200*time.Millisecond, 1500*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// write writes the configuration with its unused routes. The caller holds shared.mu.
+func (shared *sharedConfiguration) write(store *standin.Store) {
+	config := shared.config
+	config.Routes = slices.Clone(config.Routes)
+	split := []catalog.Weight{{Service: services[0], Weight: 1}, {Service: services[1], Weight: 1}}
+	for n := range shared.unusedRoutes {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, byte(n >> 8), byte(n)}), 443)
+		config.Routes = append(config.Routes, catalog.Route{Name: fmt.Sprintf("unused-route-of-another-service-%d", n), Address: address, Split: split})
 	}
+	store.SetConfiguration(config)
 }
--- a/internal/soak/slow_faults_test.go
+++ b/internal/soak/slow_faults_test.go
@@ -4,13 +4,24 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"regexp"
+	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/chivemast/chivemast/internal/catalog"
+	"github.com/chivemast/chivemast/platform/standin"
 )
 
 // Guards against a slow instance that counts as faulty, which would excuse the resets it
@@ -64,3 +75,57 @@
 	require.True(t, isSlowSeed(6000))
 	require.True(t, isSlowSeed(6999))
 }
+
+// Guards against a path to an instance that is faster than its limit, or limited for each
+// connection only.
+func TestLimitHoldsForAllConnectionsOfAnInstance(t *testing.T) {
+	const size, connections = 100_000, 3
+	server, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, server.Close()) }()
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = conn.Write(make([]byte, size)); _ = conn.Close() }()
+		}
+	}()
+	p, err := newProxy("127.0.0.1:0", server.Addr().String())
+	require.NoError(t, err)
+	p.rate = limitedRate
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = p.run(ctx) }()
+	start := time.Now()
+	var clients sync.WaitGroup
+	for range connections {
+		clients.Go(func() {
+			conn, err := net.Dial("tcp4", p.listener.Addr().String())
+			if !assert.NoError(t, err) {
+				return
+			}
+			received, err := io.Copy(io.Discard, conn)
+			assert.NoError(t, err)
+			assert.EqualValues(t, size, received)
+		})
+	}
+	clients.Wait()
+	require.GreaterOrEqual(t, time.Since(start), transferTime(connections*size, limitedRate))
+}
+
+// Guards against a configuration whose unused routes share an address with another route,
+// make it unusable, or are much smaller than unusedRouteSize says.
+func TestGrownConfigurationIsUsable(t *testing.T) {
+	shared := &sharedConfiguration{config: catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "extra", Address: extraAddress}}}, unusedRoutes: maxUnusedRoutes}
+	store := standin.NewStore()
+	shared.write(store)
+	require.Len(t, shared.config.Routes, 1)
+	w := httptest.NewRecorder()
+	store.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/-/objects/config", nil))
+	require.InEpsilon(t, maxUnusedRoutes*unusedRouteSize, w.Body.Len(), 0.1)
+	hosts := regexp.MustCompile(`"host":"([^"]+)"`).FindAllString(w.Body.String(), -1)
+	slices.Sort(hosts)
+	require.Len(t, slices.Compact(hosts), maxUnusedRoutes+1)
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -138,6 +138,9 @@
 		addresses: slices.Clone(serviceAddresses), store: standin.NewStore(),
 	}
 	fleet.store.SetPageSize(pageSize)
+	if isSlowSeed(cfg.Seed) {
+		fleet.storeRate = limitedRate
+	}
 	injector := &faultInjector{fleet: fleet, checker: checker, seed: cfg.Seed, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), log: cfg.Log}
 	fleet.peerKey = newKey(injector.rng)
 	defer fleet.stopAll()
@@ -153,9 +156,14 @@
 	startedAt := time.Now()
 	injector.sleepBetween(ctx, warmupTime, warmupTime+time.Millisecond)
 	count := injector.injectFaults(ctx, cfg.FaultTime)
+	var checks sync.WaitGroup
+	if isSlowSeed(cfg.Seed) {
+		checks.Go(func() { fleet.checkConfigurations(ctx, injector.shared) })
+	}
 	injector.sleepBetween(ctx, cfg.RecoveryTime, cfg.RecoveryTime+time.Millisecond)
 	recoveredAt := time.Now()
 	injector.sleepBetween(ctx, measureTime, measureTime+time.Millisecond)
+	checks.Wait()
 	fleet.checkStates(ctx, injector.shared)
 	cancel()
 	callers.Wait()
@@ -211,7 +219,7 @@
 		fleet.addTerms(config)
 	}
 	fleet.checker.allowedServices[extraAddress] = map[string]bool{services[0]: true}
-	fleet.store.SetConfiguration(*config)
+	injector.shared.write(fleet.store)
 	go fleet.copyStore(ctx)
 	for n, instance := range fleet.instances {
 		if err := errors.Join(fleet.prepareInstance(n, instance)); err != nil {
--- a/internal/soak/state.go
+++ b/internal/soak/state.go
@@ -8,10 +8,36 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/chivemast/chivemast/internal/edge"
 )
 
+// configurationBound is the time from a change of the configuration until it is in force on
+// every instance, without the transfer to the instances.
+const configurationBound = 5 * time.Second
+
+// checkConfigurations waits until configurationBound and the time of one transfer have passed
+// since the last change, and checks that every instance has the last configuration in force.
+func (fleet *fleet) checkConfigurations(ctx context.Context, shared *sharedConfiguration) {
+	shared.mu.Lock()
+	version, changedAt := shared.config.Version, shared.changedAt
+	bound := configurationBound + transferTime(shared.unusedRoutes*unusedRouteSize, limitedRate)
+	shared.mu.Unlock()
+	select {
+	case <-time.After(time.Until(changedAt.Add(bound))):
+	case <-ctx.Done():
+		return
+	}
+	for _, instance := range fleet.instances {
+		if status, err := instance.status(ctx); err != nil {
+			fleet.checker.recordViolation("STATE: %s has no status: %v", instance.name, err)
+		} else if status.ConfigVersion != version {
+			fleet.checker.recordViolation("CONFIG: %s has version %d in force, not %d, %s after the change", instance.name, status.ConfigVersion, version, time.Since(changedAt))
+		}
+	}
+}
+
 // checkStates checks that every instance has the last configuration in force and lists
 // exactly the running upstreams. It is called after the recovery time, when nothing
 // changes any more.
