soak: fill the path between instances and upstreams

Slow instances alone show no reset in seeds 6000 to 6009: their prober repeats attempts that ended late. Change: odd seeds of 6000 to 6999 have a fault in which no upstream answers connection attempts for 0.3 to 1.5 s and a fifth of the callers' packets is lost. The upstreams answer again one after the other; their flows go on, so that a reset is a violation.

--- a/internal/soak/slow_faults.go
+++ b/internal/soak/slow_faults.go
@@ -57,6 +57,12 @@
 	{"burst", func(ctx context.Context, injector *faultInjector) { injector.startBurst(ctx) }},
 }
 
+// pathFaults holds the kinds of faults that odd seeds with slowFaults have as well. All
+// instances are affected alike; all rules hold meanwhile.
+var pathFaults = []fault{
+	{"full_path", func(ctx context.Context, injector *faultInjector) { injector.fillPath(ctx) }},
+}
+
 // slowInstances slows one instance or a third of them for 2 to 5 seconds.
 func (injector *faultInjector) slowInstances(ctx context.Context) {
 	slow := slices.Clone(injector.fleet.instances)
@@ -102,6 +108,28 @@
 	}
 }
 
+// fillPath acts as a full path between instances and upstreams for 0.3 to 1.5 seconds: no
+// upstream answers connection attempts, and a fifth of the callers' packets is lost. The
+// upstreams answer again one after the other, within 0.3 seconds. Their flows go on.
+func (injector *faultInjector) fillPath(ctx context.Context) {
+	injector.fleet.losing.Add(1)
+	defer injector.fleet.losing.Add(-1)
+	injector.fleet.mu.Lock()
+	upstreams := slices.Clone(injector.fleet.upstreams)
+	injector.fleet.mu.Unlock()
+	span := 300*time.Millisecond + time.Duration(injector.rng.Int64N(int64(1200*time.Millisecond)))
+	var blocked sync.WaitGroup
+	for _, u := range upstreams {
+		late := *injector
+		late.rng = rand.New(rand.NewPCG(injector.rng.Uint64(), 3))
+		blocked.Go(func() {
+			defer u.port.block()()
+			late.sleepBetween(ctx, span, span+300*time.Millisecond)
+		})
+	}
+	blocked.Wait()
+}
+
 // growConfiguration makes the configuration grow by growthStep routes one to three times,
 // and changes its version only when it has maxUnusedRoutes. Meanwhile two upstreams start
 // and two leave.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -292,8 +292,10 @@
 	}
 	switch {
 	case injector.seed < firstFlowSeed:
-	case isSlowSeed(injector.seed):
+	case isSlowSeed(injector.seed) && injector.seed%2 == 0:
 		kinds = slowFaults
+	case isSlowSeed(injector.seed):
+		kinds = slices.Concat(slowFaults, pathFaults)
 	case injector.seed%2 == 0:
 		kinds = slices.Concat(flowFaults, kinds[len(faults):])
 	default:
