--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,5 +7,7 @@
 // calls, loses its history, and is restored from a copy. Some seeds run with overload
 // control and hedging: their upstreams refuse requests above a bound or become slow, and
 // bursts of callers exceed what they can run. Others have faults that bear on open flows of
-// sound upstreams, and callers with long and idle flows.
+// sound upstreams, and callers with long and idle flows. In a third group of seeds instances
+// are slow, the configuration is large and its transfers are slow, upstreams reset
+// connections at a limit, and connection attempts to all of them are unanswered.
 package soak
--- a/internal/soak/flow_faults_test.go
+++ b/internal/soak/flow_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,3 +61,25 @@
 	require.NoError(t, p.Close())
 	require.Error(t, <-accepted)
 }
+
+// Guards against a port at its limit that serves or refuses connections instead of resetting
+// them, and against one that stays at its limit.
+func TestPortAtLimitResetsConnections(t *testing.T) {
+	p, err := listenPort("127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, p.Close()) }()
+	p.resetting.Add(1)
+	accepted := make(chan error, 1)
+	go func() { _, err := p.Accept(); accepted <- err }()
+	conn, err := net.DialTimeout("tcp4", p.Addr().String(), time.Second)
+	if err == nil {
+		require.NoError(t, conn.SetDeadline(time.Now().Add(time.Second)))
+		_, err = conn.Read(make([]byte, 1))
+	}
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.Empty(t, accepted)
+	p.resetting.Add(-1)
+	_, err = net.DialTimeout("tcp4", p.Addr().String(), time.Second)
+	require.NoError(t, err)
+	require.NoError(t, <-accepted)
+}
--- a/internal/soak/port.go
+++ b/internal/soak/port.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,8 @@
 	gate      chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+	// resetting is the number of faults that make the port reset new connections.
+	resetting atomic.Int32
 }
 
 // listenPort listens at an address. It fails if the address is in use.
@@ -33,9 +36,14 @@
 	return &port{TCPListener: listener.(*net.TCPListener), gate: make(chan struct{}, 1), closed: make(chan struct{})}, nil
 }
 
-// Accept accepts a connection, and returns it when the port is not blocked.
+// Accept accepts a connection, and returns it when the port is not blocked. It resets
+// connections while resetting is set.
 func (p *port) Accept() (net.Conn, error) {
-	conn, err := p.TCPListener.Accept()
+	conn, err := p.AcceptTCP()
+	for err == nil && p.resetting.Load() > 0 {
+		_, _ = conn.SetLinger(0), conn.Close() // The client may have closed it.
+		conn, err = p.AcceptTCP()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/slow_faults.go
+++ b/internal/soak/slow_faults.go
@@ -53,6 +53,7 @@
 	{"grow", func(ctx context.Context, injector *faultInjector) { injector.growConfiguration(ctx) }},
 	{"leave", func(ctx context.Context, injector *faultInjector) { injector.leaveInSteps(ctx) }},
 	{"crash", func(ctx context.Context, injector *faultInjector) { injector.crashUpstream(ctx) }},
+	{"reset_connections", func(ctx context.Context, injector *faultInjector) { injector.resetConnections(ctx) }},
 	{"lose", func(ctx context.Context, injector *faultInjector) { injector.losePackets(ctx) }},
 	{"burst", func(ctx context.Context, injector *faultInjector) { injector.startBurst(ctx) }},
 }
@@ -108,6 +109,21 @@
 	}
 }
 
+// resetConnections lets half of the upstreams reset all connections, as at a limit, for 0.5
+// to 4 seconds. Their flows go on.
+func (injector *faultInjector) resetConnections(ctx context.Context) {
+	injector.fleet.mu.Lock()
+	upstreams := slices.Clone(injector.fleet.upstreams)
+	injector.fleet.mu.Unlock()
+	for _, u := range upstreams {
+		if injector.rng.IntN(2) == 0 {
+			u.port.resetting.Add(1)
+			defer u.port.resetting.Add(-1)
+		}
+	}
+	injector.sleepBetween(ctx, 500*time.Millisecond, 4*time.Second)
+}
+
 // fillPath acts as a full path between instances and upstreams for 0.3 to 1.5 seconds: no
 // upstream answers connection attempts, and a fifth of the callers' packets is lost. The
 // upstreams answer again one after the other, within 0.3 seconds. Their flows go on.
