Return from Relay.Run after the socket is closed

TestRestartedInstanceReceivesUpdatesAgain failed once in a run of the package with "address already in use". Run closes the socket on a goroutine of its own and returned when the read had ended, which is before the address is free again. Run now waits for the end of Close.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -157,11 +157,14 @@
 // only once.
 func (r *Relay) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = r.conn.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() { _ = r.conn.Close(); close(closed) }) // Close fails only if the socket has been closed.
 	group.Go(func() error { return r.receiveDatagrams(ctx) })
 	group.Go(func() error { r.sendHellos(ctx); return nil })
-	return group.Wait()
+	err := group.Wait() // It also ends ctx.
+	// A read ends before the socket is closed, and the address can be opened again only then.
+	<-closed
+	return err
 }
 
 func (r *Relay) receiveDatagrams(ctx context.Context) error {
