Weigh late probes and remember late answers in verdicts of silence

The first results of a batch decided with one answer, because probes still under way did not count: 4 resets beside 40 late probes. And the crash of a third of 60 upstreams was proven after 8.2 s, 0.22 s on, because many unanswered probes beside few control probes looked like a fault of the instance.

Late probes now count as unanswered until they have a result, a late answer counts for a second, and four answers, or fewer than three unanswered probes, exclude the fault of the instance.

TestFirstResultsOfManySilentProbesProveNothing and TestFailureOfManyInSeveralDomainsIsProvenSoon failed before and pass.

--- a/internal/evidence/control.go
+++ b/internal/evidence/control.go
@@ -97,8 +97,8 @@
 }
 
 // isConclusive reports whether a probe without an answer shows that its upstream has
-// failed, and not that the path of this instance is at fault. It does when, since the probe
-// started, no other probe was answered late, the probes from openingSpan before on do not
+// failed, and not that the path of this instance is at fault. It does when, from slowFor before
+// it started, no other probe was answered late, the probes from openingSpan before on do not
 // contradict each other, enough of them were answered, and one of the first two holds, or else
 // the third one:
 //   - an upstream answered a probe that started while the opening packets of this one were
@@ -107,7 +107,7 @@
 //     either;
 //   - the snapshot is Ready and the last probe of every other listed upstream failed.
 func (t *Tracker) isConclusive(result ProbeResult) bool {
-	if t.path.slowAt.After(result.Started) || t.path.isMixed(result.Started.Add(-openingSpan)) {
+	if t.path.slowAt.After(result.Started.Add(-slowFor)) || t.path.isMixed(result.Started.Add(-openingSpan)) {
 		return false
 	}
 	if !t.lastReachedStart.Before(result.Started) {
--- a/internal/evidence/path.go
+++ b/internal/evidence/path.go
@@ -17,11 +17,16 @@
 	// pathWindow is the time for which results of probes say something about the path of
 	// this instance. It is longer than a probe without an answer takes.
 	pathWindow = 500 * time.Millisecond
+	// slowFor is the time for which a late answer makes the silence of upstreams prove nothing:
+	// a link that delays some packets loses others.
+	slowFor = time.Second
 	// openingSpan is the time in which the opening packets of a probe are sent.
 	openingSpan = 100 * time.Millisecond
 	// unansweredPerAnswer and maxAnswersNeeded are the numbers of answersFor.
 	unansweredPerAnswer = 5
 	maxAnswersNeeded    = 4
+	// minMixed is the least number of unanswered probes for which isMixed reports true.
+	minMixed = 3
 	// maxProbeTime is the time from the begin of a probe without an answer to its result after
 	// which this instance was paused meanwhile: the attempt takes 220 ms.
 	maxProbeTime = 300 * time.Millisecond
@@ -34,9 +39,11 @@
 
 // pathResult is the result of a probe as far as it concerns the path of this instance.
 type pathResult struct {
-	started time.Time
-	domain  string
-	// answered is true for an answer within LateProbeAfter.
+	upstream flowcookie.Cookie
+	started  time.Time
+	domain   string
+	// answered is true for an answer within LateProbeAfter. It is false for a probe without an
+	// answer, and for one that is late and under way.
 	answered bool
 }
 
@@ -50,9 +57,12 @@
 	slowAt time.Time
 }
 
-// record adds a result.
+// record adds a result, and removes those that are older than pathWindow or that it replaces:
+// results without an answer of the same upstream.
 func (p *path) record(now time.Time, result pathResult) {
-	p.results = slices.DeleteFunc(p.results, func(r pathResult) bool { return now.Sub(r.started) > pathWindow })
+	p.results = slices.DeleteFunc(p.results, func(r pathResult) bool {
+		return now.Sub(r.started) > pathWindow || (!r.answered && r.upstream == result.upstream)
+	})
 	if len(p.results) < maxPathResults {
 		p.results = append(p.results, result)
 	}
@@ -92,7 +102,10 @@
 // failure domain had answers in time and more probes without one, and so it is not this domain
 // alone that is in trouble, because probes into another one had no answer either or no domain
 // had as many answers. Upstreams fail one by one, some in each domain, or most of one domain.
-// An instance whose link is full loses the packets of any of them.
+// An instance whose link is full loses the packets of any of them. With maxAnswersNeeded answers
+// the probes do not contradict each other: many upstreams may fail at once, and only few of the
+// others are probed. The same holds for fewer than minMixed unanswered ones, as in a small
+// deployment.
 func (p *path) isMixed(since time.Time) bool {
 	type counts struct{ answered, unanswered int }
 	domains := map[string]counts{}
@@ -108,15 +121,16 @@
 		}
 		domains[r.domain] = c
 	}
-	mixed, unanswered, healthy := false, 0, false
+	mixed, unanswered, healthy, answers, silent := false, 0, false, 0, 0
 	for _, c := range domains {
+		answers, silent = answers+c.answered, silent+c.unanswered
 		if c.unanswered > 0 {
 			unanswered++
 		}
 		healthy = healthy || (c.answered > 0 && c.answered >= c.unanswered)
 		mixed = mixed || (c.answered > 0 && c.answered < c.unanswered)
 	}
-	return mixed && (unanswered > 1 || !healthy)
+	return mixed && silent >= minMixed && answers < maxAnswersNeeded && (unanswered > 1 || !healthy)
 }
 
 // pathDoubted reports whether the recent probes say that the path of this instance, and not the
@@ -157,6 +171,17 @@
 		return
 	}
 	t.path.record(now, pathResult{
-		started: result.Started, domain: t.domainOf(result.Upstream.Cookie, result.Upstream), answered: answered,
+		upstream: result.Upstream.Cookie, started: result.Started, domain: t.domainOf(result.Upstream.Cookie, result.Upstream), answered: answered,
+	})
+}
+
+// recordLate records a probe that is late, unless the upstream is known to have failed.
+func (t *Tracker) recordLate(now time.Time, probe Probe) {
+	state := t.stateOf(probe.Upstream.Cookie)
+	if state.probe.failed() {
+		return
+	}
+	t.path.record(now, pathResult{
+		upstream: probe.Upstream.Cookie, started: now.Add(-LateProbeAfter), domain: t.domainOf(probe.Upstream.Cookie, probe.Upstream),
 	})
 }
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -233,6 +233,7 @@
 		return false
 	}
 	state.probe.unsettled = true
+	t.recordLate(now, probe)
 	t.startControlProbes(now, probe.Upstream.Cookie, state.probe.requestedAt)
 	if state.probe.failed() {
 		return false
