Apply queued contradictions before the results of probes

An instance that was paused finds contradictions of its silence report and the results of its probes in two queues, and chose between them at random: in 16 to 26 of 40 runs it declared an upstream as failed although a peer's answer had arrived before. Contradictions and late probes are now applied first.

TestQueuedContradictionsPrecedeProbeResults failed before and passes.

--- a/internal/edge/contradictions.go
+++ b/internal/edge/contradictions.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// applyBeforeResults applies the queued contradictions and late probes, on which the verdicts on
+// results of probes rest.
+func (loop *trafficLoop) applyBeforeResults(now time.Time) {
+	for {
+		select {
+		case received := <-loop.contradictions:
+			loop.applyContradictions(received)
+		case probe := <-loop.prober.unanswered:
+			loop.applyUnansweredProbe(now, probe)
+		default:
+			return
+		}
+	}
+}
+
 // applyContradictions records the answers of a peer: the reply to a report of this instance, or
 // what the peer passes on about a report of its own.
 func (loop *trafficLoop) applyContradictions(received contradictionReport) {
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -56,6 +56,7 @@
 	for {
 		select {
 		case result := <-loop.prober.results:
+			loop.applyBeforeResults(now)
 			loop.applyProbeResult(now, result)
 		case probe := <-loop.prober.unanswered:
 			loop.applyUnansweredProbe(now, probe)
