Ask for lasting silence after a refusal before flows of a leaving upstream end

A draining upstream that has refused a probe and still served lost its open flows with the first probe without an answer, which may be a lost packet or a full link of the instance; no request had to be unanswered. A second probe without an answer is needed now.

TestLostProbeAfterARefusalResetsNoFlowsThatAreServed failed before and passes.

--- a/internal/evidence/confirm.go
+++ b/internal/evidence/confirm.go
@@ -41,8 +41,8 @@
 	needed, confirmed := failureConfirmedAfter, silent || since >= failureConfirmedAfter
 	if mayLeave {
 		needed = leavingConfirmedAfter
-		// Silence after a refusal shows that the machine has stopped.
-		gone := silent && state.probe.doubt == ProbeRefused
+		// Lasting silence after a refusal shows that the machine has stopped.
+		gone := silent && state.probe.doubt == ProbeRefused && state.probe.silentSince.Before(result.Started)
 		// The request may have caused an earlier probe without an answer that proved nothing.
 		began := state.probe.doubtedAt
 		if !state.probe.silentSince.IsZero() && state.probe.silentSince.Before(began) {
