Count a slowly received answer of the store from its header

An upstream that began to drain meanwhile counted as one that cannot be leaving, and two refusals 60 ms apart reset its open flows. A confirmation now counts as of at most 2.1 s after its call, the latest time of the header.

TestAnswerOfTheStoreThatArrivedSlowlyDoesNotExcludeADrain failed before and passes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,9 +25,13 @@
 	// break before the state is complete: entries that expired are back within
 	// missingGrace, and instances find them with the next check, at most 3 s later.
 	completeDelay = 3*time.Second + missingGrace
-	// checkDelay bounds the time from the start of a check by this instance to its
-	// confirmation: the call ends within 0.6 s.
+	// checkDelay is the time before the confirmation of a check by this instance at which the
+	// check counts as begun if its start is not known.
 	checkDelay = time.Second
+	// answerDelay bounds the time from the start of a call to the store to the moment that its
+	// response shows: a watch waits for up to 1.5 s, and its header arrives within 0.6 s. The body
+	// may take much longer on a slow link.
+	answerDelay = 2100 * time.Millisecond
 	// evacuationColdTime is how long the upstreams of a failure domain count as
 	// cold after its evacuation has ended, whatever their entries say, unless the cold
 	// start of their service is shorter. It covers a report of an upstream, 1.2 s, and
@@ -213,7 +217,12 @@
 	case FoundByCheck:
 		c.recordChange(Change{Event: "changes_found_by_check", Kind: e.Kind, Revision: e.Revision, Detail: fmt.Sprintf("current=%d", e.Current)})
 	case Confirmed:
-		c.recordConfirmation(now, e.Kind, e.Revision)
+		at := now
+		if latest := e.Began.Add(answerDelay); !e.Began.IsZero() && latest.Before(now) {
+			at = latest
+		}
+		c.recordKnown(now, e.Kind, e.Revision)
+		c.recordConfirmation(at, e.Kind, e.Revision)
 		c.recordCheck(now, e)
 	case Unavailable:
 		c.recordFailedCall(e.Kind, e.Err)
