Let pieces of a state wait longer in the send buffer than the receiver waits

A sender cut off requesting instances that received a state steadily on a slow link: the kernel frees the send buffer in steps that take longer than 600 ms there. The receiver already ends a transfer without progress, so the sender's limit is 3 s now. The slow rates were not run again; no test covers them.

--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -34,6 +34,10 @@
 	// maxMembersWithState bounds the members that are sent with a state; they take about
 	// 25 KB.
 	maxMembersWithState = 256
+	// pieceTimeout bounds the time in which a piece of a state can be handed to the kernel. It
+	// is longer than the stall limit of the requesting instance, which ends the transfer,
+	// because the kernel frees its send buffer in large steps on a slow link.
+	pieceTimeout = 3 * time.Second
 	// statePath is the URL path of requests for an instance's state, followed by
 	// the kind. The response is a relayv1.State.
 	statePath = "/v2/state/"
@@ -200,7 +204,7 @@
 func sendState(w http.ResponseWriter, body []byte) (sent int) {
 	control, end := http.NewResponseController(w), time.Now().Add(stateLimits.Total)
 	for len(body) > 0 {
-		deadline := time.Now().Add(stateLimits.Stall)
+		deadline := time.Now().Add(pieceTimeout)
 		if deadline.After(end) {
 			deadline = end
 		}
