--- a/internal/evidence/confirm.go
+++ b/internal/evidence/confirm.go
@@ -37,12 +37,16 @@
 	entry := t.snapshot.Resolve(result.Upstream.Cookie)
 	mayLeave := t.mayBeLeaving(now, entry)
 	announced := mayLeave && (entry.Draining || !entry.RemovedAt.IsZero())
+	again := false // Whether the probe is repeated at once.
 	// A probe without an answer has sent several packets already.
 	needed, confirmed := failureConfirmedAfter, silent || since >= failureConfirmedAfter
 	if mayLeave {
 		needed = leavingConfirmedAfter
 		// Lasting silence after a refusal shows that the machine has stopped.
-		gone := silent && state.probe.doubt == ProbeRefused && state.probe.silentSince.Before(result.Started)
+		gone := silent && state.probe.doubt == ProbeRefused
+		if gone && !state.probe.silentSince.Before(result.Started) {
+			gone, again = false, true
+		}
 		// The request may have caused an earlier probe without an answer that proved nothing.
 		began := state.probe.doubtedAt
 		if !state.probe.silentSince.IsZero() && state.probe.silentSince.Before(began) {
@@ -59,7 +63,7 @@
 		state.probe.recordOutcome(now, result.Outcome)
 	}
 	// RequestRetryProbes repeats the probe if the end was announced.
-	if entry != nil && since < needed && !announced {
+	if entry != nil && (again || (since < needed && !announced)) {
 		probe := t.newProbe(now, entry, result.Trigger)
 		probe.Delay = max(needed-now.Sub(state.probe.doubtedAt), 0)
 		t.probes = append(t.probes, probe)
