Leave the time of identification out of the verdict on the own path

A probe of an upstream that was removed or on trial asks for its id, for which a busy upstream takes up to 200 ms after it has accepted the connection. This counted as a late answer, which makes the silence of others prove nothing for a second now, so that flows of ended upstreams would wait beside a release.

TestSlowIdentificationDoesNotMakeThePathSlow failed before and passes. The counts of isMixed have names of their own.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -143,6 +143,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	result.Identified = probe.HealthPath != "" && (result.Outcome == evidence.ProbeAlive || result.Outcome == evidence.ProbeOther)
 	select {
 	case p.results <- result:
 		p.wake()
--- a/internal/evidence/path.go
+++ b/internal/evidence/path.go
@@ -121,16 +121,18 @@
 		}
 		domains[r.domain] = c
 	}
-	mixed, unanswered, healthy, answers, silent := false, 0, false, 0, 0
+	var total counts
+	mixed, healthy, silentDomains := false, false, 0
 	for _, c := range domains {
-		answers, silent = answers+c.answered, silent+c.unanswered
+		total.answered, total.unanswered = total.answered+c.answered, total.unanswered+c.unanswered
 		if c.unanswered > 0 {
-			unanswered++
+			silentDomains++
 		}
 		healthy = healthy || (c.answered > 0 && c.answered >= c.unanswered)
 		mixed = mixed || (c.answered > 0 && c.answered < c.unanswered)
 	}
-	return mixed && silent >= minMixed && answers < maxAnswersNeeded && (unanswered > 1 || !healthy)
+	enough := total.unanswered < minMixed || total.answered >= maxAnswersNeeded
+	return mixed && !enough && (silentDomains > 1 || !healthy)
 }
 
 // pathDoubted reports whether the recent probes say that the path of this instance, and not the
@@ -153,6 +155,8 @@
 	return answered == 0 && unanswered >= maxUnconfirmedReports
 }
 
+// domainOf returns the failure domain of an upstream, from fallback if the snapshot does not
+// know it any more.
 func (t *Tracker) domainOf(cookie flowcookie.Cookie, fallback *catalog.Entry) string {
 	if entry := t.snapshot.Resolve(cookie); entry != nil {
 		return entry.FailureDomain
@@ -163,6 +167,9 @@
 // recordPath records what the result of a probe says about the path of this instance.
 func (t *Tracker) recordPath(now time.Time, result ProbeResult) {
 	answered := result.Outcome != ProbeSilent
+	if result.Identified && now.Sub(result.Started) > LateProbeAfter {
+		return
+	}
 	if took := now.Sub(result.Started); took > maxProbeTime || (answered && took > LateProbeAfter) {
 		t.path.slowAt = now
 		return
--- a/internal/evidence/probe.go
+++ b/internal/evidence/probe.go
@@ -87,6 +87,9 @@
 	Started time.Time
 	// Err is the error of the connection attempt; nil if it was accepted.
 	Err error
+	// Identified is set when the upstream was asked for its id after it had accepted the
+	// connection. A busy one takes its time for the answer.
+	Identified bool
 }
 
 // HandleSilenceReport handles another instance's report that its probe of an upstream
--- a/internal/forward/observer_test.go
+++ b/internal/forward/observer_test.go
@@ -212,3 +212,19 @@
 	f.advance(533 * time.Millisecond)
 	require.Empty(t, f.result(1, evidence.ProbeSilent, began).Resets)
 }
+
+// Guards against an instance that takes its own path for slow because a busy upstream, which has
+// accepted the connection at once, is slow to tell its id.
+func TestSlowIdentificationDoesNotMakeThePathSlow(t *testing.T) {
+	f := newFixture(t, inDomains(6, "a", "b", "c")...)
+	f.send(4001, f.catalogCookie("i-1"), 1, 1, 0)
+	f.advance(time.Second)
+	began := f.now
+	f.advance(35 * time.Millisecond)
+	f.result(2, evidence.ProbeAlive, f.now)
+	f.advance(65 * time.Millisecond)
+	busy := f.engine.snapshot.Resolve(f.catalogCookie("i-3"))
+	f.engine.HandleProbeResult(f.now, evidence.ProbeResult{Upstream: busy, Outcome: evidence.ProbeAlive, Started: began, Identified: true})
+	f.advance(120 * time.Millisecond)
+	require.True(t, f.result(1, evidence.ProbeSilent, began).Failed)
+}
