--- a/review/.standin-2/consumer.go
+++ b/review/.standin-2/consumer.go
@@ -19,7 +19,10 @@
 	maxPause = 1400 * time.Millisecond
 	// minFlow and maxFlow bound the time after which a user opens another flow.
 	minFlow = 5 * time.Second
-	maxFlow = 30 * time.Second
+	maxFlow = 20 * time.Second
+	// resetWindow is the greatest distance of a reset from the last acknowledgement with which an
+	// open flow takes it.
+	resetWindow = 76_800
 	// flowLimit is max_flow_s.
 	flowLimit = 60 * time.Second
 )
@@ -130,6 +133,9 @@
 func (f *flow) handle(p *standin.Packet) result {
 	w := f.c.w
 	if p.Reset {
+		if distance := int32(p.Seq - f.ack); f.open && (distance < -resetWindow || distance > resetWindow) {
+			return gotNothing
+		}
 		f.judgeReset(p)
 		return gotReset
 	}
--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -19,6 +21,8 @@
 	"second-answer": secondAnswer,
 }
 
+var errNotPlayed = errors.New("the case was interrupted, or no request was served")
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
@@ -57,11 +61,14 @@
 	if err := cases[name](world); err != nil {
 		return fail(err)
 	}
+	if ctx.Err() != nil || world.served.Load() == 0 {
+		return fail(errNotPlayed)
+	}
 	return world.summary()
 }
 
-// startConsumers starts the consumers of the deployment: each has a user of hazard alerts,
-// two of job updates and alerts.
+// startConsumers starts the consumers of the deployment: each has two users of hazard alerts
+// and one of job updates.
 func (w *world) startConsumers() error {
 	n := 0
 	for _, z := range deployment {
@@ -83,35 +90,34 @@
 	return nil
 }
 
-// secondAnswer: all machines are stopped and started in turn, three times, while datagrams are
-// lost occasionally.
+// secondAnswer: all machines are stopped and started one after the other, three times in random
+// order, while datagrams are lost occasionally.
 func secondAnswer(w *world) error {
 	w.loss = 0.01
 	if err := w.startConsumers(); err != nil {
 		return err
 	}
+	w.sleep(8 * time.Second)
 	for range 3 {
-		w.sleep(8 * time.Second)
-		end := time.Now().Add(24 * time.Second)
-		if w.trouble {
-			w.restartInTurn(w.machines, 2*time.Second)
+		for _, n := range rand.Perm(len(w.machines)) {
+			if w.trouble {
+				go w.restart(w.machines[n])
+			}
+			w.sleep(3 * time.Second)
 		}
-		w.sleep(time.Until(end))
 	}
+	w.sleep(5 * time.Second)
 	return nil
 }
 
-// restartInTurn stops and starts machines one after the other.
-func (w *world) restartInTurn(machines []*machine, gap time.Duration) {
-	for _, m := range machines {
-		go func() {
-			m.stop()
-			w.sleep(restartDelay)
-			if err := m.start(); err != nil {
-				w.logf("%s does not start: %v", m.name, err)
-			}
-		}()
-		w.sleep(gap)
+// restart stops a machine and starts it again.
+func (w *world) restart(m *machine) {
+	m.restarting.Lock()
+	defer m.restarting.Unlock()
+	m.stop()
+	w.sleep(restartDelay)
+	if err := m.start(); err != nil {
+		w.logf("%s does not start: %v", m.name, err)
 	}
 }
 
--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -132,9 +132,11 @@
 	settings string
 	log      *os.File
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	exited  chan struct{}
+	// restarting is held while the process is stopped and started again.
+	restarting sync.Mutex
+	mu         sync.Mutex
+	process    *exec.Cmd
+	exited     chan struct{}
 	// stopped is set when the case has ended the process, ended when it starts no further one.
 	stopped    bool
 	ended      bool
