--- a/review/.standin-2/world.go
+++ b/review/.standin-2/world.go
@@ -350,9 +350,9 @@
 )
 
 var (
-	routeUpdates = netip.MustParseAddrPort("198.18.0.1:8080")
-	routeAlerts  = netip.MustParseAddrPort("198.18.0.1:8443")
-	routeBundles = netip.MustParseAddrPort("198.18.0.2:8443")
+	routeUpdates = netip.MustParseAddrPort("127.255.0.1:8080")
+	routeAlerts  = netip.MustParseAddrPort("127.255.0.1:8443")
+	routeBundles = netip.MustParseAddrPort("127.255.0.2:8443")
 )
 
 func firstConfiguration() catalog.Configuration {
