--- a/review/.standin-2/consumer.go
+++ b/review/.standin-2/consumer.go
@@ -150,7 +150,7 @@
 		}
 		if f.open {
 			// An established connection answers a SYN+ACK with an acknowledgement, that of
-			// the own host and that of another one alike (RFC 9293, 3.10.7.4).
+			// the own host and that of another one alike (RFC 9293, "SEGMENT ARRIVES").
 			f.send(f.packet())
 			return gotNothing
 		}
